--- /dev/null
+++ b/crates/agent/src/command.rs
@@ -0,0 +1,140 @@
+//! What the agent's tasks ask of its control thread.
+
+use std::collections::HashMap;
+
+use comfreyhaven_core::agent::{Action, Agent, Event, RunStatus};
+use comfreyhaven_core::refusal::{NotRunReason, ReturnReason};
+use comfreyhaven_core::{OfferId, RequestId, Reservation, ReservationId, Timestamp};
+use comfreyhaven_wire::service::ReserveReply;
+use tokio::sync::oneshot;
+
+use crate::metrics::Metrics;
+
+/// A message to the control thread.
+pub(crate) enum Command {
+    /// An event that nobody waits on.
+    Event(Event),
+    /// A reservation, answered when it leaves the queue.
+    Reserve {
+        reservation: Reservation,
+        reply: oneshot::Sender<ReserveReply>,
+    },
+    /// A body under an offer, answered whether it runs.
+    Claim {
+        offer: OfferId,
+        request: RequestId,
+        reply: oneshot::Sender<Result<(), NotRunReason>>,
+    },
+    /// An inquiry.
+    Inquire {
+        offer: OfferId,
+        request: RequestId,
+        reply: oneshot::Sender<RunStatus>,
+    },
+    /// A wish for the state.
+    Dump(oneshot::Sender<serde_json::Value>),
+    /// Whether nothing runs, waits or is offered.
+    Idle(oneshot::Sender<bool>),
+}
+
+/// The state machine and the tasks that wait for its actions.
+pub(crate) struct Control {
+    agent: Agent,
+    metrics: Metrics,
+    reservations: HashMap<ReservationId, oneshot::Sender<ReserveReply>>,
+    claims: HashMap<OfferId, oneshot::Sender<Result<(), NotRunReason>>>,
+    inquiries: HashMap<RequestId, Vec<oneshot::Sender<RunStatus>>>,
+}
+
+impl Control {
+    pub(crate) fn new(agent: Agent, metrics: Metrics) -> Self {
+        Self {
+            agent,
+            metrics,
+            reservations: HashMap::new(),
+            claims: HashMap::new(),
+            inquiries: HashMap::new(),
+        }
+    }
+
+    /// Handles one command, or a wake-up, and tells when to be called next.
+    pub(crate) fn step(&mut self, command: Option<Command>, now: Timestamp) -> Timestamp {
+        match command {
+            None => self.decide(Event::Tick, now),
+            Some(Command::Event(event)) => self.decide(event, now),
+            Some(Command::Reserve { reservation, reply }) => {
+                self.reservations.insert(reservation.id, reply);
+                self.decide(Event::Reserve(reservation), now);
+            }
+            Some(Command::Claim {
+                offer,
+                request,
+                reply,
+            }) => {
+                self.claims.insert(offer, reply);
+                self.decide(Event::Claim { offer, request }, now);
+            }
+            Some(Command::Inquire {
+                offer,
+                request,
+                reply,
+            }) => {
+                self.inquiries.entry(request).or_default().push(reply);
+                self.decide(Event::Inquire { offer, request }, now);
+            }
+            Some(Command::Dump(reply)) => {
+                let state = serde_json::to_value(self.agent.state()).unwrap_or_default();
+                let _ = reply.send(state);
+            }
+            Some(Command::Idle(reply)) => {
+                let _ = reply.send(self.agent.is_idle());
+            }
+        }
+        self.agent.wake()
+    }
+
+    fn decide(&mut self, event: Event, now: Timestamp) {
+        for action in self.agent.handle(event, now) {
+            self.metrics.count(&action);
+            self.perform(action);
+        }
+    }
+
+    /// Answers the task that waits for an action. A task that is gone needs no answer: the event
+    /// that follows from its end undoes what was decided for it.
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::Offer {
+                id,
+                offer,
+                lifetime,
+            } => {
+                self.answer_reservation(id, ReserveReply::Offered { offer, lifetime });
+            }
+            Action::Return { id, reason } => self.return_reservation(id, reason),
+            Action::Run(offer) => self.answer_claim(offer, Ok(())),
+            Action::Reject { offer, reason } => self.answer_claim(offer, Err(reason)),
+            Action::Report { request, status } => {
+                for reply in self.inquiries.remove(&request).unwrap_or_default() {
+                    let _ = reply.send(status);
+                }
+            }
+        }
+    }
+
+    fn return_reservation(&mut self, id: ReservationId, reason: ReturnReason) {
+        self.answer_reservation(id, ReserveReply::Returned(reason));
+    }
+
+    fn answer_reservation(&mut self, id: ReservationId, answer: ReserveReply) {
+        if let Some(reply) = self.reservations.remove(&id) {
+            let _ = reply.send(answer);
+        }
+    }
+
+    fn answer_claim(&mut self, offer: OfferId, answer: Result<(), NotRunReason>) {
+        if let Some(reply) = self.claims.remove(&offer) {
+            let _ = reply.send(answer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/process.rs
@@ -0,0 +1,147 @@
+//! The agent process from start to exit.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use comfreyhaven_config::settings::AgentSettings;
+use comfreyhaven_core::BootNonce;
+use comfreyhaven_core::agent::{Agent, Event};
+use comfreyhaven_core::fleet::{EndpointKind, Fleet};
+use comfreyhaven_process::admin::{self, Health};
+use comfreyhaven_process::clock::Clock;
+use comfreyhaven_process::control::{ControlThread, Mailbox};
+use comfreyhaven_process::error::ProcessError;
+use comfreyhaven_process::platform::HttpConfiguration;
+use comfreyhaven_process::{configuration, control, server, shutdown};
+use prometheus::Registry;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::command::{Command, Control};
+use crate::endpoint::Endpoint;
+use crate::metrics::Metrics;
+use crate::{bodies, probe, reservations};
+
+/// How often a leaving agent looks whether it may exit.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Runs an agent until it is told to leave and has finished what runs.
+///
+/// # Errors
+/// Returns a [`ProcessError`] if an address cannot be listened on or the control thread fails.
+pub async fn run(settings: AgentSettings) -> Result<(), ProcessError> {
+    let process = &settings.process;
+    let control_listener = server::bind(process.control).await?;
+    let traffic_listener = server::bind(settings.traffic).await?;
+    let admin_listener = server::bind(process.admin).await?;
+    server::announce("control", &control_listener);
+    server::announce("traffic", &traffic_listener);
+    server::announce("admin", &admin_listener);
+
+    let registry = Registry::new();
+    let metrics = Metrics::new(&registry).map_err(std::io::Error::other)?;
+    let agent = Agent::new(settings.name.clone(), BootNonce::new(rand::random()));
+    let mut state = Control::new(agent, metrics);
+    let step = move |command, now| state.step(command, now);
+    let (thread, mailbox) = ControlThread::spawn(Clock::start(), step)?;
+
+    let (tasks, stop) = (TaskTracker::new(), CancellationToken::new());
+    let (fleet_sender, fleet) = watch::channel(Arc::new(Fleet::default()));
+    let source = process.control.ip();
+    let service = HttpConfiguration::new(source, process.configuration);
+    tasks.spawn(configuration::follow(service, fleet_sender, stop.clone()));
+    let configured = |fleet| Command::Event(Event::Configured(fleet));
+    tasks.spawn(configuration::pass_on(
+        fleet.clone(),
+        mailbox.clone(),
+        configured,
+        stop.clone(),
+    ));
+    tasks.spawn(reservations::serve(
+        control_listener,
+        mailbox.clone(),
+        fleet.clone(),
+        stop.clone(),
+    ));
+    let (dump, ready) = (mailbox.clone(), mailbox.clone());
+    let state = move || control::ask(dump.clone(), Command::Dump);
+    let health = move || health(ready.clone());
+    tasks.spawn(admin::serve(
+        admin_listener,
+        registry,
+        stop.clone(),
+        state,
+        health,
+    ));
+
+    let serving = serve_endpoint(&settings, traffic_listener, &mailbox, fleet, &tasks, &stop);
+    tokio::select! {
+        () = serving => {}
+        signalled = shutdown::signalled() => signalled?,
+    }
+    drain(&mailbox).await;
+    stop.cancel();
+    tasks.close();
+    tasks.wait().await;
+    drop(mailbox);
+    thread.join().await
+}
+
+/// Starts what depends on the endpoint's declaration, once it is there, and then waits for ever.
+async fn serve_endpoint(
+    settings: &AgentSettings,
+    listener: tokio::net::TcpListener,
+    mailbox: &Mailbox<Command>,
+    mut fleet: watch::Receiver<Arc<Fleet>>,
+    tasks: &TaskTracker,
+    stop: &CancellationToken,
+) {
+    let kind = declared_kind(settings, &mut fleet).await;
+    let (source, target) = (settings.process.control.ip(), settings.endpoint);
+    let endpoint = Endpoint::new(source, target, kind);
+    tasks.spawn(probe::watch(
+        source,
+        target,
+        kind,
+        mailbox.clone(),
+        stop.clone(),
+    ));
+    tasks.spawn(bodies::serve(
+        listener,
+        mailbox.clone(),
+        endpoint,
+        fleet,
+        stop.clone(),
+    ));
+    std::future::pending::<()>().await;
+}
+
+async fn declared_kind(
+    settings: &AgentSettings,
+    fleet: &mut watch::Receiver<Arc<Fleet>>,
+) -> EndpointKind {
+    let declared = fleet
+        .wait_for(|fleet| fleet.endpoints.contains_key(&settings.name))
+        .await;
+    let kind = declared
+        .ok()
+        .and_then(|fleet| Some(fleet.endpoints.get(&settings.name)?.kind));
+    match kind {
+        Some(kind) => kind,
+        None => std::future::pending().await,
+    }
+}
+
+async fn drain(mailbox: &Mailbox<Command>) {
+    let _ = mailbox.send(Command::Event(Event::Leave));
+    while !control::ask(mailbox.clone(), Command::Idle).await {
+        tokio::time::sleep(DRAIN_INTERVAL).await;
+    }
+}
+
+async fn health(mailbox: Mailbox<Command>) -> Health {
+    let state = control::ask(mailbox, Command::Dump).await;
+    let ready = !state["endpoint"].is_null() && state["leaving"] == false;
+    Health { ready }
+}
--- /dev/null
+++ b/crates/agent/src/reservations.rs
@@ -0,0 +1,114 @@
+//! The control service: reservations, withdrawals, releases and inquiries.
+
+use std::sync::Arc;
+
+use comfreyhaven_core::agent::{Event, RunStatus};
+use comfreyhaven_core::fleet::Fleet;
+use comfreyhaven_core::refusal::ReturnReason;
+use comfreyhaven_core::{OfferId, RequestId, Reservation, ReservationId};
+use comfreyhaven_process::control::Mailbox;
+use comfreyhaven_process::server;
+use comfreyhaven_wire::preface::{self, ServiceKind};
+use comfreyhaven_wire::service::{AgentControl, ReserveReply};
+use comfreyhaven_wire::transport;
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::command::Command;
+use crate::peers;
+
+/// Control connections at once.
+const CONNECTIONS_LIMIT: usize = 1_024;
+
+#[derive(Clone)]
+struct Service {
+    mailbox: Mailbox<Command>,
+}
+
+/// Takes a reservation back when its call is cancelled or its connection closes.
+struct Guard {
+    mailbox: Mailbox<Command>,
+    id: ReservationId,
+    armed: bool,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if self.armed {
+            let _ = self.mailbox.send(Command::Event(Event::Withdraw(self.id)));
+        }
+    }
+}
+
+impl AgentControl for Service {
+    async fn reserve(self, _: Context, reservation: Reservation) -> ReserveReply {
+        let id = reservation.id;
+        let mut guard = Guard {
+            mailbox: self.mailbox.clone(),
+            id,
+            armed: true,
+        };
+        let (reply, answer) = oneshot::channel();
+        let _ = self.mailbox.send(Command::Reserve { reservation, reply });
+        let answer = answer.await;
+        guard.armed = false;
+        answer.unwrap_or(ReserveReply::Returned(ReturnReason::Leaving))
+    }
+
+    async fn withdraw(self, _: Context, id: ReservationId) {
+        let _ = self.mailbox.send(Command::Event(Event::Withdraw(id)));
+    }
+
+    async fn release(self, _: Context, offer: OfferId) {
+        let _ = self.mailbox.send(Command::Event(Event::Release(offer)));
+    }
+
+    async fn inquire(self, _: Context, request: RequestId, offer: OfferId) -> RunStatus {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.mailbox.send(Command::Inquire {
+            offer,
+            request,
+            reply,
+        });
+        answer.await.unwrap_or(RunStatus::Unknown)
+    }
+}
+
+/// Serves declared entries until `stop`.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    mailbox: Mailbox<Command>,
+    fleet: watch::Receiver<Arc<Fleet>>,
+    stop: CancellationToken,
+) {
+    let closing = stop.clone();
+    server::accept(listener, CONNECTIONS_LIMIT, stop, move |stream, peer| {
+        let declared = peers::is_entry(&fleet, peer.ip());
+        let (mailbox, closing) = (mailbox.clone(), closing.clone());
+        async move {
+            if !declared {
+                return;
+            }
+            tokio::select! {
+                () = closing.cancelled() => {}
+                () = connection(stream, mailbox) => {}
+            }
+        }
+    })
+    .await;
+}
+
+async fn connection(mut stream: TcpStream, mailbox: Mailbox<Command>) {
+    match preface::read(&mut stream).await {
+        Ok(ServiceKind::Agent) => {}
+        Ok(other) => return log::warn!("connection refused: an agent has no service {other}"),
+        Err(error) => return log::warn!("connection refused: {error}"),
+    }
+    let channel = BaseChannel::with_defaults(transport::wrap(stream));
+    let calls = channel.execute(Service { mailbox }.serve());
+    calls.for_each_concurrent(None, |call| call).await;
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,15 @@
+//! The operators' command line.
+
+use std::process::ExitCode;
+
+use comfreyhaven_cli::{cli, exec};
+
+fn main() -> ExitCode {
+    match exec(&cli().get_matches()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("comfreyhaven: {error}");
+            ExitCode::from(error.code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,162 @@
+//! Settings of one process: who it is, where it listens, where it finds the platform.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use comfreyhaven_core::{DataCentreName, EndpointName, HostName};
+use derive_more::{Display, Error, From};
+
+use crate::ini;
+use crate::problem::Problems;
+use crate::section::Section;
+
+/// Settings that cannot be used.
+#[derive(Debug, Display, Error, From)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[display("settings file {path:?} cannot be read: {source}")]
+    #[from(ignore)]
+    Read {
+        /// The file.
+        path: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The file has faults.
+    Problems(Problems),
+}
+
+/// Settings of every process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProcessSettings {
+    /// Where the process stands.
+    pub centre: DataCentreName,
+    /// Where peers reach its control service. Its IP is the source of all its connections.
+    pub control: SocketAddr,
+    /// Where operators read metrics, state and health.
+    pub admin: SocketAddr,
+    /// The configuration service.
+    pub configuration: SocketAddr,
+    /// The host list.
+    pub hosts: SocketAddr,
+    /// Log filter, as `env_logger` reads it.
+    pub log: String,
+}
+
+/// Settings of an entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// What every process needs.
+    pub process: ProcessSettings,
+    /// This host, as the configuration names it.
+    pub name: HostName,
+    /// Where callers are served.
+    pub listen: SocketAddr,
+}
+
+/// Settings of an agent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AgentSettings {
+    /// What every process needs.
+    pub process: ProcessSettings,
+    /// This endpoint, as the configuration names it.
+    pub name: EndpointName,
+    /// Where entries send bodies.
+    pub traffic: SocketAddr,
+    /// The endpoint itself.
+    pub endpoint: SocketAddr,
+}
+
+impl EntrySettings {
+    /// Reads an entry's settings file.
+    ///
+    /// # Errors
+    /// Returns a [`SettingsError`] that names every fault of the file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let (process, (name, listen)) = parse(path, "entry", |section| {
+            let name = section.take("name");
+            let listen = section.take("listen");
+            Some((name?, listen?))
+        })?;
+        Ok(Self {
+            process,
+            name,
+            listen,
+        })
+    }
+}
+
+impl AgentSettings {
+    /// Reads an agent's settings file.
+    ///
+    /// # Errors
+    /// Returns a [`SettingsError`] that names every fault of the file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let (process, (name, traffic, endpoint)) = parse(path, "agent", |section| {
+            let name = section.take("name");
+            let traffic = section.take("traffic");
+            let endpoint = section.take("endpoint");
+            Some((name?, traffic?, endpoint?))
+        })?;
+        Ok(Self {
+            process,
+            name,
+            traffic,
+            endpoint,
+        })
+    }
+}
+
+fn parse<T>(
+    path: &Path,
+    role: &str,
+    own: impl FnOnce(&mut Section) -> Option<T>,
+) -> Result<(ProcessSettings, T), SettingsError> {
+    let shown = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+        path: shown.clone(),
+        source,
+    })?;
+    let mut problems = Vec::new();
+    let mut process_section = Section::new(&shown, "process", Vec::new());
+    let mut role_section = Section::new(&shown, role, Vec::new());
+    let mut seen = Vec::new();
+    for mut section in ini::sections(&shown, &text)? {
+        let kind = section.kind().to_owned();
+        if seen.contains(&kind) {
+            section.fault(None, None, "one such section; it stands twice");
+        }
+        match kind.as_str() {
+            "process" => process_section = section,
+            kind if kind == role => role_section = section,
+            _ => problems.extend(section.reject(&format!("process and {role}"))),
+        }
+        seen.push(kind);
+    }
+    let process = process(&mut process_section);
+    let own = own(&mut role_section);
+    problems.extend(process_section.finish());
+    problems.extend(role_section.finish());
+    let problems = Problems(problems);
+    match (process, own) {
+        (Some(process), Some(own)) => Ok(problems.unless_empty((process, own))?),
+        _ => Err(problems.into()),
+    }
+}
+
+fn process(section: &mut Section) -> Option<ProcessSettings> {
+    let centre = section.take("data centre");
+    let control = section.take("control");
+    let admin = section.take("admin");
+    let configuration = section.take("configuration service");
+    let hosts = section.take("host list");
+    let log = section.take_or("log", "info".to_owned());
+    Some(ProcessSettings {
+        centre: centre?,
+        control: control?,
+        admin: admin?,
+        configuration: configuration?,
+        hosts: hosts?,
+        log: log?,
+    })
+}
--- /dev/null
+++ b/crates/config/src/value.rs
@@ -0,0 +1,106 @@
+//! Values with units.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+
+/// Text that is not a value with its unit.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum ValueError {
+    /// Not a duration.
+    #[display("a whole number with a unit of time: ms, s or m, such as 800ms")]
+    Duration,
+    /// Not a rate.
+    #[display("a whole number of tokens a second, such as 2000/s")]
+    Rate,
+    /// Not a count.
+    #[display("a whole number")]
+    Count,
+    /// Not a choice.
+    #[display("one of {_0}")]
+    Choice(#[error(not(source))] String),
+}
+
+/// A duration written as `800ms`, `30s` or `5m`.
+///
+/// ```
+/// use comfreyhaven_config::value::Span;
+/// use std::time::Duration;
+///
+/// let span: Span = "800ms".parse().unwrap();
+/// assert_eq!(span.0, Duration::from_millis(800));
+/// assert_eq!(span.to_string(), "800ms");
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(pub Duration);
+
+impl FromStr for Span {
+    type Err = ValueError;
+    fn from_str(text: &str) -> Result<Self, ValueError> {
+        let digits = text.trim_end_matches(|c: char| !c.is_ascii_digit());
+        let number: u64 = digits.parse().map_err(|_| ValueError::Duration)?;
+        let millis = match &text[digits.len()..] {
+            "ms" => Some(number),
+            "s" => number.checked_mul(1_000),
+            "m" => number.checked_mul(60_000),
+            _ => None,
+        };
+        millis
+            .map(|millis| Self(Duration::from_millis(millis)))
+            .ok_or(ValueError::Duration)
+    }
+}
+
+impl std::fmt::Display for Span {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let millis = self.0.as_millis();
+        match (millis % 60_000, millis % 1_000) {
+            (0, _) if millis > 0 => write!(f, "{}m", millis / 60_000),
+            (_, 0) => write!(f, "{}s", millis / 1_000),
+            _ => write!(f, "{millis}ms"),
+        }
+    }
+}
+
+/// A rate in tokens a second, written as `2000/s`.
+///
+/// ```
+/// use comfreyhaven_config::value::TokenRate;
+/// assert_eq!("2000/s".parse(), Ok(TokenRate(2000)));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[display("{_0}/s")]
+pub struct TokenRate(pub u64);
+
+impl FromStr for TokenRate {
+    type Err = ValueError;
+    fn from_str(text: &str) -> Result<Self, ValueError> {
+        let number = text.strip_suffix("/s").ok_or(ValueError::Rate)?;
+        number.parse().map(Self).map_err(|_| ValueError::Rate)
+    }
+}
+
+/// A whole number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub struct Count(pub u64);
+
+impl FromStr for Count {
+    type Err = ValueError;
+    fn from_str(text: &str) -> Result<Self, ValueError> {
+        text.parse().map(Self).map_err(|_| ValueError::Count)
+    }
+}
+
+/// One of the named variants of an enum.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Choice<T>(pub T);
+
+impl<T: FromStr + strum::VariantNames> FromStr for Choice<T> {
+    type Err = ValueError;
+    fn from_str(text: &str) -> Result<Self, ValueError> {
+        text.parse()
+            .map(Self)
+            .map_err(|_| ValueError::Choice(T::VARIANTS.join(", ")))
+    }
+}
--- /dev/null
+++ b/crates/core/src/agent/offers.rs
@@ -0,0 +1,103 @@
+//! Offers that are waiting for their bodies.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::id::{BootNonce, OfferId, RequestId, ReservationId};
+use crate::request::Reservation;
+use crate::time::Timestamp;
+
+/// How long an offer holds its slot for the entry. It covers a round trip between regions.
+pub const OFFER_LIFETIME: Duration = Duration::from_millis(1_000);
+
+/// An offer and the reservation it was made to.
+#[derive(Debug)]
+pub(super) struct Pending {
+    pub(super) reservation: Reservation,
+    pub(super) deadline: Timestamp,
+    expiry: Timestamp,
+}
+
+/// The offers of one process. Sequence numbers rise, so expiry order is sequence order.
+#[derive(Debug)]
+pub(super) struct Offers {
+    boot: BootNonce,
+    next: u64,
+    pending: BTreeMap<u64, Pending>,
+}
+
+impl Offers {
+    pub(super) fn new(boot: BootNonce) -> Self {
+        Self {
+            boot,
+            next: 0,
+            pending: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn boot(&self) -> BootNonce {
+        self.boot
+    }
+
+    pub(super) fn make(
+        &mut self,
+        reservation: Reservation,
+        deadline: Timestamp,
+        now: Timestamp,
+    ) -> OfferId {
+        let sequence = self.next;
+        self.next += 1;
+        let pending = Pending {
+            reservation,
+            deadline,
+            expiry: now + OFFER_LIFETIME,
+        };
+        self.pending.insert(sequence, pending);
+        OfferId {
+            boot: self.boot,
+            sequence,
+        }
+    }
+
+    /// Takes an offer out, if it is of this process, unused and unexpired.
+    pub(super) fn take(&mut self, offer: OfferId, now: Timestamp) -> Option<Pending> {
+        if offer.boot != self.boot {
+            return None;
+        }
+        let pending = self.pending.remove(&offer.sequence)?;
+        (now < pending.expiry).then_some(pending)
+    }
+
+    /// Voids every offer that was made to a request.
+    pub(super) fn void(&mut self, request: RequestId) {
+        self.pending
+            .retain(|_, pending| pending.reservation.id.request != request);
+    }
+
+    /// Voids the offer that was made to a reservation and may still be under way.
+    pub(super) fn withdraw(&mut self, id: ReservationId) {
+        self.pending
+            .retain(|_, pending| pending.reservation.id != id);
+    }
+
+    pub(super) fn drop_expired(&mut self, now: Timestamp) {
+        self.pending.retain(|_, pending| now < pending.expiry);
+    }
+
+    pub(super) fn next_expiry(&self) -> Option<Timestamp> {
+        self.pending
+            .first_key_value()
+            .map(|(_, pending)| pending.expiry)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.pending.len()
+    }
+
+    pub(super) fn tokens(&self) -> u64 {
+        self.pending
+            .values()
+            .map(|pending| pending.reservation.cost.total())
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/core/src/time.rs
@@ -0,0 +1,77 @@
+//! Monotonic time as the state machines see it.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// Microseconds on one process's monotonic clock.
+///
+/// A timestamp has no meaning in another process; between processes only durations travel.
+///
+/// ```
+/// use comfreyhaven_core::Timestamp;
+/// use std::time::Duration;
+///
+/// let start = Timestamp::from_micros(5);
+/// let later = start + Duration::from_micros(10);
+/// assert_eq!(later.since(start), Duration::from_micros(10));
+/// assert_eq!(start.since(later), Duration::ZERO);
+/// ```
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0}us")]
+pub struct Timestamp(u64);
+
+impl Timestamp {
+    /// The origin of the clock.
+    pub const ZERO: Self = Self(0);
+    /// A time that is never reached.
+    pub const NEVER: Self = Self(u64::MAX);
+
+    /// The timestamp at `micros` microseconds after the origin.
+    #[must_use]
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// The timestamp at `millis` milliseconds after the origin.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Microseconds since the origin.
+    #[must_use]
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// The time that passed since `earlier`, or zero if `earlier` is later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl std::ops::Add<Duration> for Timestamp {
+    type Output = Self;
+
+    /// Saturates at [`Timestamp::NEVER`].
+    fn add(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/driver.rs
@@ -0,0 +1,163 @@
+//! The task of one request: carries out the control thread's decisions on it.
+
+use comfreyhaven_core::entry::{Action, Event};
+use comfreyhaven_core::{EndpointName, OfferId, RequestId, Reservation};
+use comfreyhaven_process::control::Mailbox;
+use comfreyhaven_wire::service::ReserveReply;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use crate::caller::Caller;
+use crate::command::Command;
+use crate::intake::Intake;
+use crate::links::Links;
+use crate::relay::{self, Relayed};
+
+/// One request, its caller and the calls to agents that are under way for it.
+pub(crate) struct Driver {
+    intake: Intake,
+    caller: Caller,
+    links: Links,
+    mailbox: Mailbox<Command>,
+    actions: mpsc::UnboundedReceiver<Action>,
+    calls: JoinSet<()>,
+}
+
+impl Driver {
+    /// Announces a request to the control thread.
+    pub(crate) fn new(
+        intake: Intake,
+        caller: Caller,
+        links: Links,
+        mailbox: Mailbox<Command>,
+    ) -> Self {
+        let (sender, actions) = mpsc::unbounded_channel();
+        let _ = mailbox.send(Command::Arrive(Box::new(intake.arrival.clone()), sender));
+        Self {
+            intake,
+            caller,
+            links,
+            mailbox,
+            actions,
+            calls: JoinSet::new(),
+        }
+    }
+
+    /// Runs until the request is over, and joins every call made for it.
+    pub(crate) async fn run(mut self) {
+        let mut gone = false;
+        loop {
+            let action = tokio::select! {
+                action = self.actions.recv() => action,
+                () = self.caller.gone(), if !gone => {
+                    gone = true;
+                    self.tell(Event::CallerGone(self.request()));
+                    continue;
+                }
+                Some(_) = self.calls.join_next() => continue,
+            };
+            let Some(action) = action else { break };
+            if self.perform(action).await {
+                break;
+            }
+        }
+        while self.calls.join_next().await.is_some() {}
+    }
+
+    fn request(&self) -> RequestId {
+        self.intake.arrival.id
+    }
+
+    fn tell(&self, event: Event) {
+        let _ = self.mailbox.send(Command::Event(event));
+    }
+
+    /// Carries out one action. Tells whether the request is over.
+    async fn perform(&mut self, action: Action) -> bool {
+        match action {
+            Action::Reserve {
+                endpoint,
+                reservation,
+            } => self.reserve(endpoint, *reservation),
+            Action::Withdraw { endpoint, id } => {
+                let links = self.links.clone();
+                self.calls
+                    .spawn(async move { drop(links.withdraw(&endpoint, id).await) });
+            }
+            Action::Release {
+                endpoint, offer, ..
+            } => {
+                let links = self.links.clone();
+                self.calls
+                    .spawn(async move { drop(links.release(&endpoint, offer).await) });
+            }
+            Action::Dispatch {
+                endpoint, offer, ..
+            } => self.dispatch(&endpoint, offer).await,
+            Action::Inquire {
+                endpoint, offer, ..
+            } => self.inquire(&endpoint, offer).await,
+            Action::Refuse { refusal, .. } => {
+                log::info!(request:% = self.request(), team:% = self.intake.team; "refused: {refusal}");
+                self.caller.refuse(&refusal).await;
+                return true;
+            }
+            Action::Close(_) => return true,
+        }
+        false
+    }
+
+    fn reserve(&mut self, endpoint: EndpointName, reservation: Reservation) {
+        let (links, mailbox) = (self.links.clone(), self.mailbox.clone());
+        self.calls.spawn(async move {
+            let id = reservation.id;
+            let event = match links.reserve(&endpoint, reservation).await {
+                Ok(ReserveReply::Offered { offer, .. }) => Event::Offered {
+                    id,
+                    endpoint,
+                    offer,
+                },
+                Ok(ReserveReply::Returned(reason)) => Event::Returned {
+                    id,
+                    endpoint,
+                    reason,
+                },
+                Err(error) => {
+                    log::info!(request:% = id.request; "{endpoint}: {error}");
+                    Event::Unreachable { id, endpoint }
+                }
+            };
+            let _ = mailbox.send(Command::Event(event));
+        });
+    }
+
+    async fn dispatch(&mut self, endpoint: &EndpointName, offer: OfferId) {
+        let (links, mailbox) = (&self.links, &self.mailbox);
+        let relayed = relay::run(
+            &self.intake,
+            endpoint,
+            offer,
+            links,
+            mailbox,
+            &mut self.caller,
+        )
+        .await;
+        let request = self.request();
+        match relayed {
+            Relayed::CallerGone => self.tell(Event::CallerGone(request)),
+            Relayed::Ended(ending) => {
+                if let comfreyhaven_core::entry::Ending::Whole { .. } = ending {
+                    self.caller.finish();
+                }
+                log::info!(request:% = request, team:% = self.intake.team; "ended at {endpoint}: {ending:?}");
+                self.tell(Event::Ended { request, ending });
+            }
+        }
+    }
+
+    async fn inquire(&mut self, endpoint: &EndpointName, offer: OfferId) {
+        let request = self.request();
+        let status = self.links.inquire(endpoint, request, offer).await.ok();
+        self.tell(Event::Inquired { request, status });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,32 @@
+//! The entry daemon.
+
+use std::process::ExitCode;
+
+use comfreyhaven_config::settings::EntrySettings;
+use comfreyhaven_entry::run;
+use comfreyhaven_process::args;
+use comfreyhaven_process::error::ProcessError;
+
+fn main() -> ExitCode {
+    let matches = args::cli(
+        "comfreyhaven-entry",
+        "Takes callers' requests and sees each through to its whole answer or a refusal",
+    )
+    .get_matches();
+    match start(&args::settings(&matches)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("comfreyhaven-entry: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(path: &std::path::Path) -> Result<(), ProcessError> {
+    let settings = EntrySettings::load(path)?;
+    comfreyhaven_process::logging::init(&settings.process.log);
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?
+        .block_on(run(settings))
+}
--- /dev/null
+++ b/crates/entry/src/process.rs
@@ -0,0 +1,104 @@
+//! The entry process from start to exit.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use comfreyhaven_config::settings::EntrySettings;
+use comfreyhaven_core::BootNonce;
+use comfreyhaven_core::entry::{Entry, Event};
+use comfreyhaven_core::fleet::Fleet;
+use comfreyhaven_process::admin::{self, Health};
+use comfreyhaven_process::clock::Clock;
+use comfreyhaven_process::control::{self, ControlThread, Mailbox};
+use comfreyhaven_process::error::ProcessError;
+use comfreyhaven_process::platform::HttpConfiguration;
+use comfreyhaven_process::{configuration, server, shutdown};
+use prometheus::Registry;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::command::{Command, Control};
+use crate::http::{self, Context};
+use crate::links::Links;
+use crate::metrics::Metrics;
+
+/// How often a leaving entry looks whether it may exit.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Runs an entry until it is told to leave and has answered every caller.
+///
+/// # Errors
+/// Returns a [`ProcessError`] if an address cannot be listened on or the control thread fails.
+pub async fn run(settings: EntrySettings) -> Result<(), ProcessError> {
+    let process = &settings.process;
+    let listener = server::bind(settings.listen).await?;
+    let control_listener = server::bind(process.control).await?;
+    let admin_listener = server::bind(process.admin).await?;
+    server::announce("listen", &listener);
+    server::announce("control", &control_listener);
+    server::announce("admin", &admin_listener);
+
+    let registry = Registry::new();
+    let metrics = Metrics::new(&registry).map_err(std::io::Error::other)?;
+    let boot = BootNonce::new(rand::random());
+    let entry = Entry::new(settings.name.clone(), boot, rand::random());
+    let mut state = Control::new(entry, metrics);
+    let step = move |command, now| state.step(command, now);
+    let (thread, mailbox) = ControlThread::spawn(Clock::start(), step)?;
+
+    let (tasks, stop) = (TaskTracker::new(), CancellationToken::new());
+    let (fleet_sender, fleet) = watch::channel(Arc::new(Fleet::default()));
+    let source = process.control.ip();
+    let service = HttpConfiguration::new(source, process.configuration);
+    tasks.spawn(configuration::follow(service, fleet_sender, stop.clone()));
+    let configured = |fleet| Command::Event(Event::Configured(fleet));
+    tasks.spawn(configuration::pass_on(
+        fleet.clone(),
+        mailbox.clone(),
+        configured,
+        stop.clone(),
+    ));
+    let (dump, ready) = (mailbox.clone(), mailbox.clone());
+    let state = move || control::ask(dump.clone(), Command::Dump);
+    let health = move || health(ready.clone());
+    tasks.spawn(admin::serve(
+        admin_listener,
+        registry,
+        stop.clone(),
+        state,
+        health,
+    ));
+
+    let links = Links::new(source, fleet.clone(), tasks.clone());
+    let drivers = TaskTracker::new();
+    let context = Context {
+        mailbox: mailbox.clone(),
+        links,
+        fleet,
+        drivers,
+    };
+    tasks.spawn(http::serve(listener, context, stop.clone()));
+
+    shutdown::signalled().await?;
+    drain(&mailbox).await;
+    stop.cancel();
+    tasks.close();
+    tasks.wait().await;
+    drop((mailbox, control_listener));
+    thread.join().await
+}
+
+async fn drain(mailbox: &Mailbox<Command>) {
+    let _ = mailbox.send(Command::Event(Event::Leave));
+    while !control::ask(mailbox.clone(), Command::Idle).await {
+        tokio::time::sleep(DRAIN_INTERVAL).await;
+    }
+}
+
+async fn health(mailbox: Mailbox<Command>) -> Health {
+    let state = control::ask(mailbox, Command::Dump).await;
+    Health {
+        ready: state["configured"] == true && state["leaving"] == false,
+    }
+}
--- /dev/null
+++ b/crates/harness/src/child.rs
@@ -0,0 +1,126 @@
+//! One process that the harness started.
+
+use std::collections::HashMap;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::time::Duration;
+
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::Command;
+
+use crate::error::HarnessError;
+
+/// How long a program may take to announce its ports.
+const START_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A child process. Dropping it kills the process.
+#[derive(Debug)]
+pub struct Child {
+    program: String,
+    process: tokio::process::Child,
+    ports: HashMap<String, SocketAddr>,
+}
+
+impl Child {
+    /// Starts a program of this workspace and waits until it has announced `ports` ports.
+    ///
+    /// # Errors
+    /// Returns a [`HarnessError`] if it cannot be started or ends first.
+    pub async fn start(
+        program: &str,
+        arguments: &[String],
+        ports: usize,
+        log: &Path,
+    ) -> Result<Self, HarnessError> {
+        let mut process = Command::new(binary(program)?)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(File::options().create(true).append(true).open(log)?)
+            .kill_on_drop(true)
+            .spawn()?;
+        let ended = || HarnessError::Ended {
+            program: program.to_owned(),
+            log: log.display().to_string(),
+        };
+        let output = process.stdout.take().ok_or_else(ended)?;
+        let mut lines = BufReader::new(output).lines();
+        let mut known = HashMap::new();
+        while known.len() < ports {
+            let line = tokio::time::timeout(START_TIMEOUT, lines.next_line());
+            let line = line.await.map_err(|_| ended())??.ok_or_else(ended)?;
+            if let Some((name, address)) = parse(&line) {
+                known.insert(name, address);
+            }
+        }
+        Ok(Self {
+            program: program.to_owned(),
+            process,
+            ports: known,
+        })
+    }
+
+    /// The address of an announced port.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError::Port`] if the program did not announce it.
+    pub fn port(&self, name: &str) -> Result<SocketAddr, HarnessError> {
+        let missing = || HarnessError::Port {
+            program: self.program.clone(),
+            port: name.to_owned(),
+        };
+        self.ports.get(name).copied().ok_or_else(missing)
+    }
+
+    /// The process's identifier, while it runs.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.process.id()
+    }
+
+    /// Sends a signal, such as `TERM`, `STOP` or `CONT`.
+    ///
+    /// # Errors
+    /// Returns the error of the `kill` program.
+    pub async fn signal(&self, name: &str) -> Result<(), HarnessError> {
+        let Some(id) = self.id() else { return Ok(()) };
+        let arguments = [format!("-{name}"), id.to_string()];
+        Command::new("kill").args(arguments).status().await?;
+        Ok(())
+    }
+
+    /// Kills the process at once and waits for its end.
+    ///
+    /// # Errors
+    /// Returns the error of the system.
+    pub async fn kill(&mut self) -> Result<(), HarnessError> {
+        Ok(self.process.kill().await?)
+    }
+
+    /// Waits for the process's end.
+    ///
+    /// # Errors
+    /// Returns the error of the system.
+    pub async fn wait(&mut self) -> Result<ExitStatus, HarnessError> {
+        Ok(self.process.wait().await?)
+    }
+}
+
+fn parse(line: &str) -> Option<(String, SocketAddr)> {
+    let (name, address) = line.strip_prefix("listening ")?.split_once(' ')?;
+    Some((name.to_owned(), address.parse().ok()?))
+}
+
+/// A program of this workspace, beside the program that runs now.
+fn binary(program: &str) -> Result<PathBuf, HarnessError> {
+    let current = std::env::current_exe()?;
+    let directories = current.ancestors().skip(1).take(2);
+    let mut candidates = directories.map(|directory| directory.join(program));
+    let found = candidates.find(|path| path.is_file());
+    found.ok_or_else(|| {
+        let hint = format!("{program} is not built; run `cargo build --workspace` first");
+        std::io::Error::new(std::io::ErrorKind::NotFound, hint).into()
+    })
+}
--- /dev/null
+++ b/crates/harness/src/deployment.rs
@@ -0,0 +1,338 @@
+//! A running deployment.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use tempfile::TempDir;
+
+use crate::call::{Caller, Reply};
+use crate::child::Child;
+use crate::error::HarnessError;
+use crate::plan::{EndpointPlan, Plan};
+use crate::render::{self, Addresses};
+
+/// How long the processes may take to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
+
+const READY_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Processes on loopback that belong together.
+#[derive(Debug)]
+pub struct Deployment {
+    plan: Plan,
+    directory: TempDir,
+    configuration: Child,
+    hosts: Child,
+    endpoints: Vec<Child>,
+    agents: Vec<Child>,
+    entries: Vec<Child>,
+    generation: u64,
+}
+
+impl Deployment {
+    /// Starts every process of a plan, publishes its configuration and waits until all are ready.
+    ///
+    /// # Errors
+    /// Returns a [`HarnessError`] if a process does not start or does not become ready.
+    pub async fn start(plan: Plan) -> Result<Self, HarnessError> {
+        let directory = tempfile::Builder::new().prefix("comfreyhaven-").tempdir()?;
+        let log = |name: &str| directory.path().join(format!("{name}.log"));
+        let configuration =
+            Child::start("standin-configuration", &[], 1, &log("configuration")).await?;
+        let lag = ["--lag-ms".to_owned(), plan.lag.to_string()];
+        let hosts = Child::start("standin-hosts", &lag, 1, &log("hosts")).await?;
+        let mut deployment = Self {
+            plan,
+            directory,
+            configuration,
+            hosts,
+            endpoints: Vec::new(),
+            agents: Vec::new(),
+            entries: Vec::new(),
+            generation: 0,
+        };
+        deployment.start_all().await?;
+        deployment.publish().await?;
+        deployment.wait_ready().await?;
+        Ok(deployment)
+    }
+
+    async fn start_all(&mut self) -> Result<(), HarnessError> {
+        for plan in self.plan.endpoints.clone() {
+            let endpoint = self.start_endpoint(&plan).await?;
+            self.endpoints.push(endpoint);
+        }
+        for index in 0..self.plan.endpoints.len() {
+            let agent = self.start_agent(index, None).await?;
+            self.agents.push(agent);
+        }
+        for index in 0..self.plan.entries.len() {
+            let entry = self.start_entry(index, None).await?;
+            self.entries.push(entry);
+        }
+        Ok(())
+    }
+
+    async fn start_endpoint(&self, plan: &EndpointPlan) -> Result<Child, HarnessError> {
+        let program = if plan.engine {
+            "standin-engine"
+        } else {
+            "standin-booking"
+        };
+        Child::start(program, &plan.arguments, 1, &self.log(&plan.name)).await
+    }
+
+    /// Starts an agent, at the addresses that its predecessor had if it replaces one.
+    async fn start_agent(
+        &self,
+        index: usize,
+        earlier: Option<&Child>,
+    ) -> Result<Child, HarnessError> {
+        let plan = &self.plan.endpoints[index];
+        let ip = format!("127.0.2.{}", index + 1);
+        let endpoint = self.endpoints[index].port("listen")?;
+        let own = format!(
+            "[agent]\nname = {}\ntraffic = {}\nendpoint = {endpoint}\n",
+            plan.name,
+            address(earlier, "traffic", &ip)?,
+        );
+        let text = self.process_section(&plan.centre, earlier, &ip)? + &own;
+        let file = self.write(&format!("agent-{}.ini", plan.name), &text)?;
+        let log = self.log(&format!("agent-{}", plan.name));
+        Child::start("comfreyhaven-agent", &file, 3, &log).await
+    }
+
+    async fn start_entry(
+        &self,
+        index: usize,
+        earlier: Option<&Child>,
+    ) -> Result<Child, HarnessError> {
+        let plan = &self.plan.entries[index];
+        let ip = format!("127.0.1.{}", index + 1);
+        let listen = address(earlier, "listen", &ip)?;
+        let own = format!("[entry]\nname = {}\nlisten = {listen}\n", plan.name);
+        let text = self.process_section(&plan.centre, earlier, &ip)? + &own;
+        let file = self.write(&format!("entry-{}.ini", plan.name), &text)?;
+        let log = self.log(&format!("entry-{}", plan.name));
+        Child::start("comfreyhaven-entry", &file, 3, &log).await
+    }
+
+    fn process_section(
+        &self,
+        centre: &str,
+        earlier: Option<&Child>,
+        ip: &str,
+    ) -> Result<String, HarnessError> {
+        Ok(format!(
+            "[process]\ndata centre = {centre}\ncontrol = {}\nadmin = {}\n\
+             configuration service = {}\nhost list = {}\nlog = info\n",
+            address(earlier, "control", ip)?,
+            address(earlier, "admin", ip)?,
+            self.configuration.port("listen")?,
+            self.hosts.port("listen")?,
+        ))
+    }
+
+    /// Publishes the plan with the next generation.
+    ///
+    /// # Errors
+    /// Returns a [`HarnessError`] if the configuration service does not take it.
+    pub async fn publish(&mut self) -> Result<(), HarnessError> {
+        self.generation += 1;
+        let entries = names(&self.plan.entries, |plan| &plan.name);
+        let entries = addresses(entries, &self.entries, "listen")?;
+        let agents = names(&self.plan.endpoints, |plan| &plan.name);
+        let agents = addresses(agents, &self.agents, "traffic")?;
+        let documents = [
+            (
+                "fleet",
+                render::fleet(&self.plan, &entries, &agents, self.generation),
+            ),
+            ("routes", render::routes(&self.plan, self.generation)),
+            ("teams-0", render::teams(&self.plan, self.generation)),
+        ];
+        for (name, text) in documents {
+            self.publish_text(name, text).await?;
+        }
+        Ok(())
+    }
+
+    /// Publishes one text as it is.
+    ///
+    /// # Errors
+    /// Returns a [`HarnessError`] if the configuration service does not take it.
+    pub async fn publish_text(&self, name: &str, text: String) -> Result<(), HarnessError> {
+        let service = Caller::new(self.configuration.port("listen")?);
+        service
+            .send(Method::PUT, &format!("/values/{name}"), text)
+            .await?;
+        Ok(())
+    }
+
+    /// Waits until every agent and entry takes work and has what was published last in force.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError::NotReady`] if one does not become ready.
+    pub async fn wait_ready(&self) -> Result<(), HarnessError> {
+        for child in self.agents.iter().chain(&self.entries) {
+            let admin = Caller::new(child.port("admin")?);
+            let start = Instant::now();
+            while !self.is_ready(&admin).await? {
+                if start.elapsed() > READY_TIMEOUT {
+                    return Err(HarnessError::NotReady(child.port("admin")?.to_string()));
+                }
+                tokio::time::sleep(READY_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn is_ready(&self, admin: &Caller) -> Result<bool, HarnessError> {
+        let generations = admin.get("/state").await?.json()["generations"].take();
+        let newest = ["fleet", "routes", "teams-0"]
+            .iter()
+            .all(|document| generations[document] == self.generation);
+        Ok(newest && admin.get("/health").await?.status == 200)
+    }
+
+    /// The plan, to change before it is published again.
+    pub fn plan_mut(&mut self) -> &mut Plan {
+        &mut self.plan
+    }
+
+    /// A caller of the entry at `index`, with a key.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError::Port`] if the entry announced no port.
+    pub fn caller(&self, index: usize, key: &str) -> Result<Caller, HarnessError> {
+        Ok(Caller::new(self.entries[index].port("listen")?).with_key(key))
+    }
+
+    /// Asks the endpoint at `index` itself, past its agent.
+    ///
+    /// # Errors
+    /// Returns a [`HarnessError`] if it does not answer.
+    pub async fn ask_endpoint(&self, index: usize, path: &str) -> Result<Reply, HarnessError> {
+        Ok(Caller::new(self.endpoints[index].port("listen")?)
+            .get(path)
+            .await?)
+    }
+
+    /// The state dump of the agent at `index`.
+    ///
+    /// # Errors
+    /// Returns a [`HarnessError`] if it does not answer.
+    pub async fn agent_state(&self, index: usize) -> Result<serde_json::Value, HarnessError> {
+        Ok(Caller::new(self.agents[index].port("admin")?)
+            .get("/state")
+            .await?
+            .json())
+    }
+
+    /// The state dump of the entry at `index`.
+    ///
+    /// # Errors
+    /// Returns a [`HarnessError`] if it does not answer.
+    pub async fn entry_state(&self, index: usize) -> Result<serde_json::Value, HarnessError> {
+        Ok(Caller::new(self.entries[index].port("admin")?)
+            .get("/state")
+            .await?
+            .json())
+    }
+
+    /// The endpoint's process at `index`.
+    pub fn endpoint(&mut self, index: usize) -> &mut Child {
+        &mut self.endpoints[index]
+    }
+
+    /// The agent's process at `index`.
+    pub fn agent(&mut self, index: usize) -> &mut Child {
+        &mut self.agents[index]
+    }
+
+    /// The entry's process at `index`.
+    pub fn entry(&mut self, index: usize) -> &mut Child {
+        &mut self.entries[index]
+    }
+
+    /// Replaces an ended agent by a new process at the same addresses.
+    ///
+    /// # Errors
+    /// Returns a [`HarnessError`] if it does not start.
+    pub async fn restart_agent(&mut self, index: usize) -> Result<(), HarnessError> {
+        self.agents[index] = self.start_agent(index, Some(&self.agents[index])).await?;
+        Ok(())
+    }
+
+    /// Replaces an ended entry by a new process at the same addresses.
+    ///
+    /// # Errors
+    /// Returns a [`HarnessError`] if it does not start.
+    pub async fn restart_entry(&mut self, index: usize) -> Result<(), HarnessError> {
+        self.entries[index] = self.start_entry(index, Some(&self.entries[index])).await?;
+        Ok(())
+    }
+
+    /// A caller of the configuration service, for its modes and its count of calls.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError::Port`] if it announced no port.
+    pub fn configuration(&self) -> Result<Caller, HarnessError> {
+        Ok(Caller::new(self.configuration.port("listen")?))
+    }
+
+    /// A caller of the host list.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError::Port`] if it announced no port.
+    pub fn hosts(&self) -> Result<Caller, HarnessError> {
+        Ok(Caller::new(self.hosts.port("listen")?))
+    }
+
+    /// The log of a process, such as `entry-e1`, `agent-engine-1` or `engine-1`.
+    ///
+    /// # Errors
+    /// Returns the error of reading the file.
+    pub fn read_log(&self, name: &str) -> Result<String, HarnessError> {
+        Ok(std::fs::read_to_string(self.log(name))?)
+    }
+
+    fn log(&self, name: &str) -> PathBuf {
+        self.directory.path().join(format!("{name}.log"))
+    }
+
+    fn write(&self, name: &str, text: &str) -> Result<[String; 2], HarnessError> {
+        let path: &Path = &self.directory.path().join(name);
+        std::fs::write(path, text)?;
+        Ok(["--settings".to_owned(), path.display().to_string()])
+    }
+}
+
+/// The address that an earlier process had, or any port of an IP.
+fn address(earlier: Option<&Child>, port: &str, ip: &str) -> Result<String, HarnessError> {
+    match earlier {
+        Some(child) => Ok(child.port(port)?.to_string()),
+        None => Ok(format!("{ip}:0")),
+    }
+}
+
+fn names<T>(plans: &[T], name: impl Fn(&T) -> &String) -> Vec<String> {
+    plans.iter().map(|plan| name(plan).clone()).collect()
+}
+
+fn addresses(
+    names: Vec<String>,
+    children: &[Child],
+    traffic: &str,
+) -> Result<Vec<Addresses>, HarnessError> {
+    let address = |child: &Child, port: &str| Ok::<_, HarnessError>(child.port(port)?.to_string());
+    let own = |(name, child): (String, &Child)| {
+        Ok(Addresses {
+            name,
+            control: address(child, "control")?,
+            traffic: address(child, traffic)?,
+        })
+    };
+    names.into_iter().zip(children).map(own).collect()
+}
--- /dev/null
+++ b/crates/harness/src/lib.rs
@@ -0,0 +1,18 @@
+//! Starts whole deployments of comfreyhaven with stand-ins, for tests, examples and benchmarks.
+//!
+//! Every process is a child on loopback with ephemeral ports, and each host has an IP of its own in
+//! 127.0.0.0/8, as the configuration declares. Dropping a [`Deployment`] ends what it started, and
+//! nothing else.
+
+mod call;
+mod child;
+mod deployment;
+mod error;
+mod plan;
+mod render;
+
+pub use call::{CallError, Caller, Reply};
+pub use child::Child;
+pub use deployment::Deployment;
+pub use error::HarnessError;
+pub use plan::{EndpointPlan, EntryPlan, Plan, RoutePlan, TeamPlan};
--- /dev/null
+++ b/crates/process/src/lib.rs
@@ -0,0 +1,15 @@
+//! Plumbing shared by the processes of comfreyhaven: start-up, the control thread, HTTP servers,
+//! control connections, the platform's ports and adapters, and the operators' port.
+
+pub mod admin;
+pub mod answer;
+pub mod args;
+pub mod clock;
+pub mod configuration;
+pub mod control;
+pub mod dial;
+pub mod error;
+pub mod logging;
+pub mod platform;
+pub mod server;
+pub mod shutdown;
--- /dev/null
+++ b/crates/process/src/logging.rs
@@ -0,0 +1,35 @@
+//! Log lines: one event a line, with stable field names.
+
+use std::io::Write;
+
+use log::kv::{Error, Key, Value, VisitSource};
+
+struct Fields<'a>(&'a mut env_logger::fmt::Formatter);
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        write!(self.0, " {key}={value}").map_err(Error::boxed)
+    }
+}
+
+/// Starts logging to standard error. `RUST_LOG`, if set, goes before `filter`.
+pub fn init(filter: &str) {
+    let env = env_logger::Env::default().default_filter_or(filter);
+    let format = |out: &mut env_logger::fmt::Formatter, record: &log::Record<'_>| {
+        let time = out.timestamp_millis();
+        write!(
+            out,
+            "{time} {} {} {}",
+            record.level(),
+            record.target(),
+            record.args()
+        )?;
+        record
+            .key_values()
+            .visit(&mut Fields(out))
+            .map_err(std::io::Error::other)?;
+        writeln!(out)
+    };
+    // A second start in one process, as in tests, keeps the first logger.
+    let _ = env_logger::Builder::from_env(env).format(format).try_init();
+}
--- /dev/null
+++ b/crates/process/src/platform.rs
@@ -0,0 +1,96 @@
+//! The platform as a process sees it: a configuration service and a host list, both read only.
+
+mod http;
+
+use std::collections::BTreeMap;
+use std::future::Future;
+
+use derive_more::{Display, Error, From};
+use serde::{Deserialize, Serialize};
+use strum::{EnumString, IntoStaticStr};
+
+pub use http::{HttpConfiguration, HttpHostList};
+
+use crate::dial::DialError;
+
+/// A call to the platform that failed.
+#[derive(Debug, Display, Error, From)]
+pub enum PlatformError {
+    /// The platform cannot be reached.
+    Dial(DialError),
+    /// The call broke off.
+    #[display("the call broke off: {_0}")]
+    Http(hyper::Error),
+    /// The platform answered with an error.
+    #[display("the platform answered with status {_0}")]
+    #[from(ignore)]
+    Status(#[error(not(source))] u16),
+    /// The answer cannot be read.
+    #[display("the answer cannot be read: {_0}")]
+    Decode(serde_json::Error),
+    /// The answer is no text or over its limit.
+    #[display("the answer is no text, or longer than a document may be")]
+    #[from(ignore)]
+    Text,
+    /// No answer in time.
+    #[display("no answer in time")]
+    #[from(ignore)]
+    Timeout,
+}
+
+/// The revision of each published value, by name.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Index {
+    /// Revision of the whole; it changes with each value.
+    pub revision: u64,
+    /// Revision of each value.
+    pub values: BTreeMap<String, u64>,
+}
+
+/// Reads and watches published values.
+pub trait ConfigurationSource: Send + Sync + 'static {
+    /// Answers once the revision is another than `known`, or after the service's own time limit.
+    fn watch(&self, known: u64) -> impl Future<Output = Result<Index, PlatformError>> + Send;
+    /// The text of a value, or `None` if there is none.
+    fn read(
+        &self,
+        name: &str,
+    ) -> impl Future<Output = Result<Option<String>, PlatformError>> + Send;
+}
+
+/// What the platform says of a host.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    strum::Display,
+    EnumString,
+    IntoStaticStr,
+    Serialize,
+    Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum HostStatus {
+    /// The host runs.
+    Live,
+    /// The host will be taken away.
+    Leaving,
+}
+
+/// One line of the host list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedHost {
+    /// Name of an entry host or an endpoint.
+    pub name: String,
+    /// What the platform says of it.
+    pub status: HostStatus,
+}
+
+/// Reads the list of hosts, which lags.
+pub trait HostListSource: Send + Sync + 'static {
+    /// The list as it stands.
+    fn list(&self) -> impl Future<Output = Result<Vec<ListedHost>, PlatformError>> + Send;
+}
--- /dev/null
+++ b/crates/suite/src/lib.rs
@@ -0,0 +1,1 @@
+//! Integration tests of comfreyhaven. The tests are in `tests/suite`.
--- /dev/null
+++ b/crates/wire/src/service.rs
@@ -0,0 +1,83 @@
+//! The `tarpc` services, one for each role.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use comfreyhaven_core::agent::RunStatus;
+use comfreyhaven_core::refusal::ReturnReason;
+use comfreyhaven_core::{
+    Generation, HostName, OfferId, RequestId, Reservation, ReservationId, TeamName,
+};
+use serde::{Deserialize, Serialize};
+
+/// How a reservation left an agent's queue.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReserveReply {
+    /// A slot is held for the request.
+    Offered {
+        /// What the body must name.
+        offer: OfferId,
+        /// How long the slot is held, from the sending of this message.
+        lifetime: Duration,
+    },
+    /// There is no slot.
+    Returned(ReturnReason),
+}
+
+/// Calls that entries make to agents.
+#[tarpc::service]
+pub trait AgentControl {
+    /// Waits in the agent's queue until a slot is free. Cancelling the call takes the place back.
+    async fn reserve(reservation: Reservation) -> ReserveReply;
+    /// Takes a place back, or the offer made to it that may be under way.
+    async fn withdraw(id: ReservationId);
+    /// Gives an offered slot back.
+    async fn release(offer: OfferId);
+    /// Tells what became of a body that was sent. A request that never ran, never will.
+    async fn inquire(request: RequestId, offer: OfferId) -> RunStatus;
+}
+
+/// What a process tells its peers of the configuration, by document.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Generation in force at the sender.
+    pub generations: BTreeMap<String, Generation>,
+}
+
+/// A published document as one process passes it to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentText {
+    /// Name of the document.
+    pub name: String,
+    /// The published text, generation included.
+    pub text: String,
+}
+
+/// A wish to borrow tokens of a team from a peer's share.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BorrowRequest {
+    /// Who asks.
+    pub borrower: HostName,
+    /// The team.
+    pub team: TeamName,
+    /// Tokens wanted.
+    pub tokens: u64,
+}
+
+/// Tokens that the lender has already debited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BorrowReply {
+    /// Tokens granted, from zero to those wanted.
+    pub tokens: u64,
+}
+
+/// Calls that every process answers to its peers.
+#[tarpc::service]
+pub trait PeerControl {
+    /// Tells which generations the caller has and learns which the callee has.
+    async fn exchange(digest: Digest) -> Digest;
+    /// The text of a document in force at the callee.
+    async fn document(name: String) -> Option<DocumentText>;
+    /// Asks an entry for tokens of a team. An agent grants none.
+    async fn borrow(request: BorrowRequest) -> BorrowReply;
+}
