Index the agent's queue and prove its promises by random events

Cause: the queue scanned all that waits on each event, and nothing tested the agent's promises under stale, repeated, foreign or reordered messages.

Faults that the new property tests found in the earlier version, each seen failing first: - a repeated reservation was queued and offered twice ("offer to what does not wait"); - a claim naming another request consumed the offer; - a request whose run was refused by the endpoint could never run at that agent again: its tombstone was by request, so each retry was offered a slot and rejected until its deadline. The tombstone is now the voided offer, so that a later attempt may run; - a run older than the retained history was reported as never run. Offers older than a forgotten run are now reported as unknown; - a body that arrives again while its request runs was answered "not run". Its connection is now closed without an answer; - other attempts of a running request stayed in the queue and held offers; - an expired offer made a repeated reservation disappear; - the entry refused late requests in the order of a hash map, so that a replay differed from run to run (`a_scenario_replays_exactly`).

Change: the queue is indexed by request, deadline, team counter and team length, so each operation is logarithmic; a full queue takes from the team with most waiting for its weight, also within a tier; charges are corrected by what a run used; counters of absent teams are bounded.

Tests: a queue that scans a list and forgets no counter gives the same answers (1,000 cases). Entry and agent cores run together over a network that loses, repeats, delays, pauses and restarts (128 cases each).

--- a/crates/agent/src/bodies.rs
+++ b/crates/agent/src/bodies.rs
@@ -19,7 +19,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::command::Command;
+use crate::command::{Command, Verdict};
 use crate::endpoint::{Endpoint, Piece};
 use crate::peers;
 
@@ -83,14 +83,18 @@
         reply,
     };
     let _ = mailbox.send(claim);
-    let admitted = answer.await.unwrap_or(Err(NotRunReason::Leaving));
+    let verdict = answer.await.unwrap_or(Verdict::Close);
     runs.spawn(async move {
-        match admitted {
-            Ok(()) => run(head, body, &endpoint, &mailbox, &frames).await,
-            Err(reason) => {
+        match verdict {
+            Verdict::Run => run(head, body, &endpoint, &mailbox, &frames).await,
+            Verdict::NotRun(reason) => {
                 log::info!(request:% = head.request, team:% = head.team; "not run: {reason}");
                 send_reply(&frames, &RunReply::NotRun(reason)).await;
             }
+            Verdict::Close => log::warn!(
+                request:% = head.request, team:% = head.team;
+                "body closed unanswered: its request runs or ran"
+            ),
         }
     });
     stream(receiver)
--- a/crates/agent/src/command.rs
+++ b/crates/agent/src/command.rs
@@ -10,6 +10,16 @@
 
 use crate::metrics::Metrics;
 
+/// What becomes of a body.
+pub(crate) enum Verdict {
+    /// It runs.
+    Run,
+    /// It does not run, and the entry is told so.
+    NotRun(NotRunReason),
+    /// Nothing can be said of it: its connection closes without an answer.
+    Close,
+}
+
 /// A message to the control thread.
 pub(crate) enum Command {
     /// An event that nobody waits on.
@@ -23,7 +33,7 @@
     Claim {
         offer: OfferId,
         request: RequestId,
-        reply: oneshot::Sender<Result<(), NotRunReason>>,
+        reply: oneshot::Sender<Verdict>,
     },
     /// An inquiry.
     Inquire {
@@ -42,7 +52,7 @@
     agent: Agent,
     metrics: Metrics,
     reservations: HashMap<ReservationId, oneshot::Sender<ReserveReply>>,
-    claims: HashMap<OfferId, oneshot::Sender<Result<(), NotRunReason>>>,
+    claims: HashMap<OfferId, oneshot::Sender<Verdict>>,
     inquiries: HashMap<RequestId, Vec<oneshot::Sender<RunStatus>>>,
 }
 
@@ -112,8 +122,9 @@
                 self.answer_reservation(id, ReserveReply::Offered { offer, lifetime });
             }
             Action::Return { id, reason } => self.return_reservation(id, reason),
-            Action::Run(offer) => self.answer_claim(offer, Ok(())),
-            Action::Reject { offer, reason } => self.answer_claim(offer, Err(reason)),
+            Action::Run(offer) => self.answer_claim(offer, Verdict::Run),
+            Action::Reject { offer, reason } => self.answer_claim(offer, Verdict::NotRun(reason)),
+            Action::Close(offer) => self.answer_claim(offer, Verdict::Close),
             Action::Report { request, status } => {
                 for reply in self.inquiries.remove(&request).unwrap_or_default() {
                     let _ = reply.send(status);
@@ -132,7 +143,7 @@
         }
     }
 
-    fn answer_claim(&mut self, offer: OfferId, answer: Result<(), NotRunReason>) {
+    fn answer_claim(&mut self, offer: OfferId, answer: Verdict) {
         if let Some(reply) = self.claims.remove(&offer) {
             let _ = reply.send(answer);
         }
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -32,7 +32,7 @@
             )?,
             decisions: make(
                 "comfreyhaven_agent_decisions_total",
-                "Offers made, bodies run and inquiries answered",
+                "Offers made, bodies run, bodies closed unanswered and inquiries answered",
                 "decision",
             )?,
         })
@@ -43,6 +43,7 @@
         match action {
             Action::Offer { .. } => self.decisions.with_label_values(&["offer"]).inc(),
             Action::Run(_) => self.decisions.with_label_values(&["run"]).inc(),
+            Action::Close(_) => self.decisions.with_label_values(&["close"]).inc(),
             Action::Report { .. } => self.decisions.with_label_values(&["report"]).inc(),
             Action::Return { reason, .. } => {
                 self.returned
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -15,5 +15,5 @@
 pub use machine::{Agent, AgentState};
 pub use message::{Action, Event, RunEnd};
 pub use offers::OFFER_LIFETIME;
-pub use queue::{Queue, QueueDepth};
+pub use queue::{Admission, Charge, Queue, QueueDepth, Waiting};
 pub use slots::Slots;
--- a/crates/core/src/agent/history.rs
+++ b/crates/core/src/agent/history.rs
@@ -1,6 +1,6 @@
-//! What became of each request that an agent has had a body for, or was asked about.
+//! What became of the bodies that an agent has run.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashSet, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -8,16 +8,16 @@
 use crate::id::RequestId;
 use crate::time::Timestamp;
 
-/// How long an agent remembers a request after the last change of its status.
+/// How long an agent remembers a request after its run.
 const RETENTION: Duration = Duration::from_secs(600);
 
-/// Most requests remembered; the oldest is forgotten first.
+/// Most runs remembered; the oldest is forgotten first.
 const ENTRIES_LIMIT: usize = 65_536;
 
 /// What an agent knows of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunStatus {
-    /// It has not run here and will not.
+    /// It has not run under the offer asked about and will not.
     NeverRuns,
     /// It is running.
     Running,
@@ -27,43 +27,57 @@
     Unknown,
 }
 
-/// Statuses of recent requests, bounded in number and age.
+#[derive(Debug)]
+struct Record {
+    ended: Timestamp,
+    request: RequestId,
+    sequence: u64,
+}
+
+/// Runs that have ended, bounded in number and age.
 ///
-/// A request that is reported as [`RunStatus::NeverRuns`] keeps a tombstone, so that a body which
-/// is still under way is refused when it arrives.
+/// Offers older than a forgotten run can no longer be said not to have run.
 #[derive(Debug, Default)]
 pub struct History {
-    statuses: HashMap<RequestId, RunStatus>,
-    order: VecDeque<(Timestamp, RequestId)>,
+    ran: HashSet<RequestId>,
+    order: VecDeque<Record>,
+    horizon: u64,
 }
 
 impl History {
-    /// Records the status of a request.
-    pub fn record(&mut self, request: RequestId, status: RunStatus, now: Timestamp) {
-        if self.statuses.insert(request, status).is_none() {
-            self.order.push_back((now, request));
+    /// Records the end of a run under the offer with the given sequence number.
+    pub fn record(&mut self, request: RequestId, sequence: u64, now: Timestamp) {
+        if self.ran.insert(request) {
+            self.order.push_back(Record {
+                ended: now,
+                request,
+                sequence,
+            });
         }
         self.forget_old(now);
     }
 
-    /// The recorded status of a request.
+    /// Whether a run of the request is remembered.
     #[must_use]
-    pub fn get(&self, request: RequestId) -> Option<RunStatus> {
-        self.statuses.get(&request).copied()
+    pub fn has_run(&self, request: RequestId) -> bool {
+        self.ran.contains(&request)
+    }
+
+    /// Whether every run under the offer with the given sequence number is still remembered.
+    #[must_use]
+    pub fn covers(&self, sequence: u64) -> bool {
+        sequence >= self.horizon
     }
 
     fn forget_old(&mut self, now: Timestamp) {
-        while let Some(&(since, request)) = self.order.front() {
+        while let Some(oldest) = self.order.front() {
             let surplus = self.order.len() > ENTRIES_LIMIT;
-            if !surplus && now.since(since) < RETENTION {
+            if !surplus && now.since(oldest.ended) < RETENTION {
                 return;
             }
+            self.horizon = self.horizon.max(oldest.sequence + 1);
+            self.ran.remove(&oldest.request);
             self.order.pop_front();
-            if self.get(request) == Some(RunStatus::Running) {
-                self.order.push_back((now, request));
-                return;
-            }
-            self.statuses.remove(&request);
         }
     }
 }
--- a/crates/core/src/agent/machine.rs
+++ b/crates/core/src/agent/machine.rs
@@ -8,17 +8,26 @@
 use super::history::{History, RunStatus};
 use super::message::{Action, Event, RunEnd};
 use super::offers::{OFFER_LIFETIME, Offers};
-use super::queue::{Queue, QueueDepth, Waiting};
+use super::queue::{Admission, Charge, Queue, QueueDepth, Waiting};
 use super::slots::Slots;
 use crate::fleet::{Endpoint, Fleet};
 use crate::id::{BootNonce, Generation, OfferId, RequestId, ReservationId};
 use crate::name::{EndpointName, TeamName};
 use crate::refusal::{NotRunReason, ReturnReason};
-use crate::request::Reservation;
+use crate::request::{Cost, Reservation, Tier};
 use crate::time::Timestamp;
 
 /// Reservations that wait at one agent at most.
-const QUEUE_LIMIT: usize = 256;
+const QUEUE_LIMIT: usize = 1_024;
+
+/// A body that the endpoint is working on.
+#[derive(Debug)]
+struct Running {
+    offer: OfferId,
+    tier: Tier,
+    team: TeamName,
+    cost: Cost,
+}
 
 /// The decisions of one agent process.
 #[derive(Debug)]
@@ -28,7 +37,7 @@
     slots: Option<Slots>,
     queue: Queue,
     offers: Offers,
-    running: HashMap<RequestId, u64>,
+    running: HashMap<RequestId, Running>,
     history: History,
     endpoint: Option<u64>,
     leaving: bool,
@@ -70,13 +79,17 @@
     /// Decides on one event.
     pub fn handle(&mut self, event: Event, now: Timestamp) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.offers.drop_expired(now);
         match event {
             Event::Configured(fleet) => self.configure(fleet),
             Event::Reserve(reservation) => self.reserve(reservation, now, &mut actions),
             Event::Withdraw(id) => self.withdraw(id, &mut actions),
-            Event::Release(offer) => drop(self.offers.take(offer, now)),
+            Event::Release(offer) => self.offers.void(offer),
             Event::Claim { offer, request } => self.claim(offer, request, now, &mut actions),
-            Event::Inquire { offer, request } => self.inquire(offer, request, now, &mut actions),
+            Event::Inquire { offer, request } => {
+                let status = self.status_for(offer, request);
+                actions.push(Action::Report { request, status });
+            }
             Event::FirstToken(_) | Event::Tick => {}
             Event::Finished { request, end } => self.finish(request, end, now),
             Event::EndpointUp { boot, .. } => self.endpoint_up(boot),
@@ -158,24 +171,57 @@
             });
             return;
         }
-        let deadline = now + reservation.remaining;
-        if let Some(dropped) = self.queue.push(Waiting {
-            reservation,
-            deadline,
-        }) {
-            let own = dropped.reservation.id == id;
-            let reason = if own {
-                ReturnReason::Full
-            } else {
-                ReturnReason::Displaced
-            };
+        if self.is_stale(id) {
             actions.push(Action::Return {
-                id: dropped.reservation.id,
-                reason,
+                id,
+                reason: ReturnReason::Withdrawn,
             });
+            return;
+        }
+        if !self.is_repeated(id) {
+            self.enqueue(reservation, now, actions);
         }
     }
 
+    /// Whether the request has gone on to a later attempt, or has run.
+    fn is_stale(&self, id: ReservationId) -> bool {
+        let later = |attempt| attempt > id.attempt;
+        self.running.contains_key(&id.request)
+            || self.history.has_run(id.request)
+            || self.queue.attempt(id.request).is_some_and(later)
+            || self.offers.attempt(id.request).is_some_and(later)
+    }
+
+    /// Whether the reservation waits already or has an offer.
+    fn is_repeated(&self, id: ReservationId) -> bool {
+        let same = Some(id.attempt);
+        self.queue.attempt(id.request) == same || self.offers.attempt(id.request) == same
+    }
+
+    fn enqueue(&mut self, reservation: Reservation, now: Timestamp, actions: &mut Vec<Action>) {
+        let id = reservation.id;
+        if let Some(attempt) = self.queue.attempt(id.request) {
+            let earlier = ReservationId { attempt, ..id };
+            self.withdraw(earlier, actions);
+        }
+        let weight = self.weight(&reservation.team);
+        let deadline = now + reservation.remaining;
+        let waiting = Waiting {
+            reservation,
+            deadline,
+        };
+        let (id, reason) = match self.queue.push(waiting, weight) {
+            Admission::Kept => return,
+            Admission::Displaced(other) => (other.reservation.id, ReturnReason::Displaced),
+            Admission::Full => (id, ReturnReason::Full),
+        };
+        actions.push(Action::Return { id, reason });
+    }
+
+    fn weight(&self, team: &TeamName) -> u32 {
+        self.fleet.teams.get(team).map_or(1, |team| team.weight)
+    }
+
     fn withdraw(&mut self, id: ReservationId, actions: &mut Vec<Action>) {
         if self.queue.remove(id).is_some() {
             actions.push(Action::Return {
@@ -193,30 +239,39 @@
         now: Timestamp,
         actions: &mut Vec<Action>,
     ) {
+        if self.running.contains_key(&request) || self.history.has_run(request) {
+            self.offers.void(offer);
+            actions.push(Action::Close(offer));
+            return;
+        }
         match self.admit(offer, request, now) {
-            Ok(tokens) => {
-                self.running.insert(request, tokens);
-                self.history.record(request, RunStatus::Running, now);
+            Ok(running) => {
+                self.running.insert(request, running);
                 actions.push(Action::Run(offer));
+                self.drop_attempts(request, actions);
             }
             Err(reason) => actions.push(Action::Reject { offer, reason }),
         }
     }
 
+    /// Drops what else waits or is offered for a request that runs.
+    fn drop_attempts(&mut self, request: RequestId, actions: &mut Vec<Action>) {
+        self.offers.void_request(request);
+        if let Some(attempt) = self.queue.attempt(request) {
+            self.withdraw(ReservationId { request, attempt }, actions);
+        }
+    }
+
     fn admit(
         &mut self,
         offer: OfferId,
         request: RequestId,
         now: Timestamp,
-    ) -> Result<u64, NotRunReason> {
+    ) -> Result<Running, NotRunReason> {
         let pending = self
             .offers
-            .take(offer, now)
+            .take(offer, request, now)
             .ok_or(NotRunReason::OfferVoid)?;
-        let own = pending.reservation.id.request == request;
-        if !own || self.history.get(request).is_some() {
-            return Err(NotRunReason::OfferVoid);
-        }
         match self.closed() {
             Some(ReturnReason::EndpointDown) => return Err(NotRunReason::EndpointDown),
             Some(_) => return Err(NotRunReason::Leaving),
@@ -225,39 +280,44 @@
         if now >= pending.deadline {
             return Err(NotRunReason::Late);
         }
-        Ok(pending.reservation.cost.total())
-    }
-
-    fn inquire(
-        &mut self,
-        offer: OfferId,
-        request: RequestId,
-        now: Timestamp,
-        actions: &mut Vec<Action>,
-    ) {
-        let status = self.status_for(offer, request, now);
-        actions.push(Action::Report { request, status });
+        Ok(Running {
+            offer,
+            tier: pending.reservation.tier,
+            team: pending.reservation.team,
+            cost: pending.reservation.cost,
+        })
     }
 
-    fn status_for(&mut self, offer: OfferId, request: RequestId, now: Timestamp) -> RunStatus {
-        if let Some(status) = self.history.get(request) {
-            return status;
+    /// What became of a request. An offer whose body has not come is void from now on, so that a
+    /// body still under way is refused.
+    fn status_for(&mut self, offer: OfferId, request: RequestId) -> RunStatus {
+        if self.running.contains_key(&request) {
+            return RunStatus::Running;
+        }
+        if self.history.has_run(request) {
+            return RunStatus::Ran;
         }
-        if offer.boot != self.offers.boot() {
+        if !self.offers.has_made(offer) || !self.history.covers(offer.sequence) {
             return RunStatus::Unknown;
         }
-        self.offers.void(request);
-        self.history.record(request, RunStatus::NeverRuns, now);
+        self.offers.void(offer);
         RunStatus::NeverRuns
     }
 
     fn finish(&mut self, request: RequestId, end: RunEnd, now: Timestamp) {
-        self.running.remove(&request);
-        let status = match end {
-            RunEnd::NotRun(_) => RunStatus::NeverRuns,
-            RunEnd::Whole { .. } | RunEnd::Cancelled | RunEnd::Broken => RunStatus::Ran,
+        let Some(run) = self.running.remove(&request) else {
+            return;
         };
-        self.history.record(request, status, now);
+        let ran = !matches!(end, RunEnd::NotRun(_));
+        if ran {
+            self.history.record(request, run.offer.sequence, now);
+        }
+        if let Some(used) = used_tokens(end) {
+            let expected = run.cost.total();
+            let weight = self.weight(&run.team);
+            let charge = Charge { expected, used };
+            self.queue.correct(run.tier, &run.team, weight, charge);
+        }
         let Some(slots) = &mut self.slots else { return };
         match end {
             RunEnd::Whole { .. } => slots.on_whole(),
@@ -285,15 +345,14 @@
 
     /// Gives back what can no longer be served here, then offers what is free.
     fn settle(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        self.offers.drop_expired(now);
-        for late in self.queue.take_where(|waiting| waiting.deadline <= now) {
+        for late in self.queue.take_late(now) {
             actions.push(Action::Return {
                 id: late.reservation.id,
                 reason: ReturnReason::Late,
             });
         }
         if let Some(reason) = self.closed() {
-            for waiting in self.queue.take_where(|_| true) {
+            for waiting in self.queue.drain() {
                 actions.push(Action::Return {
                     id: waiting.reservation.id,
                     reason,
@@ -301,7 +360,9 @@
             }
         }
         while self.has_room() {
-            let Some(waiting) = self.pop() else { return };
+            let Some(waiting) = self.queue.pop() else {
+                return;
+            };
             let id = waiting.reservation.id;
             let offer = self.offers.make(waiting.reservation, waiting.deadline, now);
             actions.push(Action::Offer {
@@ -317,14 +378,18 @@
             return false;
         };
         let count = self.running.len() + self.offers.len();
-        let used = self.running.values().sum::<u64>() + self.offers.tokens();
+        let held = self.running.values().map(|run| run.cost.total());
+        let used = held.sum::<u64>() + self.offers.tokens();
         let count = u32::try_from(count).unwrap_or(u32::MAX);
         slots.fits(count, used, next.reservation.cost.total())
     }
+}
 
-    fn pop(&mut self) -> Option<Waiting> {
-        let fleet = Arc::clone(&self.fleet);
-        let weight = |team: &TeamName| fleet.teams.get(team).map_or(1, |team| team.weight);
-        self.queue.pop(weight)
+/// Tokens that a run is charged for, or `None` if they are not known.
+fn used_tokens(end: RunEnd) -> Option<u64> {
+    match end {
+        RunEnd::Whole { output, prefill } => Some(u64::from(output) + u64::from(prefill)),
+        RunEnd::NotRun(_) => Some(0),
+        RunEnd::Cancelled | RunEnd::Broken => None,
     }
 }
--- a/crates/core/src/agent/message.rs
+++ b/crates/core/src/agent/message.rs
@@ -106,6 +106,9 @@
         /// Why.
         reason: NotRunReason,
     },
+    /// Close the body's connection without an answer: its request runs or ran under another copy,
+    /// so that no word of this one would be true of the request.
+    Close(OfferId),
     /// Answer an inquiry.
     Report {
         /// The request asked about.
--- a/crates/core/src/agent/offers.rs
+++ b/crates/core/src/agent/offers.rs
@@ -59,21 +59,47 @@
         }
     }
 
-    /// Takes an offer out, if it is of this process, unused and unexpired.
-    pub(super) fn take(&mut self, offer: OfferId, now: Timestamp) -> Option<Pending> {
-        if offer.boot != self.boot {
+    /// Takes an offer out, if it is of this process, made to the request, unused and unexpired.
+    pub(super) fn take(
+        &mut self,
+        offer: OfferId,
+        request: RequestId,
+        now: Timestamp,
+    ) -> Option<Pending> {
+        let pending = self.pending.get(&offer.sequence)?;
+        let own = offer.boot == self.boot && pending.reservation.id.request == request;
+        if !own || now >= pending.expiry {
             return None;
         }
-        let pending = self.pending.remove(&offer.sequence)?;
-        (now < pending.expiry).then_some(pending)
+        self.pending.remove(&offer.sequence)
+    }
+
+    /// Voids an offer.
+    pub(super) fn void(&mut self, offer: OfferId) {
+        if offer.boot == self.boot {
+            self.pending.remove(&offer.sequence);
+        }
     }
 
     /// Voids every offer that was made to a request.
-    pub(super) fn void(&mut self, request: RequestId) {
+    pub(super) fn void_request(&mut self, request: RequestId) {
         self.pending
             .retain(|_, pending| pending.reservation.id.request != request);
     }
 
+    /// Whether this process has made the offer at some time.
+    pub(super) fn has_made(&self, offer: OfferId) -> bool {
+        offer.boot == self.boot && offer.sequence < self.next
+    }
+
+    /// The latest attempt of a request that an offer was made to and may still be under way.
+    pub(super) fn attempt(&self, request: RequestId) -> Option<u32> {
+        let ids = self.pending.values().map(|pending| pending.reservation.id);
+        ids.filter(|id| id.request == request)
+            .map(|id| id.attempt)
+            .max()
+    }
+
     /// Voids the offer that was made to a reservation and may still be under way.
     pub(super) fn withdraw(&mut self, id: ReservationId) {
         self.pending
--- a/crates/core/src/agent/queue.rs
+++ b/crates/core/src/agent/queue.rs
@@ -1,15 +1,15 @@
 //! Order of waiting reservations: strict tiers, and inside a tier fair shares between teams.
 //!
-//! Each team has a virtual counter of the tokens it was served, divided by its weight; the team with
-//! the lowest counter is next. A team that comes back after an absence starts at the lowest counter
-//! of the waiting teams, so that it neither owes nor saves. The method is the virtual token counter
-//! of Sheng et al., "Fairness in Serving Large Language Models" (OSDI 2024).
+//! Every operation costs at most the logarithm of what waits.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+mod tier;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::Serialize;
 
-use crate::id::ReservationId;
+use self::tier::TierQueue;
+use crate::id::{RequestId, ReservationId};
 use crate::name::TeamName;
 use crate::request::{Reservation, Tier};
 use crate::time::Timestamp;
@@ -23,26 +23,55 @@
     pub deadline: Timestamp,
 }
 
-/// Number of reservations that wait in one tier.
+/// What waits in one tier.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct QueueDepth {
     /// The tier.
     pub tier: Tier,
     /// Reservations waiting.
     pub depth: usize,
+    /// Tokens asked for by what waits.
+    pub tokens: u64,
+    /// Reservations waiting, by team.
+    pub teams: BTreeMap<TeamName, usize>,
+}
+
+/// What became of a reservation that was added.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Admission {
+    /// It waits.
+    Kept,
+    /// It waits in place of another one.
+    Displaced(Waiting),
+    /// The queue is full and nothing less urgent waits.
+    Full,
 }
 
-#[derive(Debug, Default)]
-struct TierQueue {
-    teams: BTreeMap<TeamName, VecDeque<Waiting>>,
-    counters: HashMap<TeamName, u64>,
-    depth: usize,
+/// Tokens of one run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Charge {
+    /// What its team was charged when the reservation left the queue.
+    pub expected: u64,
+    /// What the run used.
+    pub used: u64,
 }
 
-/// The waiting reservations of one agent, bounded in number.
+#[derive(Debug)]
+struct Place {
+    id: ReservationId,
+    tier: Tier,
+    team: TeamName,
+    sequence: u64,
+    deadline: Timestamp,
+}
+
+/// The waiting reservations of one agent, bounded in number. A request waits at most once.
 #[derive(Debug)]
 pub struct Queue {
     tiers: BTreeMap<Tier, TierQueue>,
+    places: HashMap<RequestId, Place>,
+    deadlines: BTreeSet<(Timestamp, RequestId)>,
+    sequence: u64,
     limit: usize,
 }
 
@@ -52,146 +81,142 @@
     pub fn new(limit: usize) -> Self {
         Self {
             tiers: BTreeMap::new(),
+            places: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            sequence: 0,
             limit,
         }
     }
 
-    /// Adds a reservation. A full queue drops the newest reservation of its lowest tier, or the
-    /// given one if nothing less urgent waits. Returns what was dropped.
-    pub fn push(&mut self, waiting: Waiting) -> Option<Waiting> {
+    /// Adds a reservation of a request that does not wait here, for a team of the given weight.
+    ///
+    /// A full queue drops the newest reservation of its lowest tier's longest team, if the new
+    /// one is more urgent, or is as urgent and its team has less waiting for its weight.
+    pub fn push(&mut self, waiting: Waiting, weight: u32) -> Admission {
         if self.len() < self.limit {
-            self.insert(waiting);
-            return None;
-        }
-        let lowest = self.lowest_tier();
-        if lowest.is_none_or(|tier| !waiting.reservation.tier.outranks(tier)) {
-            return Some(waiting);
+            self.insert(waiting, weight);
+            return Admission::Kept;
         }
-        let displaced = lowest.and_then(|tier| self.take_newest(tier));
-        self.insert(waiting);
-        displaced
+        let Some(displaced) = self.displace(&waiting.reservation, weight) else {
+            return Admission::Full;
+        };
+        self.insert(waiting, weight);
+        Admission::Displaced(displaced)
+    }
+
+    /// The attempt of a request that waits here.
+    #[must_use]
+    pub fn attempt(&self, request: RequestId) -> Option<u32> {
+        self.places.get(&request).map(|place| place.id.attempt)
     }
 
     /// The reservation that is next to be offered a slot.
     #[must_use]
     pub fn peek(&self) -> Option<&Waiting> {
-        let tier = self.tiers.values().find(|tier| tier.depth > 0)?;
-        tier.teams.get(tier.next_team()?)?.front()
+        self.tiers.values().find_map(TierQueue::peek)
     }
 
-    /// Takes the reservation that [`Queue::peek`] shows and charges its team.
-    pub fn pop(&mut self, weight: impl Fn(&TeamName) -> u32) -> Option<Waiting> {
-        let tier = self.tiers.values_mut().find(|tier| tier.depth > 0)?;
-        let team = tier.next_team()?.clone();
-        let waiting = tier.teams.get_mut(&team)?.pop_front()?;
-        tier.depth -= 1;
-        let charge = waiting.reservation.cost.total().max(1) / u64::from(weight(&team).max(1));
-        *tier.counters.entry(team.clone()).or_default() += charge.max(1);
-        tier.drop_if_empty(&team);
-        Some(waiting)
+    /// Takes the reservation that [`Queue::peek`] shows and charges its team what it asks for.
+    pub fn pop(&mut self) -> Option<Waiting> {
+        let next = &self.peek()?.reservation;
+        let (id, tokens) = (next.id, next.cost.total());
+        let (tier, team) = (next.tier, next.team.clone());
+        self.tiers.get_mut(&tier)?.charge(&team, tokens);
+        self.remove(id)
+    }
+
+    /// Replaces what a team was charged when its reservation left by what was used.
+    pub fn correct(&mut self, tier: Tier, team: &TeamName, weight: u32, charge: Charge) {
+        if let Some(tier) = self.tiers.get_mut(&tier) {
+            tier.correct(team, weight, charge.expected, charge.used);
+        }
     }
 
     /// Takes one reservation out.
     pub fn remove(&mut self, id: ReservationId) -> Option<Waiting> {
-        self.take_where(|waiting| waiting.reservation.id == id)
-            .pop()
-    }
-
-    /// Takes out every reservation that `unwanted` picks.
-    pub fn take_where(&mut self, mut unwanted: impl FnMut(&Waiting) -> bool) -> Vec<Waiting> {
-        let mut taken = Vec::new();
-        for tier in self.tiers.values_mut() {
-            for list in tier.teams.values_mut() {
-                let (out, kept): (Vec<_>, Vec<_>) = list.drain(..).partition(&mut unwanted);
-                taken.extend(out);
-                list.extend(kept);
-            }
-            tier.teams.retain(|_, list| !list.is_empty());
-            tier.depth = tier.teams.values().map(VecDeque::len).sum();
+        let place = self.places.get(&id.request).filter(|p| p.id == id)?;
+        self.deadlines.remove(&(place.deadline, id.request));
+        let tier = self.tiers.get_mut(&place.tier)?;
+        let waiting = tier.remove(&place.team, place.sequence);
+        self.places.remove(&id.request);
+        waiting
+    }
+
+    /// Takes out every reservation whose deadline has come.
+    pub fn take_late(&mut self, now: Timestamp) -> Vec<Waiting> {
+        let mut late = Vec::new();
+        while let Some(&(deadline, request)) = self.deadlines.first()
+            && deadline <= now
+        {
+            let id = self.places.get(&request).map(|place| place.id);
+            late.extend(id.and_then(|id| self.remove(id)));
         }
-        taken
+        late
+    }
+
+    /// Takes out everything, in order of deadlines.
+    pub fn drain(&mut self) -> Vec<Waiting> {
+        self.take_late(Timestamp::NEVER)
     }
 
     /// The earliest deadline of all that waits.
     #[must_use]
     pub fn next_deadline(&self) -> Option<Timestamp> {
-        let teams = self.tiers.values().flat_map(|tier| tier.teams.values());
-        teams.flatten().map(|waiting| waiting.deadline).min()
+        self.deadlines.first().map(|(deadline, _)| *deadline)
     }
 
     /// Reservations waiting.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.tiers.values().map(|tier| tier.depth).sum()
+        self.places.len()
     }
 
     /// Whether nothing waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.len() == 0
+        self.places.is_empty()
     }
 
-    /// Depth of each tier that has been used.
+    /// What waits in each tier that has been used.
     #[must_use]
     pub fn depths(&self) -> Vec<QueueDepth> {
         let depth = |(&tier, queue): (&Tier, &TierQueue)| QueueDepth {
             tier,
-            depth: queue.depth,
+            depth: queue.len(),
+            tokens: queue.tokens(),
+            teams: queue.depths(),
         };
         self.tiers.iter().map(depth).collect()
     }
 
-    fn lowest_tier(&self) -> Option<Tier> {
-        self.tiers
-            .iter()
-            .rev()
-            .find(|(_, tier)| tier.depth > 0)
-            .map(|(&tier, _)| tier)
-    }
-
-    fn insert(&mut self, waiting: Waiting) {
-        let tier = self.tiers.entry(waiting.reservation.tier).or_default();
-        let team = waiting.reservation.team.clone();
-        if !tier.teams.contains_key(&team) {
-            tier.lift_counter(&team);
-        }
-        tier.teams.entry(team).or_default().push_back(waiting);
-        tier.depth += 1;
-    }
-
-    fn take_newest(&mut self, tier: Tier) -> Option<Waiting> {
-        let queue = self.tiers.get_mut(&tier)?;
-        let longest = queue
-            .teams
-            .iter()
-            .max_by_key(|(_, list)| list.len())?
-            .0
-            .clone();
-        let waiting = queue.teams.get_mut(&longest)?.pop_back()?;
-        queue.depth -= 1;
-        queue.drop_if_empty(&longest);
-        Some(waiting)
-    }
-}
-
-impl TierQueue {
-    fn counter(&self, team: &TeamName) -> u64 {
-        self.counters.get(team).copied().unwrap_or_default()
-    }
-
-    fn next_team(&self) -> Option<&TeamName> {
-        self.teams.keys().min_by_key(|team| self.counter(team))
-    }
-
-    fn lift_counter(&mut self, team: &TeamName) {
-        let floor = self.teams.keys().map(|other| self.counter(other)).min();
-        let counter = self.counters.entry(team.clone()).or_default();
-        *counter = (*counter).max(floor.unwrap_or_default());
-    }
-
-    fn drop_if_empty(&mut self, team: &TeamName) {
-        if self.teams.get(team).is_some_and(VecDeque::is_empty) {
-            self.teams.remove(team);
-        }
+    /// Virtual counters kept, of teams that wait and of teams that are ahead of their share.
+    #[must_use]
+    pub fn counters(&self) -> usize {
+        self.tiers.values().map(TierQueue::counters).sum()
+    }
+
+    fn insert(&mut self, waiting: Waiting, weight: u32) {
+        let reservation = &waiting.reservation;
+        let place = Place {
+            id: reservation.id,
+            tier: reservation.tier,
+            team: reservation.team.clone(),
+            sequence: self.sequence,
+            deadline: waiting.deadline,
+        };
+        self.deadlines.insert((place.deadline, place.id.request));
+        let tier = self.tiers.entry(place.tier).or_default();
+        tier.insert(self.sequence, waiting, weight);
+        self.places.insert(place.id.request, place);
+        self.sequence += 1;
+    }
+
+    /// Takes out what must go for `newcomer`, if anything must.
+    fn displace(&mut self, newcomer: &Reservation, weight: u32) -> Option<Waiting> {
+        let (&lowest, tier) = self.tiers.iter().rev().find(|(_, tier)| tier.len() > 0)?;
+        let yields = newcomer.tier.outranks(lowest)
+            || (newcomer.tier == lowest && tier.favours(&newcomer.team, weight));
+        let id = tier.newest_of_longest().filter(|_| yields)?;
+        self.remove(id)
     }
 }
--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -462,7 +462,7 @@
 
     fn expire(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
         let late = |pending: &&Pending| pending.phase == Phase::Waiting && pending.deadline <= now;
-        let late: Vec<_> = self
+        let late: BTreeSet<_> = self
             .requests
             .values()
             .filter(late)
