Refuse late work at once and pace the agent's slots by the engine's speed

Cause: a reservation that could no longer meet its deadline waited for it; the queue was bounded by a constant alone; a short request waited behind a hundred times longer one; the limit rose by one for each completion, past what an engine bears that warms up more slowly; a new agent ignored what the engine still ran for its predecessor.

Change: the agent learns first-token time, token gap and answer length by route, and gives a reservation back as late when the work ahead and its own expected service pass its deadline. A quarter of the limit is kept for short requests while there are any, and within a team short ones go ahead of those that arrived a multiple of their own service before. The limit holds at the cold bearing for some completions, falls when tokens come too slowly, and goes back to cold when first tokens leap. Runs that the engine holds for others count against it. Each choice is a member of `Policy`, so that the alternatives can be measured side by side.

--- a/crates/agent/src/bodies.rs
+++ b/crates/agent/src/bodies.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
-use comfreyhaven_core::agent::RunEnd;
+use comfreyhaven_core::RequestId;
+use comfreyhaven_core::agent::{Event, RunEnd};
 use comfreyhaven_core::fleet::Fleet;
 use comfreyhaven_core::refusal::NotRunReason;
 use comfreyhaven_process::answer::{self, Answer};
@@ -32,6 +33,9 @@
 /// Frames that wait for a slow reader.
 const FRAMES_LIMIT: usize = 16;
 
+/// Pieces of an answer between two words to the control thread.
+const PROGRESS_PIECES: u32 = 16;
+
 /// Serves declared entries until `stop`, and joins every run.
 pub(crate) async fn serve(
     listener: TcpListener,
@@ -124,7 +128,7 @@
     let request = head.request;
     let end = carry(&head, body, endpoint, mailbox, frames).await;
     log::info!(request:% = request, team:% = head.team; "run ended: {end:?}");
-    let event = comfreyhaven_core::agent::Event::Finished { request, end };
+    let event = Event::Finished { request, end };
     let _ = mailbox.send(Command::Event(event));
     match end {
         RunEnd::NotRun(reason) => send_reply(frames, &RunReply::NotRun(reason)).await,
@@ -145,7 +149,7 @@
         Ok(run) => run,
         Err(reason) => return RunEnd::NotRun(reason),
     };
-    let mut first = true;
+    let mut pieces: u32 = 0;
     loop {
         let piece = tokio::select! {
             piece = run.next() => piece,
@@ -156,10 +160,10 @@
                 send_reply(frames, &RunReply::Answer { status, headers }).await;
             }
             Piece::Data(bytes) => {
-                if std::mem::take(&mut first) {
-                    let event = comfreyhaven_core::agent::Event::FirstToken(head.request);
+                if let Some(event) = progress(head.request, pieces) {
                     let _ = mailbox.send(Command::Event(event));
                 }
+                pieces = pieces.saturating_add(1);
                 send(frames, Ok(Frame::Data(bytes))).await;
             }
             Piece::End(end) => return end,
@@ -167,6 +171,18 @@
     }
 }
 
+/// What the control thread is told when a piece comes after `earlier` ones. An engine sends about
+/// one token a piece.
+fn progress(request: RequestId, earlier: u32) -> Option<Event> {
+    match earlier {
+        0 => Some(Event::FirstToken(request)),
+        tokens if tokens.is_multiple_of(PROGRESS_PIECES) => {
+            Some(Event::Progress { request, tokens })
+        }
+        _ => None,
+    }
+}
+
 async fn send_reply(frames: &mpsc::Sender<Bytes>, reply: &RunReply) {
     send(frames, Frame::head(reply)).await;
 }
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -4,16 +4,22 @@
 //! tiers, and lets in only what the endpoint bears. A body runs only under an offer that this
 //! process made, that has not expired and that has not been used.
 
+mod estimate;
 mod history;
+mod inherited;
 mod machine;
 mod message;
 mod offers;
+mod policy;
 mod queue;
+mod signal;
+mod sizes;
 mod slots;
 
 pub use history::{History, RunStatus};
 pub use machine::{Agent, AgentState};
 pub use message::{Action, Event, RunEnd};
 pub use offers::OFFER_LIFETIME;
-pub use queue::{Admission, Charge, Queue, QueueDepth, Waiting};
-pub use slots::Slots;
+pub use policy::{Growth, Lateness, Order, Pacing, Policy, Reserve};
+pub use queue::{Admission, Charge, Class, Queue, QueueDepth, Waiting};
+pub use slots::{LimitCause, Slots};
--- a/crates/core/src/agent/message.rs
+++ b/crates/core/src/agent/message.rs
@@ -56,6 +56,13 @@
     },
     /// The endpoint sent the first token of an answer.
     FirstToken(RequestId),
+    /// Tokens of an answer have come. It is told now and then while an answer streams.
+    Progress {
+        /// The request that runs.
+        request: RequestId,
+        /// Tokens that have come after the first.
+        tokens: u32,
+    },
     /// A run ended.
     Finished {
         /// The request that ran.
--- a/crates/core/src/agent/offers.rs
+++ b/crates/core/src/agent/offers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::queue::{Class, Waiting};
 use crate::id::{BootNonce, OfferId, RequestId, ReservationId};
 use crate::request::Reservation;
 use crate::time::Timestamp;
@@ -15,6 +16,7 @@
 pub(super) struct Pending {
     pub(super) reservation: Reservation,
     pub(super) deadline: Timestamp,
+    pub(super) class: Class,
     expiry: Timestamp,
 }
 
@@ -39,17 +41,13 @@
         self.boot
     }
 
-    pub(super) fn make(
-        &mut self,
-        reservation: Reservation,
-        deadline: Timestamp,
-        now: Timestamp,
-    ) -> OfferId {
+    pub(super) fn make(&mut self, waiting: Waiting, now: Timestamp) -> OfferId {
         let sequence = self.next;
         self.next += 1;
         let pending = Pending {
-            reservation,
-            deadline,
+            reservation: waiting.reservation,
+            deadline: waiting.deadline,
+            class: waiting.class,
             expiry: now + OFFER_LIFETIME,
         };
         self.pending.insert(sequence, pending);
@@ -120,6 +118,12 @@
         self.pending.len()
     }
 
+    /// Offers to long requests.
+    pub(super) fn long(&self) -> usize {
+        let long = |pending: &&Pending| pending.class == Class::Long;
+        self.pending.values().filter(long).count()
+    }
+
     pub(super) fn tokens(&self) -> u64 {
         self.pending
             .values()
--- a/crates/core/src/agent/queue.rs
+++ b/crates/core/src/agent/queue.rs
@@ -5,22 +5,47 @@
 mod tier;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
 
 use serde::Serialize;
 
-use self::tier::TierQueue;
+use self::tier::{Slot, TierQueue};
 use crate::id::{RequestId, ReservationId};
 use crate::name::TeamName;
 use crate::request::{Reservation, Tier};
 use crate::time::Timestamp;
 
-/// A reservation with the time at which its answer becomes worthless.
+/// Whether a request is short beside others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub enum Class {
+    /// As most are, or shorter.
+    Short,
+    /// Several times longer.
+    Long,
+}
+
+/// A reservation and what is expected of it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Waiting {
     /// The reservation.
     pub reservation: Reservation,
-    /// When it is given back if it has no offer.
+    /// When its answer becomes worthless.
     pub deadline: Timestamp,
+    /// Time that it is expected to take.
+    pub service: Duration,
+    /// Whether it is short.
+    pub class: Class,
+    /// Its place among its team's: lower goes first, and equal ranks in order of arrival.
+    pub rank: u64,
+}
+
+impl Waiting {
+    /// The latest time at which it can start and be expected to meet its deadline.
+    #[must_use]
+    pub fn latest_start(&self) -> Timestamp {
+        let service = u64::try_from(self.service.as_micros()).unwrap_or(u64::MAX);
+        Timestamp::from_micros(self.deadline.as_micros().saturating_sub(service))
+    }
 }
 
 /// What waits in one tier.
@@ -32,6 +57,8 @@
     pub depth: usize,
     /// Tokens asked for by what waits.
     pub tokens: u64,
+    /// Expected time of what waits, in microseconds.
+    pub work: u64,
     /// Reservations waiting, by team.
     pub teams: BTreeMap<TeamName, usize>,
 }
@@ -42,7 +69,7 @@
     /// It waits.
     Kept,
     /// It waits in place of another one.
-    Displaced(Waiting),
+    Displaced(Box<Waiting>),
     /// The queue is full and nothing less urgent waits.
     Full,
 }
@@ -61,8 +88,8 @@
     id: ReservationId,
     tier: Tier,
     team: TeamName,
-    sequence: u64,
-    deadline: Timestamp,
+    slot: Slot,
+    start: Timestamp,
 }
 
 /// The waiting reservations of one agent, bounded in number. A request waits at most once.
@@ -70,7 +97,8 @@
 pub struct Queue {
     tiers: BTreeMap<Tier, TierQueue>,
     places: HashMap<RequestId, Place>,
-    deadlines: BTreeSet<(Timestamp, RequestId)>,
+    /// By latest start.
+    starts: BTreeSet<(Timestamp, RequestId)>,
     sequence: u64,
     limit: usize,
 }
@@ -82,7 +110,7 @@
         Self {
             tiers: BTreeMap::new(),
             places: HashMap::new(),
-            deadlines: BTreeSet::new(),
+            starts: BTreeSet::new(),
             sequence: 0,
             limit,
         }
@@ -90,7 +118,7 @@
 
     /// Adds a reservation of a request that does not wait here, for a team of the given weight.
     ///
-    /// A full queue drops the newest reservation of its lowest tier's longest team, if the new
+    /// A full queue drops the last reservation of its lowest tier's longest team, if the new
     /// one is more urgent, or is as urgent and its team has less waiting for its weight.
     pub fn push(&mut self, waiting: Waiting, weight: u32) -> Admission {
         if self.len() < self.limit {
@@ -101,7 +129,7 @@
             return Admission::Full;
         };
         self.insert(waiting, weight);
-        Admission::Displaced(displaced)
+        Admission::Displaced(Box::new(displaced))
     }
 
     /// The attempt of a request that waits here.
@@ -110,21 +138,31 @@
         self.places.get(&request).map(|place| place.id.attempt)
     }
 
-    /// The reservation that is next to be offered a slot.
+    /// The reservation that is next to be offered a slot, of any class up to `class`.
     #[must_use]
-    pub fn peek(&self) -> Option<&Waiting> {
-        self.tiers.values().find_map(TierQueue::peek)
+    pub fn peek(&self, class: Class) -> Option<&Waiting> {
+        self.tiers.values().find_map(|tier| tier.peek(class))
     }
 
     /// Takes the reservation that [`Queue::peek`] shows and charges its team what it asks for.
-    pub fn pop(&mut self) -> Option<Waiting> {
-        let next = &self.peek()?.reservation;
+    pub fn pop(&mut self, class: Class) -> Option<Waiting> {
+        let next = &self.peek(class)?.reservation;
         let (id, tokens) = (next.id, next.cost.total());
         let (tier, team) = (next.tier, next.team.clone());
         self.tiers.get_mut(&tier)?.charge(&team, tokens);
         self.remove(id)
     }
 
+    /// Expected time of the work that goes before a new reservation of `team`: all of the more
+    /// urgent tiers, and in its own tier no more than the team's own work as often as teams share
+    /// the tier.
+    #[must_use]
+    pub fn work_ahead(&self, tier: Tier, team: &TeamName) -> Duration {
+        let urgent = self.tiers.range(..tier).map(|(_, queue)| queue.work());
+        let own = self.tiers.get(&tier).map_or(0, |queue| queue.ahead(team));
+        Duration::from_micros(urgent.fold(own, u64::saturating_add))
+    }
+
     /// Replaces what a team was charged when its reservation left by what was used.
     pub fn correct(&mut self, tier: Tier, team: &TeamName, weight: u32, charge: Charge) {
         if let Some(tier) = self.tiers.get_mut(&tier) {
@@ -135,18 +173,18 @@
     /// Takes one reservation out.
     pub fn remove(&mut self, id: ReservationId) -> Option<Waiting> {
         let place = self.places.get(&id.request).filter(|p| p.id == id)?;
-        self.deadlines.remove(&(place.deadline, id.request));
+        self.starts.remove(&(place.start, id.request));
         let tier = self.tiers.get_mut(&place.tier)?;
-        let waiting = tier.remove(&place.team, place.sequence);
+        let waiting = tier.remove(&place.team, place.slot);
         self.places.remove(&id.request);
         waiting
     }
 
-    /// Takes out every reservation whose deadline has come.
+    /// Takes out every reservation whose latest start has come.
     pub fn take_late(&mut self, now: Timestamp) -> Vec<Waiting> {
         let mut late = Vec::new();
-        while let Some(&(deadline, request)) = self.deadlines.first()
-            && deadline <= now
+        while let Some(&(start, request)) = self.starts.first()
+            && start <= now
         {
             let id = self.places.get(&request).map(|place| place.id);
             late.extend(id.and_then(|id| self.remove(id)));
@@ -154,15 +192,15 @@
         late
     }
 
-    /// Takes out everything, in order of deadlines.
+    /// Takes out everything, in order of latest starts.
     pub fn drain(&mut self) -> Vec<Waiting> {
         self.take_late(Timestamp::NEVER)
     }
 
-    /// The earliest deadline of all that waits.
+    /// The earliest latest start of all that waits.
     #[must_use]
-    pub fn next_deadline(&self) -> Option<Timestamp> {
-        self.deadlines.first().map(|(deadline, _)| *deadline)
+    pub fn next_start(&self) -> Option<Timestamp> {
+        self.starts.first().map(|(start, _)| *start)
     }
 
     /// Reservations waiting.
@@ -184,6 +222,7 @@
             tier,
             depth: queue.len(),
             tokens: queue.tokens(),
+            work: queue.work(),
             teams: queue.depths(),
         };
         self.tiers.iter().map(depth).collect()
@@ -197,16 +236,21 @@
 
     fn insert(&mut self, waiting: Waiting, weight: u32) {
         let reservation = &waiting.reservation;
+        let slot = Slot {
+            class: waiting.class,
+            rank: waiting.rank,
+            sequence: self.sequence,
+        };
         let place = Place {
             id: reservation.id,
             tier: reservation.tier,
             team: reservation.team.clone(),
-            sequence: self.sequence,
-            deadline: waiting.deadline,
+            slot,
+            start: waiting.latest_start(),
         };
-        self.deadlines.insert((place.deadline, place.id.request));
+        self.starts.insert((place.start, place.id.request));
         let tier = self.tiers.entry(place.tier).or_default();
-        tier.insert(self.sequence, waiting, weight);
+        tier.insert(slot, waiting, weight);
         self.places.insert(place.id.request, place);
         self.sequence += 1;
     }
@@ -216,7 +260,7 @@
         let (&lowest, tier) = self.tiers.iter().rev().find(|(_, tier)| tier.len() > 0)?;
         let yields = newcomer.tier.outranks(lowest)
             || (newcomer.tier == lowest && tier.favours(&newcomer.team, weight));
-        let id = tier.newest_of_longest().filter(|_| yields)?;
+        let id = tier.last_of_longest().filter(|_| yields)?;
         self.remove(id)
     }
 }
--- a/crates/core/src/agent/queue/tier.rs
+++ b/crates/core/src/agent/queue/tier.rs
@@ -7,7 +7,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use super::Waiting;
+use super::{Class, Waiting};
+use crate::agent::estimate::micros;
 use crate::id::ReservationId;
 use crate::name::TeamName;
 
@@ -20,10 +21,52 @@
 /// Absent teams whose counters are kept at most.
 const ABSENT_LIMIT: usize = 1_024;
 
+/// Where a reservation stands in its team's queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Slot {
+    pub(super) class: Class,
+    pub(super) rank: u64,
+    pub(super) sequence: u64,
+}
+
+impl Slot {
+    fn key(self) -> (u64, u64) {
+        (self.rank, self.sequence)
+    }
+}
+
 #[derive(Debug)]
 struct TeamQueue {
-    waiting: BTreeMap<u64, Waiting>,
+    short: BTreeMap<(u64, u64), Waiting>,
+    long: BTreeMap<(u64, u64), Waiting>,
     weight: u32,
+    work: u64,
+}
+
+impl TeamQueue {
+    fn len(&self) -> usize {
+        self.short.len() + self.long.len()
+    }
+
+    fn list(&mut self, class: Class) -> &mut BTreeMap<(u64, u64), Waiting> {
+        match class {
+            Class::Short => &mut self.short,
+            Class::Long => &mut self.long,
+        }
+    }
+
+    fn first(&self, class: Class) -> Option<&Waiting> {
+        let (short, long) = (self.short.first_key_value(), self.long.first_key_value());
+        let long = long.filter(|_| class == Class::Long);
+        let first = short.into_iter().chain(long).min_by_key(|(key, _)| *key);
+        first.map(|(_, waiting)| waiting)
+    }
+
+    fn last(&self) -> Option<&Waiting> {
+        let (short, long) = (self.short.last_key_value(), self.long.last_key_value());
+        let last = short.into_iter().chain(long).max_by_key(|(key, _)| *key);
+        last.map(|(_, waiting)| waiting)
+    }
 }
 
 /// The waiting reservations of one tier.
@@ -34,6 +77,8 @@
     counters: HashMap<TeamName, (u64, u32)>,
     /// Waiting teams by counter.
     order: BTreeSet<(u64, TeamName)>,
+    /// Waiting teams with short reservations by counter.
+    short: BTreeSet<(u64, TeamName)>,
     /// Absent teams by counter.
     absent: BTreeSet<(u64, TeamName)>,
     /// Waiting teams by what waits for their weight.
@@ -42,6 +87,7 @@
     floor: u64,
     depth: usize,
     tokens: u64,
+    work: u64,
 }
 
 impl TierQueue {
@@ -53,8 +99,21 @@
         self.tokens
     }
 
+    /// Expected time of all that waits, in microseconds.
+    pub(super) fn work(&self) -> u64 {
+        self.work
+    }
+
+    /// Expected time of what goes before a new reservation of `team`, in microseconds.
+    pub(super) fn ahead(&self, team: &TeamName) -> u64 {
+        let own = self.teams.get(team).map_or(0, |queue| queue.work);
+        let others = self.teams.len() - usize::from(self.teams.contains_key(team));
+        let shares = u64::try_from(others + 1).unwrap_or(u64::MAX);
+        own.saturating_mul(shares).min(self.work)
+    }
+
     pub(super) fn depths(&self) -> BTreeMap<TeamName, usize> {
-        let depth = |(team, queue): (&TeamName, &TeamQueue)| (team.clone(), queue.waiting.len());
+        let depth = |(team, queue): (&TeamName, &TeamQueue)| (team.clone(), queue.len());
         self.teams.iter().map(depth).collect()
     }
 
@@ -62,34 +121,41 @@
         self.counters.len()
     }
 
-    pub(super) fn peek(&self) -> Option<&Waiting> {
-        let (_, team) = self.order.first()?;
-        Some(self.teams.get(team)?.waiting.first_key_value()?.1)
+    pub(super) fn peek(&self, class: Class) -> Option<&Waiting> {
+        let order = match class {
+            Class::Short => &self.short,
+            Class::Long => &self.order,
+        };
+        let (_, team) = order.first()?;
+        self.teams.get(team)?.first(class)
     }
 
-    pub(super) fn insert(&mut self, sequence: u64, waiting: Waiting, weight: u32) {
+    pub(super) fn insert(&mut self, slot: Slot, waiting: Waiting, weight: u32) {
         let team = waiting.reservation.team.clone();
         if !self.teams.contains_key(&team) {
             self.enter(&team, weight);
         }
         self.depth += 1;
         self.tokens += waiting.reservation.cost.total();
+        self.work = self.work.saturating_add(micros(waiting.service));
         self.resize(&team, |queue| {
-            queue.waiting.insert(sequence, waiting);
+            queue.work = queue.work.saturating_add(micros(waiting.service));
+            queue.list(slot.class).insert(slot.key(), waiting);
         });
     }
 
-    pub(super) fn remove(&mut self, team: &TeamName, sequence: u64) -> Option<Waiting> {
+    pub(super) fn remove(&mut self, team: &TeamName, slot: Slot) -> Option<Waiting> {
         let mut removed = None;
-        self.resize(team, |queue| removed = queue.waiting.remove(&sequence));
+        self.resize(team, |queue| {
+            removed = queue.list(slot.class).remove(&slot.key());
+            let work = removed.as_ref().map_or(0, |w| micros(w.service));
+            queue.work = queue.work.saturating_sub(work);
+        });
         let waiting = removed?;
         self.depth -= 1;
         self.tokens -= waiting.reservation.cost.total();
-        if self
-            .teams
-            .get(team)
-            .is_some_and(|queue| queue.waiting.is_empty())
-        {
+        self.work = self.work.saturating_sub(micros(waiting.service));
+        if self.teams.get(team).is_some_and(|queue| queue.len() == 0) {
             self.leave(team);
         }
         Some(waiting)
@@ -118,16 +184,15 @@
     /// Whether one more reservation of `team` leaves it with less waiting for its weight than the
     /// longest team has.
     pub(super) fn favours(&self, team: &TeamName, weight: u32) -> bool {
-        let waiting = self.teams.get(team).map_or(0, |queue| queue.waiting.len());
+        let waiting = self.teams.get(team).map_or(0, TeamQueue::len);
         let longest = self.lengths.last().map_or(0, |(length, _)| *length);
         length(waiting + 1, weight) < longest
     }
 
     /// The last reservation of the team that has most waiting for its weight.
-    pub(super) fn newest_of_longest(&self) -> Option<ReservationId> {
+    pub(super) fn last_of_longest(&self) -> Option<ReservationId> {
         let (_, team) = self.lengths.last()?;
-        let (_, waiting) = self.teams.get(team)?.waiting.last_key_value()?;
-        Some(waiting.reservation.id)
+        Some(self.teams.get(team)?.last()?.reservation.id)
     }
 
     fn enter(&mut self, team: &TeamName, weight: u32) {
@@ -139,8 +204,10 @@
         self.counters.insert(team.clone(), (counter, weight));
         self.order.insert((counter, team.clone()));
         let queue = TeamQueue {
-            waiting: BTreeMap::new(),
+            short: BTreeMap::new(),
+            long: BTreeMap::new(),
             weight,
+            work: 0,
         };
         self.teams.insert(team.clone(), queue);
     }
@@ -154,18 +221,26 @@
         }
     }
 
-    /// Changes a team's queue and keeps the order by length.
+    /// Changes a team's queue and keeps the orders that depend on what waits in it.
     fn resize(&mut self, team: &TeamName, change: impl FnOnce(&mut TeamQueue)) {
         let Some(queue) = self.teams.get_mut(team) else {
             return;
         };
-        let before = length(queue.waiting.len(), queue.weight);
+        let before = length(queue.len(), queue.weight);
         change(queue);
-        let after = length(queue.waiting.len(), queue.weight);
+        let after = length(queue.len(), queue.weight);
+        let has_short = !queue.short.is_empty();
         self.lengths.remove(&(before, team.clone()));
         if after > 0 {
             self.lengths.insert((after, team.clone()));
         }
+        let counter = self.counters.get(team).map_or(0, |(counter, _)| *counter);
+        let entry = (counter, team.clone());
+        if has_short {
+            self.short.insert(entry);
+        } else {
+            self.short.remove(&entry);
+        }
     }
 
     fn set_counter(&mut self, team: &TeamName, counter: u64) {
@@ -173,6 +248,9 @@
             return;
         };
         let before = (std::mem::replace(old, counter), team.clone());
+        if self.short.remove(&before) {
+            self.short.insert((counter, team.clone()));
+        }
         let set = if self.teams.contains_key(team) {
             &mut self.order
         } else {
