Prove the path under kills, cuts, freezes and bad input, and mend what fell

Cause: the path had run only with all processes well. A relay that can cut, hold and delay, and tests that kill and freeze processes, found five faults:

- The event that tells a cut stream's caller "in part" was followed by a body error, and the server closed before it flushed the event.
The stream now ends without its terminator.
- A control connection kept from a replaced agent made the first reservation after the restart fail and the request be refused.
The call is made once more on a new connection, which is safe since a reservation runs nothing.

Left: the engine stand-in, cold until 16 completions, crashes under the agent's slow start of one more request for each completion. These tests use engines that bear their declared limit; cold starts get tests of their own.

--- a/crates/core/src/agent/history.rs
+++ b/crates/core/src/agent/history.rs
@@ -17,7 +17,7 @@
 /// What an agent knows of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunStatus {
-    /// It has not run here and will not.
+    /// It has not run here under the offer and will not.
     NeverRuns,
     /// It is running.
     Running,
@@ -29,8 +29,8 @@
 
 /// Statuses of recent requests, bounded in number and age.
 ///
-/// A request that is reported as [`RunStatus::NeverRuns`] keeps a tombstone, so that a body which
-/// is still under way is refused when it arrives.
+/// A request that is reported as [`RunStatus::NeverRuns`] may run under a later offer; the offer that
+/// was asked about is void.
 #[derive(Debug, Default)]
 pub struct History {
     statuses: HashMap<RequestId, RunStatus>,
--- a/crates/core/src/agent/machine.rs
+++ b/crates/core/src/agent/machine.rs
@@ -214,7 +214,7 @@
             .take(offer, now)
             .ok_or(NotRunReason::OfferVoid)?;
         let own = pending.reservation.id.request == request;
-        if !own || self.history.get(request).is_some() {
+        if !own || self.has_run(request) {
             return Err(NotRunReason::OfferVoid);
         }
         match self.closed() {
@@ -228,6 +228,13 @@
         Ok(pending.reservation.cost.total())
     }
 
+    fn has_run(&self, request: RequestId) -> bool {
+        matches!(
+            self.history.get(request),
+            Some(RunStatus::Running | RunStatus::Ran)
+        )
+    }
+
     fn inquire(
         &mut self,
         offer: OfferId,
@@ -240,12 +247,14 @@
     }
 
     fn status_for(&mut self, offer: OfferId, request: RequestId, now: Timestamp) -> RunStatus {
-        if let Some(status) = self.history.get(request) {
+        if let Some(status) = self.history.get(request).filter(|_| self.has_run(request)) {
             return status;
         }
         if offer.boot != self.offers.boot() {
             return RunStatus::Unknown;
         }
+        // Without its offer, a body that is still under way is refused. A later attempt of the same
+        // request gets an offer of its own.
         self.offers.void(request);
         self.history.record(request, RunStatus::NeverRuns, now);
         RunStatus::NeverRuns
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -92,21 +92,24 @@
         self.stage = Stage::Done;
     }
 
-    /// Gives the caller a refusal. An answer that has begun is cut off, after an event that says
-    /// why if it is an event stream.
+    /// Gives the caller a refusal. An event stream that has begun ends with an event that says why,
+    /// and without its terminator; any other answer that has begun is cut off.
     pub(crate) async fn refuse(&mut self, refusal: &Refusal) {
         match std::mem::replace(&mut self.stage, Stage::Done) {
             Stage::Waiting(waiting) => {
                 let _ = waiting.send(answer::refusal(&self.request, refusal));
             }
             Stage::Streaming { pieces, events } => {
-                if events {
+                // An error after the event would make the server close before it is flushed.
+                let last = if events {
                     let json = answer::refusal_json(&self.request, refusal);
-                    let event = [b"event: error\ndata: ", &json[..], b"\n\n"].concat();
-                    let _ = pieces.send(Ok(event.into())).await;
-                }
-                let cut = std::io::Error::other("the answer is not whole");
-                let _ = pieces.send(Err(cut)).await;
+                    Ok([b"event: error\ndata: ", &json[..], b"\n\n"]
+                        .concat()
+                        .into())
+                } else {
+                    Err(std::io::Error::other("the answer is not whole"))
+                };
+                let _ = pieces.send(last).await;
             }
             Stage::Done => {}
         }
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -73,11 +73,23 @@
         self.source
     }
 
-    /// Waits at an agent for an offer.
+    /// Waits at an agent for an offer. A kept connection may be one to an agent that has been
+    /// replaced, so a failed call is made once more on a new one; a reservation runs nothing.
     pub(crate) async fn reserve(
         &self,
         endpoint: &EndpointName,
         reservation: Reservation,
+    ) -> Result<ReserveReply, LinkError> {
+        match self.reserve_once(endpoint, reservation.clone()).await {
+            Err(LinkError::Call(_)) => self.reserve_once(endpoint, reservation).await,
+            answer => answer,
+        }
+    }
+
+    async fn reserve_once(
+        &self,
+        endpoint: &EndpointName,
+        reservation: Reservation,
     ) -> Result<ReserveReply, LinkError> {
         let limit = reservation.remaining + RETURN_GRACE;
         let (cell, client) = self.client(endpoint).await?;
--- a/crates/harness/src/deployment.rs
+++ b/crates/harness/src/deployment.rs
@@ -3,6 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
+use comfreyhaven_standin::relay::Relay;
 use hyper::Method;
 use tempfile::TempDir;
 
@@ -27,9 +28,20 @@
     endpoints: Vec<Child>,
     agents: Vec<Child>,
     entries: Vec<Child>,
+    relays: Vec<Relays>,
+    doors: Vec<Relay>,
     generation: u64,
 }
 
+/// Relays before the ports of one agent.
+#[derive(Debug)]
+pub struct Relays {
+    /// Before the control port, where reservations arrive.
+    pub control: Relay,
+    /// Before the traffic port, where bodies arrive.
+    pub traffic: Relay,
+}
+
 impl Deployment {
     /// Starts every process of a plan, publishes its configuration and waits until all are ready.
     ///
@@ -50,6 +62,8 @@
             endpoints: Vec::new(),
             agents: Vec::new(),
             entries: Vec::new(),
+            relays: Vec::new(),
+            doors: Vec::new(),
             generation: 0,
         };
         deployment.start_all().await?;
@@ -61,10 +75,17 @@
     async fn start_all(&mut self) -> Result<(), HarnessError> {
         for plan in self.plan.endpoints.clone() {
             let endpoint = self.start_endpoint(&plan).await?;
+            if self.plan.relays {
+                let target = endpoint.port("listen")?;
+                self.doors.push(Relay::start(target.ip(), target).await?);
+            }
             self.endpoints.push(endpoint);
         }
         for index in 0..self.plan.endpoints.len() {
             let agent = self.start_agent(index, None).await?;
+            if self.plan.relays {
+                self.relays.push(Relays::start(&agent).await?);
+            }
             self.agents.push(agent);
         }
         for index in 0..self.plan.entries.len() {
@@ -91,7 +112,10 @@
     ) -> Result<Child, HarnessError> {
         let plan = &self.plan.endpoints[index];
         let ip = format!("127.0.2.{}", index + 1);
-        let endpoint = self.endpoints[index].port("listen")?;
+        let endpoint = match self.doors.get(index) {
+            Some(door) => door.address(),
+            None => self.endpoints[index].port("listen")?,
+        };
         let own = format!(
             "[agent]\nname = {}\ntraffic = {}\nendpoint = {endpoint}\n",
             plan.name,
@@ -143,7 +167,11 @@
         let entries = names(&self.plan.entries, |plan| &plan.name);
         let entries = addresses(entries, &self.entries, "listen")?;
         let agents = names(&self.plan.endpoints, |plan| &plan.name);
-        let agents = addresses(agents, &self.agents, "traffic")?;
+        let mut agents = addresses(agents, &self.agents, "traffic")?;
+        for (agent, relays) in agents.iter_mut().zip(&self.relays) {
+            agent.control = relays.control.address().to_string();
+            agent.traffic = relays.traffic.address().to_string();
+        }
         let documents = [
             (
                 "fleet",
@@ -241,6 +269,18 @@
             .json())
     }
 
+    /// The relays before the agent at `index`, of a plan that has relays.
+    #[must_use]
+    pub fn relays(&self, index: usize) -> &Relays {
+        &self.relays[index]
+    }
+
+    /// The relay between the agent and the endpoint at `index`, of a plan that has relays.
+    #[must_use]
+    pub fn door(&self, index: usize) -> &Relay {
+        &self.doors[index]
+    }
+
     /// The endpoint's process at `index`.
     pub fn endpoint(&mut self, index: usize) -> &mut Child {
         &mut self.endpoints[index]
@@ -282,6 +322,41 @@
         Ok(Caller::new(self.configuration.port("listen")?))
     }
 
+    /// Makes the configuration service `up`, `down` or `stale`.
+    ///
+    /// # Errors
+    /// Returns a [`HarnessError`] if it does not answer.
+    pub async fn set_configuration_mode(&self, mode: &str) -> Result<(), HarnessError> {
+        self.configuration()?
+            .send(Method::PUT, "/mode", mode.to_owned())
+            .await?;
+        Ok(())
+    }
+
+    /// Crashes the engine at `index`.
+    ///
+    /// # Errors
+    /// Returns a [`HarnessError`] if it does not answer.
+    pub async fn crash_endpoint(&self, index: usize) -> Result<(), HarnessError> {
+        let engine = Caller::new(self.endpoints[index].port("listen")?);
+        engine.send(Method::POST, "/crash", String::new()).await?;
+        Ok(())
+    }
+
+    /// How often the entry at `index` has taken a decision, such as `dispatch` or `inquire`.
+    ///
+    /// # Errors
+    /// Returns a [`HarnessError`] if it does not answer.
+    pub async fn decisions(&self, index: usize, decision: &str) -> Result<u64, HarnessError> {
+        let admin = Caller::new(self.entries[index].port("admin")?);
+        let metrics = admin.get("/metrics").await?.text;
+        let line = format!("comfreyhaven_entry_decisions_total{{decision=\"{decision}\"}} ");
+        let count = metrics
+            .lines()
+            .find_map(|known| known.strip_prefix(&line)?.parse().ok());
+        Ok(count.unwrap_or(0))
+    }
+
     /// A caller of the host list.
     ///
     /// # Errors
@@ -309,6 +384,16 @@
     }
 }
 
+impl Relays {
+    async fn start(agent: &Child) -> Result<Self, HarnessError> {
+        let (control, traffic) = (agent.port("control")?, agent.port("traffic")?);
+        Ok(Self {
+            control: Relay::start(control.ip(), control).await?,
+            traffic: Relay::start(traffic.ip(), traffic).await?,
+        })
+    }
+}
+
 /// The address that an earlier process had, or any port of an IP.
 fn address(earlier: Option<&Child>, port: &str, ip: &str) -> Result<String, HarnessError> {
     match earlier {
--- a/crates/harness/src/error.rs
+++ b/crates/harness/src/error.rs
@@ -10,6 +10,8 @@
     /// A file or a process failed.
     #[display("{_0}")]
     Io(std::io::Error),
+    /// A relay cannot be started.
+    Relay(comfreyhaven_process::error::ProcessError),
     /// A call to a process failed.
     #[display("{_0}")]
     Call(CallError),
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -13,6 +13,6 @@
 
 pub use call::{CallError, Caller, Reply};
 pub use child::Child;
-pub use deployment::Deployment;
+pub use deployment::{Deployment, Relays};
 pub use error::HarnessError;
 pub use plan::{EndpointPlan, EntryPlan, Plan, RoutePlan, TeamPlan};
--- a/crates/harness/src/plan.rs
+++ b/crates/harness/src/plan.rs
@@ -155,6 +155,7 @@
     pub(crate) routes: Vec<RoutePlan>,
     pub(crate) teams: Vec<TeamPlan>,
     pub(crate) lag: u64,
+    pub(crate) relays: bool,
 }
 
 impl Plan {
@@ -207,6 +208,26 @@
         self
     }
 
+    /// Puts relays before the control and traffic ports of each agent, and before each endpoint.
+    #[must_use]
+    pub fn with_relays(self) -> Self {
+        Self {
+            relays: true,
+            ..self
+        }
+    }
+
+    /// Changes the bearing of an endpoint. Takes effect when the fleet is published.
+    pub fn set_bearing(&mut self, endpoint: &str, cold: u32, warm: u32) {
+        for known in self
+            .endpoints
+            .iter_mut()
+            .filter(|known| known.name == endpoint)
+        {
+            (known.cold, known.warm) = (cold, warm);
+        }
+    }
+
     /// Puts a data centre in or out of service. Takes effect when the fleet is published.
     pub fn set_in_service(&mut self, centre: &str, state: bool) {
         for (_, known) in self.centres.iter_mut().filter(|(name, _)| name == centre) {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod engine;
 pub mod hosts;
 pub mod launch;
+pub mod relay;
 pub mod values;
--- /dev/null
+++ b/crates/suite/tests/suite/freezes.rs
@@ -0,0 +1,81 @@
+//! Processes that pause and wake up late.
+
+use comfreyhaven_harness::{Deployment, HarnessError};
+use comfreyhaven_standin::answer_text;
+use comfreyhaven_standin::relay::Flow;
+
+use crate::plans;
+use crate::support::{chat, outcome, seen, until};
+
+#[tokio::test]
+async fn a_frozen_agent_is_passed_over() -> Result<(), HarnessError> {
+    let mut deployment = Deployment::start(plans::pair()).await?;
+    deployment.agent(0).signal("STOP").await?;
+    for index in 0..6 {
+        let prompt = format!("plan {index}");
+        let reply = outcome(chat(&deployment, 0, &prompt, 8)?).await?;
+        assert_eq!(
+            reply.generated(),
+            Some(answer_text::text(&prompt, 8)),
+            "{}",
+            reply.text
+        );
+    }
+    deployment.agent(0).signal("CONT").await?;
+    assert_eq!(seen(&deployment, 0).await? + seen(&deployment, 1).await?, 6);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_body_that_waits_for_a_frozen_agent_past_its_offer_does_not_run_there()
+-> Result<(), HarnessError> {
+    let mut deployment = Deployment::start(plans::pair().with_relays()).await?;
+    deployment.relays(0).traffic.set(Flow::HoldForward);
+    deployment.relays(1).traffic.set(Flow::HoldForward);
+    let call = chat(&deployment, 0, "sent to a sleeper", 16)?;
+    let arrived = |index: usize| deployment.relays(index).traffic.arrived() > 0;
+    until(|| async { Ok(arrived(0) || arrived(1)) }).await?;
+    let sleeper = usize::from(arrived(1));
+    deployment.agent(sleeper).signal("STOP").await?;
+    deployment.relays(0).traffic.set(Flow::Pass);
+    deployment.relays(1).traffic.set(Flow::Pass);
+    tokio::time::sleep(comfreyhaven_core::agent::OFFER_LIFETIME * 2).await;
+    deployment.agent(sleeper).signal("CONT").await?;
+    let reply = outcome(call).await?;
+    assert_eq!(
+        reply.generated(),
+        Some(answer_text::text("sent to a sleeper", 16)),
+        "{}",
+        reply.text
+    );
+    assert_eq!(seen(&deployment, 0).await? + seen(&deployment, 1).await?, 1);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_frozen_entry_that_wakes_answers_each_caller_once() -> Result<(), HarnessError> {
+    let mut deployment = Deployment::start(plans::pair()).await?;
+    let calls: Vec<_> = (0..6)
+        .map(|index| {
+            Ok((
+                format!("plan {index}"),
+                chat(&deployment, 0, &format!("plan {index}"), 100)?,
+            ))
+        })
+        .collect::<Result<_, HarnessError>>()?;
+    until(|| async { Ok(deployment.entry_state(0).await?["dispatched"] != 0) }).await?;
+    deployment.entry(0).signal("STOP").await?;
+    tokio::time::sleep(comfreyhaven_core::agent::OFFER_LIFETIME * 2).await;
+    deployment.entry(0).signal("CONT").await?;
+    for (prompt, call) in calls {
+        let reply = outcome(call).await?;
+        assert_eq!(
+            reply.generated(),
+            Some(answer_text::text(&prompt, 100)),
+            "{}",
+            reply.text
+        );
+    }
+    assert_eq!(seen(&deployment, 0).await? + seen(&deployment, 1).await?, 6);
+    Ok(())
+}
--- a/crates/suite/tests/suite/main.rs
+++ b/crates/suite/tests/suite/main.rs
@@ -1,4 +1,10 @@
 //! Integration tests with the real processes, one module for each subject.
 
+mod callers;
+mod cuts;
+mod freezes;
+mod input;
+mod kills;
 mod path;
 mod plans;
+mod support;
--- a/crates/suite/tests/suite/plans.rs
+++ b/crates/suite/tests/suite/plans.rs
@@ -2,9 +2,9 @@
 
 use comfreyhaven_harness::{EndpointPlan, Plan, RoutePlan, TeamPlan};
 
-/// Two data centres, each with an entry, an engine and a service; one team without narrow limits.
+/// Two data centres, each with an entry and an engine, and one service.
 pub fn small() -> Plan {
-    Plan::new()
+    routes(Plan::new())
         .with_centre("tb1")
         .with_centre("tb2")
         .with_entry("e1", "tb1")
@@ -12,14 +12,43 @@
         .with_endpoint(EndpointPlan::new_engine("engine-1", "tb1", "hive"))
         .with_endpoint(EndpointPlan::new_engine("engine-2", "tb2", "hive"))
         .with_endpoint(EndpointPlan::new_service("orders-1", "tb1", "orders"))
-        .with_route(RoutePlan::new_model("plan", "hive", "mid"))
+}
+
+/// One data centre with one entry, one slow engine and one service, so that a test knows where a
+/// request is.
+pub fn single() -> Plan {
+    routes(Plan::new())
+        .with_centre("tb1")
+        .with_entry("e1", "tb1")
+        .with_endpoint(slow_engine("engine-1"))
+        .with_endpoint(EndpointPlan::new_service("orders-1", "tb1", "orders"))
+}
+
+/// One data centre with one entry and two slow engines.
+pub fn pair() -> Plan {
+    routes(Plan::new())
+        .with_centre("tb1")
+        .with_entry("e1", "tb1")
+        .with_endpoint(slow_engine("engine-1"))
+        .with_endpoint(slow_engine("engine-2"))
+        .with_endpoint(EndpointPlan::new_service("orders-1", "tb1", "orders"))
+}
+
+/// An engine that bears its declared warm limit from its start.
+fn slow_engine(name: &str) -> EndpointPlan {
+    let engine = EndpointPlan::new_engine(name, "tb1", "hive");
+    engine
+        .with_argument("step-us", 4_000)
+        .with_argument("cold", 32)
+}
+
+fn routes(plan: Plan) -> Plan {
+    let public = RoutePlan::new_service("public", "/public/", "orders", "low");
+    plan.with_route(RoutePlan::new_model("plan", "hive", "mid"))
         .with_route(RoutePlan::new_service(
             "orders", "/orders/", "orders", "high",
         ))
-        .with_route(
-            RoutePlan::new_service("public", "/public/", "orders", "low")
-                .with_value("access", "open"),
-        )
+        .with_route(public.with_value("access", "open"))
         .with_team(TeamPlan::new(
             "kakheti",
             10_000_000,
--- /dev/null
+++ b/crates/suite/tests/suite/support.rs
@@ -0,0 +1,88 @@
+//! Steps that several subjects share.
+
+use std::future::Future;
+use std::time::Duration;
+
+use comfreyhaven_harness::{CallError, Deployment, HarnessError, Reply};
+use tokio::task::JoinHandle;
+
+/// A call that runs beside the test.
+pub type Call = JoinHandle<Result<Reply, CallError>>;
+
+/// Starts a chat at an entry.
+pub fn chat(
+    deployment: &Deployment,
+    entry: usize,
+    prompt: &str,
+    tokens: u32,
+) -> Result<Call, HarnessError> {
+    let caller = deployment.caller(entry, "key-kakheti")?;
+    let prompt = prompt.to_owned();
+    Ok(tokio::spawn(async move {
+        caller.chat("hive", &prompt, tokens, true).await
+    }))
+}
+
+/// The outcome of a call that runs beside the test.
+pub async fn outcome(call: Call) -> Result<Reply, CallError> {
+    call.await.expect("the call does not panic")
+}
+
+/// After this time a test that waits in vain fails, where it would else hang the whole run.
+const HANG_TIMEOUT: Duration = Duration::from_secs(300);
+
+/// Waits until a condition holds.
+pub async fn until<F, T>(mut condition: F) -> Result<(), HarnessError>
+where
+    F: FnMut() -> T,
+    T: Future<Output = Result<bool, HarnessError>>,
+{
+    let waiting = async {
+        while !condition().await? {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Ok(())
+    };
+    let waited = tokio::time::timeout(HANG_TIMEOUT, waiting).await;
+    waited.expect("the condition holds at some time")
+}
+
+/// Waits until the agent at `index` runs `count` requests.
+pub async fn until_running(
+    deployment: &Deployment,
+    index: usize,
+    count: u64,
+) -> Result<(), HarnessError> {
+    until(|| async { Ok(deployment.agent_state(index).await?["running"] == count) }).await
+}
+
+/// Chats that the engine at `index` has seen.
+pub async fn seen(deployment: &Deployment, index: usize) -> Result<usize, HarnessError> {
+    let calls = deployment.ask_endpoint(index, "/seen").await?.json();
+    Ok(calls.as_array().map_or(0, Vec::len))
+}
+
+/// What the caller of a request that began and did not end whole was sent last.
+pub fn cut_off(outcome: Result<Reply, CallError>) -> Result<String, HarnessError> {
+    match outcome {
+        Ok(reply) => {
+            assert_eq!(
+                reply.generated(),
+                None,
+                "the answer must not look whole: {}",
+                reply.text
+            );
+            Ok(reply.text)
+        }
+        Err(CallError::Broken { text, .. }) => Ok(text),
+        Err(error) => Err(error.into()),
+    }
+}
+
+/// What a refusal says of execution.
+pub fn execution(reply: &Reply) -> String {
+    reply.json()["error"]["execution"]
+        .as_str()
+        .unwrap_or("none")
+        .to_owned()
+}
