Check every line, value and reference of a configuration, and build one in Rust

Cause: the INI library joins lines in silence. A name without `=` takes in the next line, a backslash at the end of a value too, an open bracket runs on to the next one, an indented last line is dropped, a comment behind a value becomes part of it. Above that a second [document] header was ignored, keys listed twice fell together, ranks over 255 became 255, and rates, bursts, weights and deadlines of zero were taken.

Seen before: `comfreyhaven check` said "no problems" of a file with a second header of another generation, a rate of 0/s, a weight of 0, a value joined by a backslash and an indented line at its end.

Ruled out: the library's own options. Escapes and quotes can be turned off, the joining of lines cannot.

Change: each line must have one of four plain shapes before the library reads the text; faulty lines are left out, so all faults come in one pass. Sections are checked for repeats, ranges, shared addresses, overlapping routes, model and service mixed up, keys of two teams, the reserved team name. What stands in place of a digest is never shown, since it may be a key. Settings are checked in the same way. What is sound but rarely meant is a warning of `config::lint`.

The builder prints documents through the same checks; a property test builds, prints, reads back and compares.

--- a/crates/config/src/assemble.rs
+++ b/crates/config/src/assemble.rs
@@ -1,14 +1,15 @@
-//! Puts documents together into a fleet and checks every reference between them.
+//! Puts documents together into a fleet.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashSet};
 use std::fmt::Display;
 
 use comfreyhaven_core::fleet::Fleet;
-use comfreyhaven_core::{KeyDigest, TeamName, TierName};
+use comfreyhaven_core::{RouteName, TeamName, TierName};
 
-use crate::document::{Document, DocumentKind};
+use crate::document::{Document, DocumentKind, Draft};
 use crate::part;
 use crate::problem::{Problem, Problems};
+use crate::reference;
 use crate::section::Section;
 
 /// Builds the fleet that a set of documents declares.
@@ -17,49 +18,98 @@
 /// Returns every problem of every document: unknown sections and names, missing or malformed
 /// values, names declared twice and references to nothing.
 pub fn assemble<'a>(documents: impl IntoIterator<Item = &'a Document>) -> Result<Fleet, Problems> {
+    build(documents.into_iter().map(Document::draft))
+}
+
+/// Checks texts together as the processes do. Each comes with the place that its faults name, such
+/// as a file.
+///
+/// ```
+/// let text = "[document]\nname = routes\ngeneration = 1\n[route plan]\npath = plan\n";
+/// let problems = comfreyhaven_config::check([("routes.ini", text)]).unwrap_err();
+/// assert_eq!(problems.0.len(), 3); // The path, the model and the tier.
+/// ```
+///
+/// # Errors
+/// Returns every problem of every text at once.
+pub fn check<'a>(texts: impl IntoIterator<Item = (&'a str, &'a str)>) -> Result<Fleet, Problems> {
+    let drafts = texts.into_iter();
+    build(drafts.map(|(place, text)| Draft::read(place, text)))
+}
+
+fn build(drafts: impl Iterator<Item = Draft>) -> Result<Fleet, Problems> {
     let mut build = Build::default();
-    for document in documents {
-        build
-            .fleet
-            .generations
-            .insert(document.name().to_owned(), document.generation());
-        match document.sections() {
-            Ok(sections) => sections
-                .into_iter()
-                .for_each(|s| build.section(document, s)),
-            Err(problems) => build.problems.extend(problems.0),
-        }
+    for draft in drafts {
+        build.draft(draft);
     }
-    build.check_references();
-    Problems(build.problems).unless_empty(build.fleet.with_key_index())
+    let mut problems = build.problems;
+    problems.extend(reference::check(&mut build.declared));
+    Problems(problems).unless_empty(build.declared.fleet.with_key_index())
+}
+
+/// What was declared, and in which document.
+#[derive(Debug, Default)]
+pub(crate) struct Declared {
+    pub(crate) fleet: Fleet,
+    pub(crate) tiers: BTreeMap<RouteName, TierName>,
+    pub(crate) teams: BTreeMap<TeamName, String>,
+    pub(crate) places: BTreeMap<DocumentKind, String>,
+    /// Titles of all sections, also of those with faults, so that a reference to one is sound.
+    pub(crate) titles: HashSet<String>,
 }
 
 #[derive(Default)]
 struct Build {
-    fleet: Fleet,
-    route_tiers: Vec<(String, String, TierName)>,
-    places: BTreeMap<String, String>,
+    declared: Declared,
     problems: Vec<Problem>,
 }
 
 impl Build {
-    fn section(&mut self, document: &Document, mut section: Section) {
-        let known = match (document.kind(), section.kind()) {
+    fn draft(&mut self, mut draft: Draft) {
+        self.problems.append(&mut draft.problems);
+        let (Some(name), Some(kind)) = (draft.name.clone(), draft.kind()) else {
+            return;
+        };
+        let generation = draft.generation.unwrap_or_default();
+        let earlier = self
+            .declared
+            .fleet
+            .generations
+            .insert(name.clone(), generation);
+        if earlier.is_some() {
+            self.problems.push(Problem {
+                document: draft.place.clone(),
+                section: "document".to_owned(),
+                name: Some("name".to_owned()),
+                found: Some(name),
+                expected: "a name that no other document has".to_owned(),
+            });
+        }
+        self.declared.places.insert(kind, draft.place.clone());
+        for section in draft.sections {
+            self.section(kind, &draft.place, section);
+        }
+    }
+
+    fn section(&mut self, kind: DocumentKind, place: &str, mut section: Section) {
+        let read = match (kind, section.kind()) {
             (DocumentKind::Fleet, "tier") => self.tier(&mut section),
             (DocumentKind::Fleet, "data-centre") => part::centre(&mut section)
-                .map(|part| insert(&mut self.fleet.centres, &part.name.clone(), part)),
+                .map(|part| insert(&mut self.declared.fleet.centres, &part.name.clone(), part)),
             (DocumentKind::Fleet, "host") => part::host(&mut section)
-                .map(|part| insert(&mut self.fleet.hosts, &part.name.clone(), part)),
+                .map(|part| insert(&mut self.declared.fleet.hosts, &part.name.clone(), part)),
             (DocumentKind::Fleet, "endpoint") => part::endpoint(&mut section)
-                .map(|part| insert(&mut self.fleet.endpoints, &part.name.clone(), part)),
-            (DocumentKind::Routes, "route") => self.route(document, &mut section),
-            (DocumentKind::Teams, "team") => self.team(document, &mut section),
-            (kind, _) => {
+                .map(|part| insert(&mut self.declared.fleet.endpoints, &part.name.clone(), part)),
+            (DocumentKind::Routes, "route") => self.route(&mut section),
+            (DocumentKind::Teams, "team") => self.team(place, &mut section),
+            _ => {
                 self.problems.extend(section.reject(sections_of(kind)));
                 return;
             }
         };
-        if known == Some(false) {
+        // A part with faults is only known by its title.
+        let fresh = self.declared.titles.insert(section.canonical());
+        if !fresh || read == Some(false) {
             section.fault(None, None, "a name that is not declared twice");
         }
         self.problems.extend(section.finish());
@@ -67,151 +117,35 @@
 
     fn tier(&mut self, section: &mut Section) -> Option<bool> {
         let tier = part::tier(section)?;
-        let twice = self
-            .fleet
-            .tiers
-            .iter()
-            .any(|t| t.name == tier.name || t.tier == tier.tier);
-        self.fleet.tiers.push(tier);
-        self.fleet.tiers.sort_by_key(|tier| tier.tier);
-        Some(!twice)
+        let tiers = &mut self.declared.fleet.tiers;
+        if let Some(other) = tiers.iter().find(|other| other.tier == tier.tier) {
+            let expected = format!("a rank that tier {} does not have", other.name);
+            section.fault(Some("rank"), Some(&tier.tier.to_string()), &expected);
+        }
+        tiers.push(tier);
+        tiers.sort_by_key(|tier| tier.tier);
+        Some(true)
     }
 
-    fn route(&mut self, document: &Document, section: &mut Section) -> Option<bool> {
+    fn route(&mut self, section: &mut Section) -> Option<bool> {
         let (route, tier) = part::route(section)?;
         let name = route.name.clone();
-        self.route_tiers
-            .push((document.name().to_owned(), name.to_string(), tier));
-        Some(insert(&mut self.fleet.routes, &name, route))
+        self.declared.tiers.insert(name.clone(), tier);
+        Some(insert(&mut self.declared.fleet.routes, &name, route))
     }
 
-    fn team(&mut self, document: &Document, section: &mut Section) -> Option<bool> {
+    fn team(&mut self, place: &str, section: &mut Section) -> Option<bool> {
         let team = part::team(section)?;
         let name = team.name.clone();
-        self.places
-            .insert(name.to_string(), document.name().to_owned());
-        Some(insert(&mut self.fleet.teams, &name, team))
-    }
-
-    fn check_references(&mut self) {
-        self.check_tiers();
-        self.check_centres();
-        self.check_teams();
-        self.check_keys();
-    }
-
-    fn check_tiers(&mut self) {
-        let ranks: HashMap<_, _> = self
-            .fleet
-            .tiers
-            .iter()
-            .map(|tier| (tier.name.clone(), tier.tier))
-            .collect();
-        for (document, route, tier) in std::mem::take(&mut self.route_tiers) {
-            let Some(&rank) = ranks.get(&tier) else {
-                let section = format!("route {route}");
-                self.dangling(
-                    &document,
-                    &section,
-                    "tier",
-                    &tier,
-                    "the name of a declared tier",
-                );
-                continue;
-            };
-            let name = self
-                .fleet
-                .routes
-                .keys()
-                .find(|name| name.as_str() == route)
-                .cloned();
-            if let Some(route) = name.and_then(|name| self.fleet.routes.get_mut(&name)) {
-                route.tier = rank;
-            }
-        }
-    }
-
-    fn check_centres(&mut self) {
-        let hosts = self
-            .fleet
-            .hosts
-            .values()
-            .map(|host| (format!("host {}", host.name), &host.centre));
-        let endpoints = self.fleet.endpoints.values();
-        let endpoints = endpoints.map(|part| (format!("endpoint {}", part.name), &part.centre));
-        let dangling: Vec<_> = hosts
-            .chain(endpoints)
-            .filter(|(_, centre)| !self.fleet.centres.contains_key(centre))
-            .map(|(section, centre)| (section, centre.clone()))
-            .collect();
-        for (section, centre) in dangling {
-            let expected = "the name of a declared data centre";
-            self.dangling("fleet", &section, "data centre", &centre, expected);
-        }
-    }
-
-    fn check_teams(&mut self) {
-        let mut dangling = Vec::new();
-        for team in self.fleet.teams.values() {
-            let unknown = team
-                .routes
-                .iter()
-                .filter(|route| !self.fleet.routes.contains_key(route));
-            dangling.extend(unknown.map(|route| (team.name.clone(), route.clone())));
-        }
-        for (team, route) in dangling {
-            let document = self.place_of(&team);
-            let section = format!("team {team}");
-            self.dangling(
-                &document,
-                &section,
-                "routes",
-                &route,
-                "the name of a declared route",
-            );
-        }
-    }
-
-    /// A key of two teams would let one run for the other.
-    fn check_keys(&mut self) {
-        let mut seen: BTreeSet<KeyDigest> = BTreeSet::new();
-        let mut shared = Vec::new();
-        for team in self.fleet.teams.values() {
-            let twice = team.keys.iter().filter(|key| !seen.insert(**key));
-            shared.extend(twice.map(|key| (team.name.clone(), *key)));
-        }
-        for (team, key) in shared {
-            let document = self.place_of(&team);
-            let section = format!("team {team}");
-            self.dangling(
-                &document,
-                &section,
-                "keys",
-                &key,
-                "a digest that no other team has",
-            );
-        }
-    }
-
-    fn place_of(&self, team: &TeamName) -> String {
-        self.places.get(team.as_str()).cloned().unwrap_or_default()
+        self.declared.teams.insert(name.clone(), place.to_owned());
+        Some(insert(&mut self.declared.fleet.teams, &name, team))
     }
+}
 
-    fn dangling(
-        &mut self,
-        document: &str,
-        section: &str,
-        name: &str,
-        found: &impl Display,
-        expected: &str,
-    ) {
-        self.problems.push(Problem {
-            document: document.to_owned(),
-            section: section.to_owned(),
-            name: Some(name.to_owned()),
-            found: Some(found.to_string()),
-            expected: expected.to_owned(),
-        });
+impl Declared {
+    /// Whether a section of a kind and name was declared, with faults or without.
+    pub(crate) fn has(&self, kind: &str, name: &impl Display) -> bool {
+        self.titles.contains(&format!("{kind} {name}"))
     }
 }
 
--- /dev/null
+++ b/crates/config/src/builder.rs
@@ -0,0 +1,236 @@
+//! The operators' library: declares a fleet in Rust and prints the documents to publish.
+//!
+//! Names are typed, and [`Configuration::publish`] runs the checks of the processes on what it
+//! prints, so that it returns documents that they accept or all of the problems.
+//!
+//! ```
+//! use comfreyhaven_config::builder::{
+//!     Configuration, DataCentre, Endpoint, Host, Route, Team, Tier,
+//! };
+//! use comfreyhaven_core::{Generation, KeyDigest};
+//!
+//! # fn main() -> Result<(), comfreyhaven_core::name::NameError> {
+//! let configuration = Configuration::new()
+//!     .with_tier(Tier::new("high".parse()?, 0))
+//!     .with_centre(DataCentre::new("tb1".parse()?, "tbilisi".parse()?))
+//!     .with_host(Host::new("e1".parse()?, "tb1".parse()?, ([10, 0, 1, 1], 7000).into()))
+//!     .with_endpoint(
+//!         Endpoint::new_engine("g1".parse()?, "tb1".parse()?, [10, 0, 1, 2].into())
+//!             .with_model("hive".parse()?)
+//!             .with_requests(2, 16),
+//!     )
+//!     .with_route(Route::new_model(
+//!         "plan".parse()?,
+//!         "/v1/chat/completions",
+//!         "hive".parse()?,
+//!         "high".parse()?,
+//!     ))
+//!     .with_team(
+//!         Team::new("kakheti".parse()?, 2_000, 60_000)
+//!             .with_key(KeyDigest::of_key("secret"))
+//!             .with_route("plan".parse()?),
+//!     );
+//! let documents = configuration.publish(Generation(1)).expect("no problems");
+//! assert_eq!(documents.len(), 18);
+//! # Ok(())
+//! # }
+//! ```
+
+mod part;
+mod print;
+
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+
+use comfreyhaven_core::fleet::{self, Fleet};
+use comfreyhaven_core::{Generation, TeamName, TierName};
+
+pub use part::{DataCentre, Endpoint, Host, Route, Team, Tier};
+
+use crate::assemble::assemble;
+use crate::document::{Document, document_names};
+use crate::problem::{Problem, Problems};
+
+/// Documents among which teams are spread.
+const TEAM_DOCUMENTS: u64 = 16;
+
+/// Everything that operators declare.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Configuration {
+    tiers: Vec<fleet::TierSpec>,
+    centres: Vec<fleet::DataCentre>,
+    hosts: Vec<fleet::Host>,
+    endpoints: Vec<fleet::Endpoint>,
+    routes: Vec<Route>,
+    teams: Vec<fleet::Team>,
+}
+
+impl Configuration {
+    /// Declares nothing.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a tier.
+    #[must_use]
+    pub fn with_tier(mut self, tier: Tier) -> Self {
+        self.tiers.push(tier.0);
+        self
+    }
+
+    /// Adds a data centre.
+    #[must_use]
+    pub fn with_centre(mut self, centre: DataCentre) -> Self {
+        self.centres.push(centre.0);
+        self
+    }
+
+    /// Adds an entry host.
+    #[must_use]
+    pub fn with_host(mut self, host: Host) -> Self {
+        self.hosts.push(host.0);
+        self
+    }
+
+    /// Adds an endpoint.
+    #[must_use]
+    pub fn with_endpoint(mut self, endpoint: Endpoint) -> Self {
+        self.endpoints.push(endpoint.0);
+        self
+    }
+
+    /// Adds a route.
+    #[must_use]
+    pub fn with_route(mut self, route: Route) -> Self {
+        self.routes.push(route);
+        self
+    }
+
+    /// Adds a team.
+    #[must_use]
+    pub fn with_team(mut self, team: Team) -> Self {
+        self.teams.push(team.0);
+        self
+    }
+
+    /// Prints every document, with one generation.
+    ///
+    /// Documents that did not change may be left unpublished: a process takes each document by its
+    /// own generation.
+    ///
+    /// # Errors
+    /// Returns every problem for which a process would refuse the documents.
+    pub fn publish(&self, generation: Generation) -> Result<Vec<Document>, Problems> {
+        // A path is the only free text, and could otherwise end its line.
+        let faults: Vec<_> = self.routes.iter().filter_map(path_fault).collect();
+        Problems(faults).unless_empty(())?;
+        let documents = document_names()
+            .map(|name| Document::new(&self.print(&name, generation)))
+            .collect::<Result<Vec<_>, _>>()?;
+        assemble(&documents)?;
+        Ok(documents)
+    }
+
+    fn print(&self, name: &str, generation: Generation) -> String {
+        let mut text = print::header(name, generation);
+        match name {
+            "fleet" => {
+                self.tiers
+                    .iter()
+                    .for_each(|part| print::tier(&mut text, part));
+                self.centres
+                    .iter()
+                    .for_each(|part| print::centre(&mut text, part));
+                self.hosts
+                    .iter()
+                    .for_each(|part| print::host(&mut text, part));
+                self.endpoints
+                    .iter()
+                    .for_each(|part| print::endpoint(&mut text, part));
+            }
+            "routes" => self
+                .routes
+                .iter()
+                .for_each(|part| print::route(&mut text, part)),
+            _ => {
+                let own = |team: &&fleet::Team| document_of_team(&team.name) == name;
+                let teams = self.teams.iter().filter(own);
+                teams.for_each(|part| print::team(&mut text, part));
+            }
+        }
+        text
+    }
+}
+
+impl From<&Fleet> for Configuration {
+    /// Takes over what a fleet declares, so that it can be changed and published again.
+    fn from(fleet: &Fleet) -> Self {
+        let names: BTreeMap<_, _> = fleet
+            .tiers
+            .iter()
+            .map(|tier| (tier.tier, &tier.name))
+            .collect();
+        let routes = fleet.routes.values().filter_map(|route| {
+            let tier: &TierName = names.get(&route.tier)?;
+            Some(Route::from_parts(route.clone(), tier.clone()))
+        });
+        Self {
+            tiers: fleet.tiers.clone(),
+            centres: fleet.centres.values().cloned().collect(),
+            hosts: fleet.hosts.values().cloned().collect(),
+            endpoints: fleet.endpoints.values().cloned().collect(),
+            routes: routes.collect(),
+            teams: fleet.teams.values().cloned().collect(),
+        }
+    }
+}
+
+/// The document that the builder puts a team in. It depends on the name alone.
+///
+/// ```
+/// use comfreyhaven_config::builder::document_of_team;
+///
+/// let team = "kakheti".parse().unwrap();
+/// assert_eq!(document_of_team(&team), document_of_team(&team));
+/// assert!(document_of_team(&team).starts_with("teams-"));
+/// ```
+#[must_use]
+pub fn document_of_team(team: &TeamName) -> String {
+    let mut hasher = Fnv::default();
+    hasher.write(team.as_str().as_bytes());
+    format!("teams-{:x}", hasher.finish() % TEAM_DOCUMENTS)
+}
+
+/// The 64-bit FNV-1a hash, which is the same in every build.
+struct Fnv(u64);
+
+impl Default for Fnv {
+    fn default() -> Self {
+        Self(0xcbf2_9ce4_8422_2325)
+    }
+}
+
+impl Hasher for Fnv {
+    fn finish(&self) -> u64 {
+        // The low bits of FNV mix less than the high ones.
+        self.0 ^ (self.0 >> 32)
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+        }
+    }
+}
+
+fn path_fault(route: &Route) -> Option<Problem> {
+    let path = route.path();
+    (!crate::part::is_path(path)).then(|| Problem {
+        document: "routes".to_owned(),
+        section: format!("route {}", route.name()),
+        name: Some("path".to_owned()),
+        found: Some(path.to_owned()),
+        expected: "a path that starts with / and holds no space, ? or #".to_owned(),
+    })
+}
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -10,14 +10,24 @@
 use crate::ini;
 use crate::problem::{Problem, Problems};
 use crate::section::Section;
-use crate::value::Count;
 
 /// Largest document that the configuration service holds, in bytes.
 pub const DOCUMENT_LIMIT_BYTES: usize = 1_000_000;
 
 /// What a document may hold.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumString, IntoStaticStr, VariantNames,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    VariantNames,
 )]
 #[strum(serialize_all = "snake_case")]
 pub enum DocumentKind {
@@ -75,36 +85,19 @@
     /// Reads the header of a text. The rest is checked by [`assemble`](crate::assemble).
     ///
     /// # Errors
-    /// Returns the problems of the header, or of the text if it is no INI.
+    /// Returns the problems of the header and of every line that is no INI.
     pub fn new(text: &str) -> Result<Self, Problems> {
-        let mut sections = ini::sections("document", text)?.into_iter();
-        let Some(mut header) = sections.find(|section| section.kind() == "document") else {
-            return Err(Problems(vec![no_header()]));
-        };
-        if text.len() > DOCUMENT_LIMIT_BYTES {
-            let found = format!("{} bytes", text.len());
-            let expected = format!("at most {DOCUMENT_LIMIT_BYTES} bytes; split the teams further");
-            header.fault(None, Some(&found), &expected);
-        }
-        let name: Option<String> = header.take("name");
-        let kind = name.as_deref().and_then(DocumentKind::of_name);
-        if let (Some(name), None) = (&name, kind) {
-            header.fault(
-                Some("name"),
-                Some(name),
-                "fleet, routes, or teams-0 to teams-f",
-            );
-        }
-        let generation = header.take::<Count>("generation");
-        let problems = Problems(header.finish());
-        match (name, kind, generation) {
-            (Some(name), Some(kind), Some(Count(generation))) => problems.unless_empty(Self {
-                name,
-                kind,
-                generation: Generation(generation),
-                text: text.to_owned(),
-            }),
-            _ => Err(problems),
+        let draft = Draft::read("document", text);
+        let header = draft.header();
+        let document = header.map(|(name, kind, generation)| Self {
+            name,
+            kind,
+            generation,
+            text: text.to_owned(),
+        });
+        match document {
+            Some(document) => Problems(draft.problems).unless_empty(document),
+            None => Err(Problems(draft.problems)),
         }
     }
 
@@ -132,21 +125,83 @@
         &self.text
     }
 
-    pub(crate) fn sections(&self) -> Result<Vec<Section>, Problems> {
-        let sections = ini::sections(&self.name, &self.text)?;
-        Ok(sections
-            .into_iter()
-            .filter(|section| section.kind() != "document")
-            .collect())
+    pub(crate) fn draft(&self) -> Draft {
+        Draft::read(&self.name, &self.text)
     }
 }
 
-fn no_header() -> Problem {
-    Problem {
-        document: "document".to_owned(),
-        section: "document".to_owned(),
-        name: None,
-        found: None,
-        expected: "a section [document] with name and generation".to_owned(),
+/// A text whose sections were read and may have faults.
+#[derive(Debug)]
+pub(crate) struct Draft {
+    pub(crate) place: String,
+    pub(crate) name: Option<String>,
+    pub(crate) generation: Option<Generation>,
+    pub(crate) sections: Vec<Section>,
+    pub(crate) problems: Vec<Problem>,
+}
+
+impl Draft {
+    /// Reads a text that `place` names in faults.
+    pub(crate) fn read(place: &str, text: &str) -> Self {
+        let parsed = ini::parse(place, text);
+        let (headers, sections): (Vec<_>, Vec<_>) = parsed
+            .sections
+            .into_iter()
+            .partition(|section| section.kind() == "document");
+        let mut draft = Self {
+            place: place.to_owned(),
+            name: None,
+            generation: None,
+            sections,
+            problems: parsed.problems,
+        };
+        draft.check_size(text);
+        let mut headers = headers.into_iter();
+        match headers.next() {
+            Some(header) => draft.read_header(header),
+            None => draft.fault(None, "a section [document] with name and generation"),
+        }
+        for _ in headers {
+            draft.fault(None, "one section [document]; it stands twice");
+        }
+        draft
+    }
+
+    /// What the document may hold, if its name says so.
+    pub(crate) fn kind(&self) -> Option<DocumentKind> {
+        DocumentKind::of_name(self.name.as_ref()?)
+    }
+
+    fn header(&self) -> Option<(String, DocumentKind, Generation)> {
+        Some((self.name.clone()?, self.kind()?, self.generation?))
+    }
+
+    fn read_header(&mut self, mut header: Section) {
+        self.name = header.take("name");
+        if let (Some(name), None) = (&self.name, self.kind()) {
+            let expected = "fleet, routes, or teams-0 to teams-f";
+            header.fault(Some("name"), Some(name), expected);
+        }
+        let generation = header.take_count("generation", None, 1..=u64::MAX);
+        self.generation = generation.map(Generation);
+        self.problems.extend(header.finish());
+    }
+
+    fn check_size(&mut self, text: &str) {
+        if text.len() > DOCUMENT_LIMIT_BYTES {
+            let found = format!("{} bytes", text.len());
+            let expected = format!("at most {DOCUMENT_LIMIT_BYTES} bytes; spread the teams");
+            self.fault(Some(found), &expected);
+        }
+    }
+
+    fn fault(&mut self, found: Option<String>, expected: &str) {
+        self.problems.push(Problem {
+            document: self.place.clone(),
+            section: "document".to_owned(),
+            name: None,
+            found,
+            expected: expected.to_owned(),
+        });
     }
 }
--- a/crates/config/src/ini.rs
+++ b/crates/config/src/ini.rs
@@ -5,27 +5,44 @@
 
 use ini::{Ini, ParseOption};
 
-use crate::problem::{Problem, Problems};
+use crate::lines;
+use crate::problem::Problem;
 use crate::section::Section;
 
-/// Reads every section of a text, in order.
-pub(crate) fn sections(document: &str, text: &str) -> Result<Vec<Section>, Problems> {
+/// The sections of a text in order, and the faults of its lines.
+#[derive(Debug, Default)]
+pub(crate) struct Parsed {
+    pub(crate) sections: Vec<Section>,
+    pub(crate) problems: Vec<Problem>,
+}
+
+/// Reads every section of a text. Lines with faults are left out.
+pub(crate) fn parse(document: &str, text: &str) -> Parsed {
+    let (rest, mut problems) = lines::check(document, text);
     let option = ParseOption {
         enabled_escape: false,
         enabled_quote: false,
         ..ParseOption::default()
     };
-    let parsed = Ini::load_from_str_opt(text, option).map_err(|error| {
-        Problems(vec![Problem {
-            document: document.to_owned(),
-            section: format!("line {}", error.line),
-            name: None,
-            found: None,
-            expected: format!("INI text ({})", error.msg),
-        }])
-    })?;
+    let sections = match Ini::load_from_str_opt(&rest, option) {
+        Ok(ini) => sections(document, &ini),
+        Err(error) => {
+            problems.push(Problem {
+                document: document.to_owned(),
+                section: format!("line {}", error.line),
+                name: None,
+                found: None,
+                expected: format!("INI text ({})", error.msg),
+            });
+            Vec::new()
+        }
+    };
+    Parsed { sections, problems }
+}
+
+fn sections(document: &str, ini: &Ini) -> Vec<Section> {
     let mut sections = Vec::new();
-    for (title, properties) in &parsed {
+    for (title, properties) in ini {
         let values: Vec<_> = properties
             .iter()
             .map(|(name, value)| (name.to_owned(), value.to_owned()))
@@ -35,5 +52,5 @@
         }
         sections.push(Section::new(document, title.unwrap_or(""), values));
     }
-    Ok(sections)
+    sections
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,14 +5,19 @@
 //! processes, the command line and the builder.
 
 mod assemble;
+pub mod builder;
 mod document;
 mod ini;
+mod lines;
+pub mod lint;
 mod part;
 mod problem;
+mod reference;
 mod section;
 pub mod settings;
 pub mod value;
 
-pub use assemble::assemble;
+pub use assemble::{assemble, check};
 pub use document::{DOCUMENT_LIMIT_BYTES, Document, DocumentKind, document_names};
+pub use part::{DEADLINE_DEFAULT, DEADLINE_LIMIT, OUTPUT_DEFAULT_TOKENS, TOKENS_LIMIT};
 pub use problem::{Problem, Problems};
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -7,8 +7,12 @@
 use derive_more::{Display, Error, From};
 
 use crate::ini;
-use crate::problem::Problems;
+use crate::problem::{Problem, Problems};
 use crate::section::Section;
+use crate::value::Address;
+
+/// Names of the addresses where a process listens.
+const LISTENERS: [&str; 4] = ["control", "admin", "listen", "traffic"];
 
 /// Settings that cannot be used.
 #[derive(Debug, Display, Error, From)]
@@ -75,7 +79,7 @@
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let (process, (name, listen)) = parse(path, "entry", |section| {
             let name = section.take("name");
-            let listen = section.take("listen");
+            let listen = address(section, "listen");
             Some((name?, listen?))
         })?;
         Ok(Self {
@@ -94,8 +98,8 @@
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let (process, (name, traffic, endpoint)) = parse(path, "agent", |section| {
             let name = section.take("name");
-            let traffic = section.take("traffic");
-            let endpoint = section.take("endpoint");
+            let traffic = address(section, "traffic");
+            let endpoint = section.take_address("endpoint");
             Some((name?, traffic?, endpoint?))
         })?;
         Ok(Self {
@@ -121,10 +125,18 @@
     let mut process_section = Section::new(&shown, "process", Vec::new());
     let mut role_section = Section::new(&shown, role, Vec::new());
     let mut seen = Vec::new();
-    for mut section in ini::sections(&shown, &text)? {
+    let mut listeners = Vec::new();
+    let parsed = ini::parse(&shown, &text);
+    problems.extend(parsed.problems);
+    for mut section in parsed.sections {
         let kind = section.kind().to_owned();
         if seen.contains(&kind) {
             section.fault(None, None, "one such section; it stands twice");
+            problems.extend(section.discard());
+            continue;
+        }
+        for name in LISTENERS {
+            listeners.extend(section.value(name).map(|value| (name, value.to_owned())));
         }
         match kind.as_str() {
             "process" => process_section = section,
@@ -135,6 +147,7 @@
     }
     let process = process(&mut process_section);
     let own = own(&mut role_section);
+    problems.extend(shared_addresses(&shown, &listeners));
     problems.extend(process_section.finish());
     problems.extend(role_section.finish());
     let problems = Problems(problems);
@@ -146,11 +159,15 @@
 
 fn process(section: &mut Section) -> Option<ProcessSettings> {
     let centre = section.take("data centre");
-    let control = section.take("control");
-    let admin = section.take("admin");
-    let configuration = section.take("configuration service");
-    let hosts = section.take("host list");
-    let log = section.take_or("log", "info".to_owned());
+    let control = address(section, "control");
+    if let Some(control) = control.filter(|control| control.ip().is_unspecified()) {
+        let expected = "the IP number of this host, from which its connections come";
+        section.fault(Some("control"), Some(&control.to_string()), expected);
+    }
+    let admin = address(section, "admin");
+    let configuration = section.take_address("configuration service");
+    let hosts = section.take_address("host list");
+    let log = log(section);
     Some(ProcessSettings {
         centre: centre?,
         control: control?,
@@ -160,3 +177,43 @@
         log: log?,
     })
 }
+
+/// Where a process listens. A port of zero lets the system choose one.
+fn address(section: &mut Section, name: &str) -> Option<SocketAddr> {
+    section
+        .take::<Address>(name)
+        .map(|Address(address)| address)
+}
+
+fn log(section: &mut Section) -> Option<String> {
+    let log = section.take_or("log", "info".to_owned())?;
+    if env_filter::Builder::new().try_parse(&log).is_err() {
+        let expected = "levels such as info, or info,comfreyhaven_core=trace";
+        section.fault(Some("log"), Some(&log), expected);
+        return None;
+    }
+    Some(log)
+}
+
+/// Two listeners cannot have one address, unless the port is left to the system.
+fn shared_addresses(document: &str, listeners: &[(&str, String)]) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    for (index, (name, address)) in listeners.iter().enumerate() {
+        let earlier = listeners[..index]
+            .iter()
+            .find(|(_, other)| other == address);
+        let Some((other, _)) = earlier.filter(|(other, _)| other != name) else {
+            continue;
+        };
+        if !address.ends_with(":0") {
+            problems.push(Problem {
+                document: document.to_owned(),
+                section: "process".to_owned(),
+                name: Some((*name).to_owned()),
+                found: Some(address.clone()),
+                expected: format!("an address that {other} does not have"),
+            });
+        }
+    }
+    problems
+}
--- a/crates/config/src/value.rs
+++ b/crates/config/src/value.rs
@@ -1,5 +1,6 @@
 //! Values with units.
 
+use std::net::SocketAddr;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -17,6 +18,12 @@
     /// Not a count.
     #[display("a whole number")]
     Count,
+    /// Not a flag.
+    #[display("true or false")]
+    Flag,
+    /// Not an address.
+    #[display("an IP number and a port, such as 10.0.1.1:7000")]
+    Address,
     /// Not a choice.
     #[display("one of {_0}")]
     Choice(#[error(not(source))] String),
@@ -39,7 +46,7 @@
     type Err = ValueError;
     fn from_str(text: &str) -> Result<Self, ValueError> {
         let digits = text.trim_end_matches(|c: char| !c.is_ascii_digit());
-        let number: u64 = digits.parse().map_err(|_| ValueError::Duration)?;
+        let number = digits_of(digits).ok_or(ValueError::Duration)?;
         let millis = match &text[digits.len()..] {
             "ms" => Some(number),
             "s" => number.checked_mul(1_000),
@@ -77,7 +84,7 @@
     type Err = ValueError;
     fn from_str(text: &str) -> Result<Self, ValueError> {
         let number = text.strip_suffix("/s").ok_or(ValueError::Rate)?;
-        number.parse().map(Self).map_err(|_| ValueError::Rate)
+        digits_of(number).map(Self).ok_or(ValueError::Rate)
     }
 }
 
@@ -88,10 +95,38 @@
 impl FromStr for Count {
     type Err = ValueError;
     fn from_str(text: &str) -> Result<Self, ValueError> {
-        text.parse().map(Self).map_err(|_| ValueError::Count)
+        digits_of(text).map(Self).ok_or(ValueError::Count)
     }
 }
 
+/// `true` or `false`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub struct Flag(pub bool);
+
+impl FromStr for Flag {
+    type Err = ValueError;
+    fn from_str(text: &str) -> Result<Self, ValueError> {
+        text.parse().map(Self).map_err(|_| ValueError::Flag)
+    }
+}
+
+/// An IP number and a port.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub struct Address(pub SocketAddr);
+
+impl FromStr for Address {
+    type Err = ValueError;
+    fn from_str(text: &str) -> Result<Self, ValueError> {
+        text.parse().map(Self).map_err(|_| ValueError::Address)
+    }
+}
+
+/// Reads digits alone, without the sign that the standard library accepts.
+fn digits_of(text: &str) -> Option<u64> {
+    let plain = text.bytes().all(|byte| byte.is_ascii_digit());
+    plain.then(|| text.parse().ok()).flatten()
+}
+
 /// One of the named variants of an enum.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Choice<T>(pub T);
--- a/crates/core/src/fleet/part.rs
+++ b/crates/core/src/fleet/part.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 use strum::{Display, EnumString, IntoStaticStr, VariantNames};
 
 use crate::id::KeyDigest;
@@ -162,6 +163,7 @@
 }
 
 /// A kind of request that callers can ask for.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Route {
     /// Name.
@@ -175,6 +177,8 @@
     /// Who may use it.
     pub access: RouteAccess,
     /// Time after which an answer is worthless.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "deadline_ms")]
     pub deadline: Duration,
     /// Largest answer, in tokens.
     pub output: u32,
