--- a/crates/harness/src/call.rs
+++ b/crates/harness/src/call.rs
@@ -120,6 +120,12 @@
         self
     }
 
+    /// The address that is called.
+    #[must_use]
+    pub const fn target(&self) -> SocketAddr {
+        self.target
+    }
+
     /// Asks a model for at most `tokens` tokens.
     ///
     /// # Errors
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -4,5 +4,10 @@
 mod batch;
 mod cache;
 mod http;
+mod sequence;
+mod shared;
+mod spec;
 
-pub use batch::{Engine, Report, Spec};
+pub use batch::CRASH_MARK;
+pub use shared::Engine;
+pub use spec::{Report, Spec, Totals};
--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -32,23 +32,26 @@
         }
     }
 
-    /// Tokens at the start of a prompt that are cached. Afterwards the whole prompt is.
-    pub(super) fn visit(&mut self, prompt: &str) -> u64 {
-        let mut hasher = DefaultHasher::new();
+    /// Tokens at the start of a prompt that are cached. They count as used.
+    pub(super) fn look_up(&mut self, prompt: &str) -> u64 {
         let mut hits = 0;
-        let mut missed = false;
-        for block in prompt.as_bytes().chunks_exact(BLOCK_BYTES) {
-            block.hash(&mut hasher);
-            let digest = hasher.finish();
-            missed |= !self.used.contains_key(&digest);
-            if !missed {
-                hits += BLOCK_TOKENS;
+        for digest in digests(prompt) {
+            if !self.used.contains_key(&digest) {
+                break;
             }
             self.touch(digest);
+            hits += BLOCK_TOKENS;
         }
         hits
     }
 
+    /// Caches the whole blocks of a prompt.
+    pub(super) fn insert(&mut self, prompt: &str) {
+        for digest in digests(prompt) {
+            self.touch(digest);
+        }
+    }
+
     fn touch(&mut self, digest: u64) {
         self.clock += 1;
         if let Some(earlier) = self.used.insert(digest, self.clock) {
@@ -63,3 +66,18 @@
         }
     }
 }
+
+/// A digest for each whole block, of the block and all before it.
+fn digests(prompt: &str) -> impl Iterator<Item = u64> {
+    let mut hasher = DefaultHasher::new();
+    prompt
+        .as_bytes()
+        .chunks_exact(BLOCK_BYTES)
+        .map(move |block| {
+            block.hash(&mut hasher);
+            hasher.finish()
+        })
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -1,5 +1,8 @@
 //! The engine's HTTP: `POST /v1/chat/completions`, streamed or plain, `GET /load`, and for tests
-//! `GET /seen`, `GET /totals` and `POST /crash`.
+//! `GET /seen`, `GET /totals`, `POST /crash?ms=N` (down for so long), `POST /cool` and
+//! `POST /slow?percent=N`.
+
+use std::time::Duration;
 
 use bytes::Bytes;
 use comfreyhaven_process::answer::{self, Answer};
@@ -12,7 +15,8 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
-use super::batch::{Engine, Output};
+use super::sequence::Output;
+use super::shared::Engine;
 use crate::booking;
 
 const OUTPUT_DEFAULT_TOKENS: u32 = 64;
@@ -38,7 +42,15 @@
             (&Method::GET, "/seen") => answer::json(200, &self.seen()),
             (&Method::GET, "/totals") => answer::json(200, &self.totals()),
             (&Method::POST, "/crash") => {
-                self.crash();
+                self.crash(number(&request, "ms").map(Duration::from_millis));
+                answer::full(200, "text/plain", "")
+            }
+            (&Method::POST, "/cool") => {
+                self.cool();
+                answer::full(200, "text/plain", "")
+            }
+            (&Method::POST, "/slow") => {
+                self.slow(number(&request, "percent").unwrap_or(100));
                 answer::full(200, "text/plain", "")
             }
             _ if self.is_down() => cut(),
@@ -69,6 +81,13 @@
     }
 }
 
+/// The number that the query gives for a name.
+fn number(request: &Request<Incoming>, name: &str) -> Option<u64> {
+    let query = request.uri().query()?;
+    let mut values = query.split('&').filter_map(|pair| pair.split_once('='));
+    values.find(|(known, _)| *known == name)?.1.parse().ok()
+}
+
 fn events(outputs: mpsc::Receiver<Output>) -> Answer {
     let pieces = pieces(outputs).map(|output| match output {
         Some(Output::Token(token)) => {
