Weigh the agent's ways on small engines and pin its bearing by tests

Also: a newer attempt voids offers to earlier ones.

Tests: focused ones for cold starts, inherited runs, leaps, slow tokens, late and short work, and replays of three recorded traces against stated outcomes.

--- /dev/null
+++ b/crates/core/examples/decisions/cold.rs
@@ -0,0 +1,70 @@
+//! Engines that start cold, become cold without a word, or outlive their agent.
+
+use comfreyhaven_core::agent::{Growth, Pacing, Policy};
+
+use crate::binding::{SECONDS, SEEDS, mean, repeat};
+use crate::engine::{Spec, at};
+use crate::outcomes::Outcomes;
+use crate::simulation::Setup;
+use crate::workload::MIXED;
+
+fn row(name: &str, case: &str, setup: &Setup) {
+    let runs = repeat(setup, &MIXED, 1.0, 1.0);
+    println!(
+        "{name:<16} {case:<26} {:>7.2} {:>7.3} {:>7.3} {:>7.3} {:>8.3} {:>7.3}",
+        mean(&runs, |o| f64::from(o.crashes)),
+        mean(&runs, |o| o.goodput(0)),
+        mean(&runs, |o| o.goodput(1)),
+        mean(&runs, |o| o.goodput(2)),
+        mean(&runs, |o| o.wait(95, |_| true)),
+        mean(&runs, Outcomes::waste),
+    );
+}
+
+/// Prints the table.
+pub fn print() {
+    println!("cold: 4 engines (cold 4, warm 16), load 1.0, {SECONDS} s, seeds {SEEDS:?}");
+    println!(
+        "{:<16} {:<26} {:>7} {:>7} {:>7} {:>7} {:>8} {:>7}",
+        "growth", "engines", "crashes", "good 0", "good 1", "good 2", "wait p95", "waste"
+    );
+    let growths = [
+        ("multiplicative", Growth::Multiplicative),
+        ("additive", Growth::Additive),
+        ("held", Growth::Held),
+    ];
+    for (name, growth) in growths {
+        let policy = Policy::default().with_growth(growth);
+        for (warming, gradual) in [(16, false), (16, true), (64, false), (64, true)] {
+            let spec = Spec {
+                warming,
+                gradual,
+                ..Spec::new(1.0)
+            };
+            let setup = Setup {
+                policy,
+                ..Setup::new(vec![spec; 4])
+            };
+            let law = if gradual { "gradually" } else { "at once" };
+            row(name, &format!("warm {law} after {warming}"), &setup);
+        }
+    }
+    let middle = at(SECONDS / 2.0);
+    for (name, pacing) in [("fixed", Pacing::Fixed), ("adaptive", Pacing::Adaptive)] {
+        let policy = Policy::default().with_pacing(pacing);
+        let chill = Some((0, middle));
+        let setup = Setup {
+            policy,
+            chill,
+            ..Setup::new(vec![Spec::new(1.0); 4])
+        };
+        row(name, "one slow at 30 s", &setup);
+    }
+    let restarts = Some((0, middle));
+    let setup = Setup {
+        restarts,
+        ..Setup::new(vec![Spec::new(1.0); 4])
+    };
+    row("held", "an agent restarts at 30 s", &setup);
+    println!();
+}
--- /dev/null
+++ b/crates/core/examples/decisions/structure.rs
@@ -0,0 +1,105 @@
+//! Time of queue operations by the number of reservations that wait, beside a list that is scanned.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use comfreyhaven_core::agent::{Class, Queue, Waiting};
+use comfreyhaven_core::name::NameError;
+use comfreyhaven_core::request::BodyDigest;
+use comfreyhaven_core::{
+    BootNonce, Cost, HostName, RequestId, Reservation, ReservationId, Tier, Timestamp,
+};
+
+use crate::fleet;
+
+const OPERATIONS: u128 = 2_000;
+
+fn waiting(request: u128) -> Result<Waiting, NameError> {
+    let tier = (request % 3) as u8;
+    let reservation = Reservation {
+        id: ReservationId {
+            request: RequestId::new(request),
+            attempt: 0,
+        },
+        entry: HostName::new("entry")?,
+        boot: BootNonce::new(1),
+        team: fleet::team(request as usize % 200)?,
+        route: fleet::route(tier)?,
+        tier: Tier(tier),
+        cost: Cost {
+            prompt: 10,
+            output: 10,
+        },
+        remaining: Duration::from_secs(60),
+        prefixes: Vec::new(),
+        body: BodyDigest(0),
+    };
+    let deadline = Timestamp::from_micros(1_000_000_000 + (request as u64 * 7_919) % 1_000_000);
+    let (service, class) = (Duration::ZERO, Class::Short);
+    Ok(Waiting {
+        reservation,
+        deadline,
+        service,
+        class,
+        rank: request as u64,
+    })
+}
+
+/// One event's work: add one, look for late ones and the next deadline, take the next one.
+fn indexed(items: &[Waiting], fresh: &[Waiting]) -> Duration {
+    let mut queue = Queue::new(usize::MAX);
+    for item in items {
+        queue.push(item.clone(), 1);
+    }
+    let start = Instant::now();
+    for item in fresh {
+        queue.push(item.clone(), 1);
+        black_box(queue.take_late(Timestamp::ZERO));
+        black_box(queue.next_start());
+        black_box(queue.pop(Class::Long));
+    }
+    start.elapsed()
+}
+
+fn scanned(items: &[Waiting], fresh: &[Waiting]) -> Duration {
+    let mut list = items.to_vec();
+    let start = Instant::now();
+    for item in fresh {
+        list.push(item.clone());
+        black_box(
+            list.iter()
+                .filter(|w| w.deadline <= Timestamp::ZERO)
+                .count(),
+        );
+        black_box(list.iter().map(|w| w.deadline).min());
+        let next = list
+            .iter()
+            .enumerate()
+            .min_by_key(|(_, w)| (w.reservation.tier, w.rank));
+        if let Some(next) = next.map(|(index, _)| index) {
+            list.swap_remove(next);
+        }
+    }
+    start.elapsed()
+}
+
+fn measure(count: u128) -> Result<(Duration, Duration), NameError> {
+    let items = (0..count).map(waiting).collect::<Result<Vec<_>, _>>()?;
+    let fresh = (count..count + OPERATIONS)
+        .map(waiting)
+        .collect::<Result<Vec<_>, _>>()?;
+    Ok((indexed(&items, &fresh), scanned(&items, &fresh)))
+}
+
+/// Prints the table.
+pub fn print() {
+    println!("structure: microseconds an event (add, late, next deadline, take), 200 teams");
+    println!("{:>8} {:>9} {:>9}", "waiting", "indexed", "scanned");
+    for count in [100, 1_000, 10_000] {
+        if let Ok((indexed, scanned)) = measure(count) {
+            let each = |time: Duration| time.as_secs_f64() * 1e6 / OPERATIONS as f64;
+            println!("{count:>8} {:>9.2} {:>9.2}", each(indexed), each(scanned));
+        }
+    }
+    println!();
+}
--- a/crates/core/src/agent/machine/reserving.rs
+++ b/crates/core/src/agent/machine/reserving.rs
@@ -45,7 +45,7 @@
         self.offers.withdraw(id);
     }
 
-    /// Drops what else waits or is offered for a request that runs.
+    /// Drops what waits or is offered for other attempts of a request.
     pub(super) fn drop_attempts(&mut self, request: RequestId, actions: &mut Vec<Action>) {
         self.offers.void_request(request);
         if let Some(attempt) = self.queue.attempt(request) {
@@ -84,12 +84,9 @@
 
     fn enqueue(&mut self, reservation: Reservation, now: Timestamp, actions: &mut Vec<Action>) {
         let id = reservation.id;
-        if let Some(attempt) = self.queue.attempt(id.request) {
-            let earlier = ReservationId { attempt, ..id };
-            self.withdraw(earlier, actions);
-        }
+        self.drop_attempts(id.request, actions);
         let waiting = self.expect(reservation, now);
-        let wait = self.expected_wait(&waiting.reservation);
+        let wait = self.expected_wait(&waiting);
         if now + wait >= waiting.latest_start() {
             return self.give_back(id, ReturnReason::Late, actions);
         }
@@ -129,11 +126,12 @@
 
     /// Time until a new reservation is expected to get a slot. Reservations ahead of it count only
     /// as often as those here used to be served here.
-    fn expected_wait(&self, reservation: &Reservation) -> Duration {
+    fn expected_wait(&self, waiting: &Waiting) -> Duration {
         let Some(slots) = &self.slots else {
             return Duration::ZERO;
         };
-        let ahead = self.queue.work_ahead(reservation.tier, &reservation.team);
+        let Reservation { tier, team, .. } = &waiting.reservation;
+        let ahead = self.queue.work_ahead(*tier, team, waiting.class);
         let served = self.demand.of(micros(ahead)).unwrap_or(0);
         Duration::from_micros(served / u64::from(slots.limit().max(1)))
     }
--- a/crates/core/src/agent/policy.rs
+++ b/crates/core/src/agent/policy.rs
@@ -48,7 +48,8 @@
 pub enum Pacing {
     /// It does not.
     Fixed,
-    /// It falls by a part when tokens come too slowly, and rises by one for each round.
+    /// It falls by a part when tokens come too slowly, rises by one for each round, and is the cold
+    /// one again when first tokens leap.
     #[default]
     Adaptive,
 }
--- a/crates/core/src/agent/queue.rs
+++ b/crates/core/src/agent/queue.rs
@@ -153,13 +153,15 @@
         self.remove(id)
     }
 
-    /// Expected time of the work that goes before a new reservation of `team`: all of the more
-    /// urgent tiers, and in its own tier no more than the team's own work as often as teams share
-    /// the tier.
+    /// Expected time of the work that goes before a new reservation of `team`: of the more urgent
+    /// tiers all, and of its own tier no more than the team's own work as often as teams share the
+    /// tier. Long work does not go before a short reservation, which passes it.
     #[must_use]
-    pub fn work_ahead(&self, tier: Tier, team: &TeamName) -> Duration {
-        let urgent = self.tiers.range(..tier).map(|(_, queue)| queue.work());
-        let own = self.tiers.get(&tier).map_or(0, |queue| queue.ahead(team));
+    pub fn work_ahead(&self, tier: Tier, team: &TeamName, class: Class) -> Duration {
+        let urgent = self.tiers.range(..tier);
+        let urgent = urgent.map(|(_, queue)| queue.work().up_to(class));
+        let own = self.tiers.get(&tier);
+        let own = own.map_or(0, |queue| queue.ahead(team, class));
         Duration::from_micros(urgent.fold(own, u64::saturating_add))
     }
 
@@ -222,7 +224,7 @@
             tier,
             depth: queue.len(),
             tokens: queue.tokens(),
-            work: queue.work(),
+            work: queue.work().up_to(Class::Long),
             teams: queue.depths(),
         };
         self.tiers.iter().map(depth).collect()
--- a/crates/core/src/agent/queue/tier.rs
+++ b/crates/core/src/agent/queue/tier.rs
@@ -35,12 +35,46 @@
     }
 }
 
+/// Expected time of what waits, in microseconds.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Work {
+    short: u64,
+    long: u64,
+}
+
+impl Work {
+    /// The work of a class and of shorter ones.
+    pub(super) fn up_to(self, class: Class) -> u64 {
+        match class {
+            Class::Short => self.short,
+            Class::Long => self.short.saturating_add(self.long),
+        }
+    }
+
+    fn of(&mut self, class: Class) -> &mut u64 {
+        match class {
+            Class::Short => &mut self.short,
+            Class::Long => &mut self.long,
+        }
+    }
+
+    fn add(&mut self, waiting: &Waiting) {
+        let work = self.of(waiting.class);
+        *work = work.saturating_add(micros(waiting.service));
+    }
+
+    fn take(&mut self, waiting: &Waiting) {
+        let work = self.of(waiting.class);
+        *work = work.saturating_sub(micros(waiting.service));
+    }
+}
+
 #[derive(Debug)]
 struct TeamQueue {
     short: BTreeMap<(u64, u64), Waiting>,
     long: BTreeMap<(u64, u64), Waiting>,
     weight: u32,
-    work: u64,
+    work: Work,
 }
 
 impl TeamQueue {
@@ -87,7 +121,7 @@
     floor: u64,
     depth: usize,
     tokens: u64,
-    work: u64,
+    work: Work,
 }
 
 impl TierQueue {
@@ -99,17 +133,17 @@
         self.tokens
     }
 
-    /// Expected time of all that waits, in microseconds.
-    pub(super) fn work(&self) -> u64 {
+    pub(super) fn work(&self) -> Work {
         self.work
     }
 
     /// Expected time of what goes before a new reservation of `team`, in microseconds.
-    pub(super) fn ahead(&self, team: &TeamName) -> u64 {
-        let own = self.teams.get(team).map_or(0, |queue| queue.work);
-        let others = self.teams.len() - usize::from(self.teams.contains_key(team));
+    pub(super) fn ahead(&self, team: &TeamName, class: Class) -> u64 {
+        let own = self.teams.get(team);
+        let others = self.teams.len() - usize::from(own.is_some());
         let shares = u64::try_from(others + 1).unwrap_or(u64::MAX);
-        own.saturating_mul(shares).min(self.work)
+        let own = own.map_or(0, |queue| queue.work.up_to(class));
+        own.saturating_mul(shares).min(self.work.up_to(class))
     }
 
     pub(super) fn depths(&self) -> BTreeMap<TeamName, usize> {
@@ -137,9 +171,9 @@
         }
         self.depth += 1;
         self.tokens += waiting.reservation.cost.total();
-        self.work = self.work.saturating_add(micros(waiting.service));
+        self.work.add(&waiting);
         self.resize(&team, |queue| {
-            queue.work = queue.work.saturating_add(micros(waiting.service));
+            queue.work.add(&waiting);
             queue.list(slot.class).insert(slot.key(), waiting);
         });
     }
@@ -148,13 +182,14 @@
         let mut removed = None;
         self.resize(team, |queue| {
             removed = queue.list(slot.class).remove(&slot.key());
-            let work = removed.as_ref().map_or(0, |w| micros(w.service));
-            queue.work = queue.work.saturating_sub(work);
+            if let Some(waiting) = &removed {
+                queue.work.take(waiting);
+            }
         });
         let waiting = removed?;
         self.depth -= 1;
         self.tokens -= waiting.reservation.cost.total();
-        self.work = self.work.saturating_sub(micros(waiting.service));
+        self.work.take(&waiting);
         if self.teams.get(team).is_some_and(|queue| queue.len() == 0) {
             self.leave(team);
         }
@@ -207,7 +242,7 @@
             short: BTreeMap::new(),
             long: BTreeMap::new(),
             weight,
-            work: 0,
+            work: Work::default(),
         };
         self.teams.insert(team.clone(), queue);
     }
--- a/crates/core/src/agent/slots.rs
+++ b/crates/core/src/agent/slots.rs
@@ -71,6 +71,8 @@
     cause: LimitCause,
     /// Completions since the limit changed.
     completions: u32,
+    /// Observations of speed since the limit was lowered.
+    settled: u32,
     /// Completions that the cold limit still waits for.
     hold: u32,
     /// Multiple of the hold, raised by failures while the limit rose.
@@ -93,6 +95,7 @@
             limit: cold,
             cause: LimitCause::Started,
             completions: 0,
+            settled: 0,
             hold: 0,
             factor: 1,
             gap: Signal::default(),
@@ -147,7 +150,8 @@
     pub fn on_first_token(&mut self, time: Duration, prompt: u32) {
         let base = u64::from(prompt) + PROMPT_BASE;
         let scaled = micros(time) * PROMPT_BASE / base;
-        if self.first.is_leap(scaled) && time > FIRST_TARGET {
+        let leaps = self.policy.pacing == Pacing::Adaptive && self.first.is_leap(scaled);
+        if leaps && time > FIRST_TARGET {
             self.late += 1;
             if self.late >= LEAP_LENGTH {
                 self.first = Signal::default();
@@ -168,9 +172,8 @@
 
     /// Goes back to the cold bearing.
     pub fn cool(&mut self, cause: LimitCause) {
-        let risen = self.cause == LimitCause::Rising || self.hold > 0;
         let failed = !matches!(cause, LimitCause::Started | LimitCause::SlowStart);
-        if failed && risen && self.completions > 0 {
+        if failed && self.cause == LimitCause::Rising {
             self.factor = (self.factor * 2).min(HOLD_FACTOR_LIMIT);
         }
         self.set(self.cold, cause);
@@ -204,11 +207,13 @@
             && (self.gap.exceeds(GAP_TARGET) || self.first.exceeds(FIRST_TARGET))
     }
 
-    /// Lowers the limit of a slow endpoint, once in as many completions as the limit.
+    /// Lowers the limit of a slow endpoint, once in as many observations as the limit.
     fn pace(&mut self) {
-        if self.is_slow() && self.completions >= self.limit && self.limit > self.cold {
+        self.settled = self.settled.saturating_add(1);
+        if self.is_slow() && self.settled >= self.limit && self.limit > self.cold {
             let lowered = self.limit * BACKOFF_PERCENT / 100;
             self.set(lowered.max(self.cold), LimitCause::Slow);
+            self.settled = 0;
         }
     }
 
--- a/crates/core/tests/core/agent_properties.rs
+++ b/crates/core/tests/core/agent_properties.rs
@@ -100,6 +100,7 @@
     offer: OfferId,
     cost: Cost,
     expiry: Timestamp,
+    deadline: Timestamp,
     void: bool,
 }
 
@@ -251,6 +252,7 @@
         let known = self.waiting.iter().any(|(other, _)| taken(other.id))
             || self.own_offers().any(|offer| taken(offer.id));
         if !known {
+            self.void(|offer| offer.id.request == request);
             self.waiting.push((wanted.clone(), deadline));
         }
         self.feed(Event::Reserve(wanted));
@@ -374,6 +376,7 @@
             offer,
             cost: chosen.cost,
             expiry,
+            deadline,
             void: false,
         });
     }
@@ -406,6 +409,7 @@
             .expect("unknown offer");
         assert!(!known.void, "run under a void or used offer");
         assert!(self.now < known.expiry, "run under an expired offer");
+        assert!(self.now < known.deadline, "run after the deadline");
         assert_eq!(known.id.request, *request, "run under a foreign offer");
         known.void = true;
         assert!(
--- a/crates/core/tests/core/main.rs
+++ b/crates/core/tests/core/main.rs
@@ -1,7 +1,9 @@
 //! Property and replay tests of the decision core.
 
 mod agent_properties;
+mod bearing;
 mod network;
 mod queue_model;
+mod replay;
 mod support;
 mod system;
--- a/crates/core/tests/core/queue_model.rs
+++ b/crates/core/tests/core/queue_model.rs
@@ -242,8 +242,10 @@
     assert_eq!(queue.next_start(), earliest);
     for tier in (0..3).map(Tier) {
         let work = naive.waiting.iter().filter(|w| w.reservation.tier < tier);
-        let ahead = queue.work_ahead(tier, &team_name(9));
-        assert_eq!(ahead, work.map(|w| w.service).sum());
+        let short = work.clone().filter(|w| w.class == Class::Short);
+        let ahead = |class| queue.work_ahead(tier, &team_name(9), class);
+        assert_eq!(ahead(Class::Short), short.map(|w| w.service).sum());
+        assert_eq!(ahead(Class::Long), work.map(|w| w.service).sum());
     }
 }
 
