Decide in core how configuration spreads between peers

Cause: a process followed only the configuration service, so a stale service could revert a process that restarts, and a process whose service is down never learned of a change.

Change: core::spread decides whom to ask and when. Versions are ordered by generation, then digest of the text.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod name;
 pub mod refusal;
 pub mod request;
+pub mod spread;
 pub mod time;
 
 pub use id::{BootNonce, Generation, KeyDigest, OfferId, RequestId, ReservationId};
--- /dev/null
+++ b/crates/core/src/spread/service.rs
@@ -0,0 +1,152 @@
+//! When the configuration service is asked for what.
+//!
+//! The service bounds the calls of all readers together, so each process spaces its own calls by
+//! the number of processes that may be reading.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use super::message::{Action, Index, Outcome};
+use crate::time::Timestamp;
+
+/// Calls a second that all processes make together at most, on average.
+const CALL_RATE: u32 = 1_000;
+
+/// First pause after a failed call.
+const BACKOFF_MIN: Duration = Duration::from_millis(200);
+
+/// Longest pause after failed calls.
+const BACKOFF_MAX: Duration = Duration::from_secs(5);
+
+/// Shortest pause between two watches.
+const WATCH_PAUSE: Duration = Duration::from_millis(100);
+
+/// Pause between two looks at the index of a process that does not watch.
+const POLL_INTERVAL: Duration = Duration::from_secs(60);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// The next call is made at a time.
+    Until(Timestamp),
+    /// A call is under way.
+    Calling,
+}
+
+/// What was read from the service, and what is read next.
+#[derive(Debug)]
+pub(super) struct Service {
+    known: Index,
+    target: Index,
+    queue: VecDeque<String>,
+    phase: Phase,
+    backoff: Duration,
+}
+
+impl Service {
+    pub(super) fn new() -> Self {
+        Self {
+            known: Index::default(),
+            target: Index::default(),
+            queue: VecDeque::new(),
+            phase: Phase::Until(Timestamp::ZERO),
+            backoff: BACKOFF_MIN,
+        }
+    }
+
+    pub(super) fn wake(&self) -> Timestamp {
+        match self.phase {
+            Phase::Until(time) => time,
+            Phase::Calling => Timestamp::NEVER,
+        }
+    }
+
+    /// The call that is due, if one is.
+    pub(super) fn due(&mut self, now: Timestamp, watcher: bool) -> Option<Action> {
+        if self.wake() > now {
+            return None;
+        }
+        self.phase = Phase::Calling;
+        let watch = Action::Watch {
+            known: if watcher { self.known.revision } else { 0 },
+        };
+        let name = self.queue.front().cloned();
+        Some(name.map_or(watch, |name| Action::Read { name }))
+    }
+
+    /// Takes the index, and plans to read what has changed.
+    pub(super) fn indexed(&mut self, index: Index, pace: &mut Pace<'_>) {
+        let changed = |(name, revision): &(&String, &u64)| {
+            self.known.values.get(name.as_str()) != Some(*revision)
+        };
+        let changed = index.values.iter().filter(changed);
+        self.queue = changed.map(|(name, _)| name.clone()).collect();
+        self.target = index;
+        self.backoff = BACKOFF_MIN;
+        self.go_on(pace);
+    }
+
+    /// Takes the result of a read.
+    pub(super) fn read(&mut self, name: &str, outcome: Outcome, pace: &mut Pace<'_>) {
+        if outcome == Outcome::Failed {
+            return self.failed(pace);
+        }
+        self.queue.retain(|queued| queued != name);
+        if let Some(revision) = self.target.values.get(name) {
+            self.known.values.insert(name.to_owned(), *revision);
+        }
+        self.backoff = BACKOFF_MIN;
+        self.go_on(pace);
+    }
+
+    /// Spaces the next read by the number of readers, which has just become known.
+    pub(super) fn space(&mut self, pace: &mut Pace<'_>) {
+        if !self.queue.is_empty() && self.phase != Phase::Calling {
+            self.phase = Phase::Until(pace.now + pace.read_pause());
+        }
+    }
+
+    /// A call failed: the index is asked for again after a pause.
+    pub(super) fn failed(&mut self, pace: &mut Pace<'_>) {
+        self.queue.clear();
+        self.phase = Phase::Until(pace.now + pace.jitter(self.backoff));
+        self.backoff = (self.backoff * 2).min(BACKOFF_MAX);
+    }
+
+    fn go_on(&mut self, pace: &mut Pace<'_>) {
+        let pause = if !self.queue.is_empty() {
+            pace.read_pause()
+        } else {
+            self.known.revision = self.target.revision;
+            let interval = if pace.watcher {
+                WATCH_PAUSE
+            } else {
+                POLL_INTERVAL
+            };
+            pace.jitter(interval)
+        };
+        self.phase = Phase::Until(pace.now + pause);
+    }
+}
+
+/// How this process spaces its calls.
+pub(super) struct Pace<'a> {
+    pub(super) now: Timestamp,
+    pub(super) watcher: bool,
+    pub(super) readers: usize,
+    pub(super) random: &'a mut ChaCha8Rng,
+}
+
+impl Pace<'_> {
+    /// Between half of a span and one and a half.
+    fn jitter(&mut self, span: Duration) -> Duration {
+        span.mul_f64(self.random.random_range(0.5..1.5))
+    }
+
+    fn read_pause(&mut self) -> Duration {
+        let readers = u32::try_from(self.readers).unwrap_or(u32::MAX);
+        self.jitter(Duration::from_secs(1) * readers / CALL_RATE)
+    }
+}
--- /dev/null
+++ b/crates/core/src/spread/version.rs
@@ -0,0 +1,54 @@
+//! Order of the versions of one published document.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::id::Generation;
+
+/// A version of a document. Of two texts with one generation, as two operators may publish at
+/// once, the one with the higher digest is newer on every process.
+///
+/// ```
+/// use comfreyhaven_core::Generation;
+/// use comfreyhaven_core::spread::Version;
+///
+/// let first = Version::new(Generation(1), "one text");
+/// let second = Version::new(Generation(2), "another");
+/// assert!(first < second);
+/// assert_ne!(first, Version::new(Generation(1), "another"));
+/// ```
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Serialize, Deserialize,
+)]
+#[display("{generation}-{digest:016x}")]
+pub struct Version {
+    /// The generation that the document states.
+    pub generation: Generation,
+    /// First bytes of the SHA-256 digest of the text.
+    pub digest: u64,
+}
+
+impl Version {
+    /// The version of a text that states a generation.
+    #[must_use]
+    pub fn new(generation: Generation, text: &str) -> Self {
+        let bytes: [u8; 32] = Sha256::digest(text.as_bytes()).into();
+        let [a, b, c, d, e, f, g, h, ..] = bytes;
+        Self {
+            generation,
+            digest: u64::from_be_bytes([a, b, c, d, e, f, g, h]),
+        }
+    }
+
+    /// Whether two different texts state one generation.
+    #[must_use]
+    pub fn conflicts(self, other: Self) -> bool {
+        self.generation == other.generation && self.digest != other.digest
+    }
+}
+
+/// A version of each document, by the document's name.
+pub type Versions = BTreeMap<String, Version>;
