Spread configuration between peers and hold new work after a pause

Cause: only the configuration service was followed, the peers' control service was declared but not served, and a process that woke from a pause took new work on a configuration of unknown age.

Change: one task owns the documents and carries out core::spread. Every process answers PeerControl on its control port to declared hosts, declared endpoints and the peers of its settings, and checks that a caller names its own address. A document that is faulty by itself no longer displaces one that waits; a document under another one's name is kept out; the state dump and the metrics show what waits, conflicts or is faulty. Settings may name peers for a start without the service.

--- a/crates/agent/src/command.rs
+++ b/crates/agent/src/command.rs
@@ -5,6 +5,7 @@
 use comfreyhaven_core::agent::{Action, Agent, Event, RunStatus};
 use comfreyhaven_core::refusal::{NotRunReason, ReturnReason};
 use comfreyhaven_core::{OfferId, RequestId, Reservation, ReservationId, Timestamp};
+use comfreyhaven_process::control::Urgency;
 use comfreyhaven_wire::service::ReserveReply;
 use tokio::sync::oneshot;
 
@@ -35,6 +36,21 @@
     Dump(oneshot::Sender<serde_json::Value>),
     /// Whether nothing runs, waits or is offered.
     Idle(oneshot::Sender<bool>),
+    /// The configuration was confirmed after a pause.
+    Confirmed,
+}
+
+impl Command {
+    /// How the command is treated after a pause of the process.
+    pub(crate) fn urgency(&self) -> Urgency {
+        match self {
+            Self::Event(Event::Configured(_) | Event::Leave) | Self::Dump(_) | Self::Idle(_) => {
+                Urgency::Immediate
+            }
+            Self::Confirmed => Urgency::Confirms,
+            _ => Urgency::Waits,
+        }
+    }
 }
 
 /// The state machine and the tasks that wait for its actions.
@@ -89,6 +105,7 @@
             Some(Command::Idle(reply)) => {
                 let _ = reply.send(self.agent.is_idle());
             }
+            Some(Command::Confirmed) => {}
         }
         self.agent.wake()
     }
--- a/crates/agent/src/reservations.rs
+++ b/crates/agent/src/reservations.rs
@@ -1,12 +1,13 @@
 //! The control service: reservations, withdrawals, releases and inquiries.
 
-use std::sync::Arc;
+use std::net::IpAddr;
 
 use comfreyhaven_core::agent::{Event, RunStatus};
-use comfreyhaven_core::fleet::Fleet;
 use comfreyhaven_core::refusal::ReturnReason;
 use comfreyhaven_core::{OfferId, RequestId, Reservation, ReservationId};
+use comfreyhaven_process::configuration::Configuration;
 use comfreyhaven_process::control::Mailbox;
+use comfreyhaven_process::peer::{self, NoLender};
 use comfreyhaven_process::server;
 use comfreyhaven_wire::preface::{self, ServiceKind};
 use comfreyhaven_wire::service::{AgentControl, ReserveReply};
@@ -15,7 +16,7 @@
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
 use crate::command::Command;
@@ -78,37 +79,44 @@
     }
 }
 
-/// Serves declared entries until `stop`.
+/// Serves declared processes until `stop`: entries with reservations, and all with configuration.
 pub(crate) async fn serve(
     listener: TcpListener,
     mailbox: Mailbox<Command>,
-    fleet: watch::Receiver<Arc<Fleet>>,
+    configuration: Configuration,
     stop: CancellationToken,
 ) {
     let closing = stop.clone();
-    server::accept(listener, CONNECTIONS_LIMIT, stop, move |stream, peer| {
-        let declared = peers::is_entry(&fleet, peer.ip());
+    server::accept(listener, CONNECTIONS_LIMIT, stop, move |stream, address| {
         let (mailbox, closing) = (mailbox.clone(), closing.clone());
+        let configuration = configuration.clone();
         async move {
-            if !declared {
+            if !peer::is_peer(&configuration, address.ip()) {
                 return;
             }
             tokio::select! {
                 () = closing.cancelled() => {}
-                () = connection(stream, mailbox) => {}
+                () = connection(stream, address.ip(), mailbox, configuration) => {}
             }
         }
     })
     .await;
 }
 
-async fn connection(mut stream: TcpStream, mailbox: Mailbox<Command>) {
+async fn connection(
+    mut stream: TcpStream,
+    ip: IpAddr,
+    mailbox: Mailbox<Command>,
+    configuration: Configuration,
+) {
     match preface::read(&mut stream).await {
+        Ok(ServiceKind::Agent) if peers::is_entry(&configuration.fleet(), ip) => {
+            let channel = BaseChannel::with_defaults(transport::wrap(stream));
+            let calls = channel.execute(Service { mailbox }.serve());
+            calls.for_each_concurrent(None, |call| call).await;
+        }
         Ok(ServiceKind::Agent) => {}
-        Ok(other) => return log::warn!("connection refused: an agent has no service {other}"),
-        Err(error) => return log::warn!("connection refused: {error}"),
+        Ok(ServiceKind::Peer) => peer::serve(stream, ip, configuration, NoLender).await,
+        Err(error) => log::warn!(peer:% = ip; "connection refused: {error}"),
     }
-    let channel = BaseChannel::with_defaults(transport::wrap(stream));
-    let calls = channel.execute(Service { mailbox }.serve());
-    calls.for_each_concurrent(None, |call| call).await;
 }
--- a/crates/config/src/assemble.rs
+++ b/crates/config/src/assemble.rs
@@ -34,6 +34,21 @@
     Problems(build.problems).unless_empty(build.fleet.with_key_index())
 }
 
+/// Checks what one document says by itself, leaving out references to other documents.
+///
+/// # Errors
+/// Returns every problem that no other document can mend.
+pub fn check_alone(document: &Document) -> Result<(), Problems> {
+    let mut build = Build::default();
+    for section in document.sections()? {
+        build.section(document, section);
+    }
+    if document.kind() == DocumentKind::Fleet {
+        build.check_centres();
+    }
+    Problems(build.problems).unless_empty(())
+}
+
 #[derive(Default)]
 struct Build {
     fleet: Fleet,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,6 +13,6 @@
 pub mod settings;
 pub mod value;
 
-pub use assemble::assemble;
+pub use assemble::{assemble, check_alone};
 pub use document::{DOCUMENT_LIMIT_BYTES, Document, DocumentKind, document_names};
 pub use problem::{Problem, Problems};
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -39,6 +39,8 @@
     pub configuration: SocketAddr,
     /// The host list.
     pub hosts: SocketAddr,
+    /// Control addresses of peers that are asked while no configuration is known.
+    pub peers: Vec<SocketAddr>,
     /// Log filter, as `env_logger` reads it.
     pub log: String,
 }
@@ -150,6 +152,7 @@
     let admin = section.take("admin");
     let configuration = section.take("configuration service");
     let hosts = section.take("host list");
+    let peers = section.take_list("peers");
     let log = section.take_or("log", "info".to_owned());
     Some(ProcessSettings {
         centre: centre?,
@@ -157,6 +160,7 @@
         admin: admin?,
         configuration: configuration?,
         hosts: hosts?,
+        peers,
         log: log?,
     })
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod id;
 pub mod name;
+pub mod pause;
 pub mod refusal;
 pub mod request;
 pub mod spread;
--- a/crates/entry/src/command.rs
+++ b/crates/entry/src/command.rs
@@ -4,6 +4,7 @@
 
 use comfreyhaven_core::entry::{Action, Arrival, Entry, Event};
 use comfreyhaven_core::{RequestId, Timestamp};
+use comfreyhaven_process::control::Urgency;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::metrics::Metrics;
@@ -18,6 +19,21 @@
     Dump(oneshot::Sender<serde_json::Value>),
     /// Whether no request is owned.
     Idle(oneshot::Sender<bool>),
+    /// The configuration was confirmed after a pause.
+    Confirmed,
+}
+
+impl Command {
+    /// How the command is treated after a pause of the process.
+    pub(crate) fn urgency(&self) -> Urgency {
+        match self {
+            Self::Event(Event::Configured(_) | Event::Leave) | Self::Dump(_) | Self::Idle(_) => {
+                Urgency::Immediate
+            }
+            Self::Confirmed => Urgency::Confirms,
+            _ => Urgency::Waits,
+        }
+    }
 }
 
 /// The state machine and the tasks that carry out its actions.
@@ -52,6 +68,7 @@
             Some(Command::Idle(reply)) => {
                 let _ = reply.send(self.entry.is_idle());
             }
+            Some(Command::Confirmed) => {}
         }
         self.entry.wake()
     }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -1,20 +1,20 @@
 //! The entry process from start to exit.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use comfreyhaven_config::settings::EntrySettings;
 use comfreyhaven_core::BootNonce;
 use comfreyhaven_core::entry::{Entry, Event};
-use comfreyhaven_core::fleet::Fleet;
 use comfreyhaven_process::admin::{self, Health};
 use comfreyhaven_process::clock::Clock;
+use comfreyhaven_process::configuration::Configuration;
 use comfreyhaven_process::control::{self, ControlThread, Mailbox};
 use comfreyhaven_process::error::ProcessError;
+use comfreyhaven_process::peer::{self, NoLender};
 use comfreyhaven_process::platform::HttpConfiguration;
 use comfreyhaven_process::{configuration, server, shutdown};
 use prometheus::Registry;
-use tokio::sync::watch;
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -45,22 +45,36 @@
     let entry = Entry::new(settings.name.clone(), boot, rand::random());
     let mut state = Control::new(entry, metrics);
     let step = move |command, now| state.step(command, now);
-    let (thread, mailbox) = ControlThread::spawn(Clock::start(), step)?;
+    let (pauses, paused) = mpsc::unbounded_channel();
+    let (thread, mailbox) = ControlThread::spawn(Clock::start(), Command::urgency, pauses, step)?;
 
     let (tasks, stop) = (TaskTracker::new(), CancellationToken::new());
-    let (fleet_sender, fleet) = watch::channel(Arc::new(Fleet::default()));
     let source = process.control.ip();
-    let service = HttpConfiguration::new(source, process.configuration);
-    tasks.spawn(configuration::follow(service, fleet_sender, stop.clone()));
+    let configuration = Configuration::start(
+        control_listener.local_addr()?,
+        &process.peers,
+        HttpConfiguration::new(source, process.configuration),
+        configuration::Metrics::new(&registry).map_err(std::io::Error::other)?,
+        &tasks,
+        stop.clone(),
+    );
+    let fleet = configuration.fleet();
     let configured = |fleet| Command::Event(Event::Configured(fleet));
-    tasks.spawn(configuration::pass_on(
-        fleet.clone(),
+    tasks.spawn(configuration.clone().pass_on(
         mailbox.clone(),
+        paused,
         configured,
+        || Command::Confirmed,
+        stop.clone(),
+    ));
+    tasks.spawn(peer::listen(
+        control_listener,
+        configuration.clone(),
+        NoLender,
         stop.clone(),
     ));
     let (dump, ready) = (mailbox.clone(), mailbox.clone());
-    let state = move || control::ask(dump.clone(), Command::Dump);
+    let state = move || dump_state(dump.clone(), configuration.clone());
     let health = move || health(ready.clone());
     tasks.spawn(admin::serve(
         admin_listener,
@@ -85,7 +99,7 @@
     stop.cancel();
     tasks.close();
     tasks.wait().await;
-    drop((mailbox, control_listener));
+    drop(mailbox);
     thread.join().await
 }
 
@@ -96,6 +110,13 @@
     }
 }
 
+/// The dump of the process's state.
+async fn dump_state(mailbox: Mailbox<Command>, configuration: Configuration) -> serde_json::Value {
+    let mut state = control::ask(mailbox, Command::Dump).await;
+    state["configuration"] = configuration.status();
+    state
+}
+
 async fn health(mailbox: Mailbox<Command>) -> Health {
     let state = control::ask(mailbox, Command::Dump).await;
     Health {
--- a/crates/process/src/configuration.rs
+++ b/crates/process/src/configuration.rs
@@ -1,174 +1,139 @@
-//! Keeps a process's configuration up to date.
-//!
-//! A document is taken only if its generation is higher than the one in force, and only together
-//! with the others: documents that refer to what another one does not declare yet wait for it. A
-//! text that fails its checks leaves the last good one in force.
+//! Keeps a process's configuration up to date, from the service and from its peers.
 
-use std::collections::BTreeMap;
+mod follow;
+mod status;
+mod store;
+
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
-use comfreyhaven_config::{Document, Problems, assemble};
 use comfreyhaven_core::fleet::Fleet;
-use rand::Rng;
-use tokio::sync::watch;
+use comfreyhaven_wire::service::{Digest, DocumentText};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
-use crate::control::Mailbox;
-use crate::platform::{ConfigurationSource, Index};
-
-/// First pause after a failed call.
-const BACKOFF_MIN: Duration = Duration::from_millis(200);
-
-/// Longest pause after failed calls.
-const BACKOFF_MAX: Duration = Duration::from_secs(5);
+pub use status::{Metrics, Status};
+pub use store::{Offer, Store};
 
-/// Reads after a change are spread over this time, so that the fleet's calls stay under the
-/// service's rate.
-const READ_SPREAD: Duration = Duration::from_millis(500);
-
-/// Documents in force and documents that wait for others.
-#[derive(Debug, Default)]
-pub struct Store {
-    accepted: BTreeMap<String, Document>,
-    waiting: BTreeMap<String, Document>,
+use crate::control::Mailbox;
+use crate::platform::ConfigurationSource;
+use follow::{Follower, Request};
+
+/// The rest of the process's way to its configuration.
+#[derive(Debug, Clone)]
+pub struct Configuration {
+    requests: mpsc::UnboundedSender<Request>,
+    fleet: watch::Receiver<Arc<Fleet>>,
+    status: watch::Receiver<Arc<Status>>,
+    seeds: Arc<[SocketAddr]>,
 }
 
-impl Store {
-    /// Takes a document if it is newer. Returns the fleet if a new one is in force.
-    ///
-    /// # Errors
-    /// Returns the problems of the text, or of its references to the documents in force.
-    pub fn offer(&mut self, text: &str) -> Result<Option<Fleet>, Problems> {
-        let document = Document::new(text)?;
-        let name = document.name().to_owned();
-        let newest = [&self.accepted, &self.waiting]
-            .into_iter()
-            .filter_map(|known| known.get(&name));
-        if newest.map(Document::generation).max() >= Some(document.generation()) {
-            return Ok(None);
+impl Configuration {
+    /// Starts following the configuration until `stop`. The process's control service listens at
+    /// `own`, and `seeds` are asked while no configuration names any peer.
+    pub fn start(
+        own: SocketAddr,
+        seeds: &[SocketAddr],
+        source: impl ConfigurationSource,
+        metrics: Metrics,
+        tasks: &TaskTracker,
+        stop: CancellationToken,
+    ) -> Self {
+        let (requests, receiver) = mpsc::unbounded_channel();
+        let (fleet_sender, fleet) = watch::channel(Arc::default());
+        let (status_sender, status) = watch::channel(Arc::default());
+        let follower = Follower::new(
+            own,
+            seeds.to_vec(),
+            source,
+            fleet_sender,
+            status_sender,
+            metrics,
+        );
+        tasks.spawn(follower.run(receiver, stop));
+        Self {
+            requests,
+            fleet,
+            status,
+            seeds: seeds.into(),
         }
-        self.waiting.insert(name, document);
-        self.settle()
     }
 
-    /// Puts the waiting documents in force: all at once if they fit, else those that fit alone.
-    fn settle(&mut self) -> Result<Option<Fleet>, Problems> {
-        let mut all = self.accepted.clone();
-        all.extend(self.waiting.clone());
-        match assemble(all.values()) {
-            Ok(fleet) => {
-                self.accepted = all;
-                self.waiting.clear();
-                Ok(Some(fleet))
-            }
-            Err(problems) => match self.settle_singly() {
-                Some(fleet) => Ok(Some(fleet)),
-                None => Err(problems),
-            },
-        }
+    /// The fleet in force.
+    #[must_use]
+    pub fn fleet(&self) -> watch::Receiver<Arc<Fleet>> {
+        self.fleet.clone()
     }
 
-    fn settle_singly(&mut self) -> Option<Fleet> {
-        let mut newest = None;
-        for (name, document) in self.waiting.clone() {
-            let mut some = self.accepted.clone();
-            some.insert(name.clone(), document);
-            if let Ok(fleet) = assemble(some.values()) {
-                self.accepted = some;
-                self.waiting.remove(&name);
-                newest = Some(fleet);
-            }
-        }
-        newest
+    /// What operators see of it, as JSON.
+    #[must_use]
+    pub fn status(&self) -> serde_json::Value {
+        serde_json::to_value(&**self.status.borrow()).unwrap_or_default()
     }
 
-    /// The documents in force, by name.
-    pub fn accepted(&self) -> impl Iterator<Item = &Document> {
-        self.accepted.values()
+    /// Peers that the settings name.
+    #[must_use]
+    pub fn seeds(&self) -> &[SocketAddr] {
+        &self.seeds
     }
-}
 
-/// Follows the configuration service until `stop`, and publishes each fleet that comes in force.
-pub async fn follow(
-    source: impl ConfigurationSource,
-    fleet: watch::Sender<Arc<Fleet>>,
-    stop: CancellationToken,
-) {
-    let following = async {
-        let mut store = Store::default();
-        let mut known = Index::default();
-        let mut pause = BACKOFF_MIN;
-        loop {
-            let result = step(&source, &mut store, &mut known, &fleet).await;
-            match result {
-                Ok(()) => pause = BACKOFF_MIN,
-                Err(error) => {
-                    log::warn!("configuration service: {error}");
-                    tokio::time::sleep(jitter(pause)).await;
-                    pause = (pause * 2).min(BACKOFF_MAX);
-                }
-            }
-        }
-    };
-    tokio::select! {
-        () = stop.cancelled() => {}
-        () = following => {}
+    /// Answers a peer that tells what it has.
+    pub async fn called(&self, digest: Digest) -> Option<Digest> {
+        self.ask(|reply| Request::Called(digest, reply)).await
     }
-}
 
-async fn step(
-    source: &impl ConfigurationSource,
-    store: &mut Store,
-    known: &mut Index,
-    fleet: &watch::Sender<Arc<Fleet>>,
-) -> Result<(), crate::platform::PlatformError> {
-    let index = source.watch(known.revision).await?;
-    if known.revision != 0 && index != *known {
-        tokio::time::sleep(jitter(READ_SPREAD)).await;
+    /// The text of a document for a peer.
+    pub async fn document(&self, name: String) -> Option<DocumentText> {
+        self.ask(|reply| Request::Document(name, reply))
+            .await
+            .flatten()
     }
-    for (name, revision) in &index.values {
-        if known.values.get(name) == Some(revision) {
-            continue;
-        }
-        if let Some(text) = source.read(name).await? {
-            take(store, &text, fleet);
-        }
-        known.values.insert(name.clone(), *revision);
+
+    /// Compares the configuration with peers or the service after a pause.
+    pub async fn confirm(&self) {
+        self.ask(Request::Confirm).await;
     }
-    known.revision = index.revision;
-    Ok(())
-}
 
-fn take(store: &mut Store, text: &str, fleet: &watch::Sender<Arc<Fleet>>) {
-    match store.offer(text) {
-        Ok(Some(newest)) => {
-            log::info!("configuration in force: {:?}", newest.generations);
-            fleet.send_replace(Arc::new(newest));
-        }
-        Ok(None) => {}
-        Err(problems) => log::warn!("configuration not taken: {problems}"),
+    async fn ask<T>(&self, request: impl FnOnce(oneshot::Sender<T>) -> Request) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.requests.send(request(reply));
+        answer.await.ok()
     }
-}
 
-/// Sends each fleet that comes in force to the control thread, until `stop`.
-pub async fn pass_on<C>(
-    mut fleet: watch::Receiver<Arc<Fleet>>,
-    mailbox: Mailbox<C>,
-    command: impl Fn(Arc<Fleet>) -> C,
-    stop: CancellationToken,
-) {
-    loop {
+    /// Sends each fleet that comes in force to the control thread until `stop`, and the
+    /// confirmation that follows each pause.
+    pub async fn pass_on<C>(
+        self,
+        mailbox: Mailbox<C>,
+        mut pauses: mpsc::UnboundedReceiver<()>,
+        configured: impl Fn(Arc<Fleet>) -> C,
+        confirmed: impl Fn() -> C,
+        stop: CancellationToken,
+    ) {
+        let mut fleet = self.fleet();
+        let following = async {
+            loop {
+                let paused = tokio::select! {
+                    changed = fleet.changed() => match changed {
+                        Ok(()) => false,
+                        Err(_) => return,
+                    },
+                    Some(()) = pauses.recv() => true,
+                };
+                if paused {
+                    self.confirm().await;
+                }
+                let newest = Arc::clone(&fleet.borrow_and_update());
+                let _ = mailbox.send(configured(newest));
+                if paused {
+                    let _ = mailbox.send(confirmed());
+                }
+            }
+        };
         tokio::select! {
-            () = stop.cancelled() => return,
-            changed = fleet.changed() => if changed.is_err() { return },
+            () = stop.cancelled() => {}
+            () = following => {}
         }
-        let newest = Arc::clone(&fleet.borrow_and_update());
-        let _ = mailbox.send(command(newest));
     }
 }
-
-/// A random part of `span`.
-fn jitter(span: Duration) -> Duration {
-    span.mul_f64(rand::rng().random_range(0.5..1.0))
-}
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dial;
 pub mod error;
 pub mod logging;
+pub mod peer;
 pub mod platform;
 pub mod server;
 pub mod shutdown;
--- a/crates/process/src/platform.rs
+++ b/crates/process/src/platform.rs
@@ -2,13 +2,13 @@
 
 mod http;
 
-use std::collections::BTreeMap;
 use std::future::Future;
 
 use derive_more::{Display, Error, From};
 use serde::{Deserialize, Serialize};
 use strum::{EnumString, IntoStaticStr};
 
+pub use comfreyhaven_core::spread::Index;
 pub use http::{HttpConfiguration, HttpHostList};
 
 use crate::dial::DialError;
@@ -38,15 +38,6 @@
     Timeout,
 }
 
-/// The revision of each published value, by name.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Index {
-    /// Revision of the whole; it changes with each value.
-    pub revision: u64,
-    /// Revision of each value.
-    pub values: BTreeMap<String, u64>,
-}
-
 /// Reads and watches published values.
 pub trait ConfigurationSource: Send + Sync + 'static {
     /// Answers once the revision is another than `known`, or after the service's own time limit.
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -1,13 +1,12 @@
 //! The `tarpc` services, one for each role.
 
-use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use comfreyhaven_core::agent::RunStatus;
 use comfreyhaven_core::refusal::ReturnReason;
-use comfreyhaven_core::{
-    Generation, HostName, OfferId, RequestId, Reservation, ReservationId, TeamName,
-};
+use comfreyhaven_core::spread::Versions;
+use comfreyhaven_core::{HostName, OfferId, RequestId, Reservation, ReservationId, TeamName};
 use serde::{Deserialize, Serialize};
 
 /// How a reservation left an agent's queue.
@@ -37,11 +36,13 @@
     async fn inquire(request: RequestId, offer: OfferId) -> RunStatus;
 }
 
-/// What a process tells its peers of the configuration, by document.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// What a process tells its peers of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
-    /// Generation in force at the sender.
-    pub generations: BTreeMap<String, Generation>,
+    /// Where the sender's own control service listens.
+    pub from: SocketAddr,
+    /// Newest versions at the sender, by document.
+    pub versions: Versions,
 }
 
 /// A published document as one process passes it to another.
@@ -74,9 +75,9 @@
 /// Calls that every process answers to its peers.
 #[tarpc::service]
 pub trait PeerControl {
-    /// Tells which generations the caller has and learns which the callee has.
+    /// Tells which versions the caller has and learns which the callee has.
     async fn exchange(digest: Digest) -> Digest;
-    /// The text of a document in force at the callee.
+    /// The newest text of a document at the callee, in force or waiting for others.
     async fn document(name: String) -> Option<DocumentText>;
     /// Asks an entry for tokens of a team. An agent grants none.
     async fn borrow(request: BorrowRequest) -> BorrowReply;
