--- a/crates/harness/src/deployment.rs
+++ b/crates/harness/src/deployment.rs
@@ -1,5 +1,6 @@
 //! A running deployment.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -28,6 +29,7 @@
     agents: Vec<Child>,
     entries: Vec<Child>,
     generation: u64,
+    peers: Vec<SocketAddr>,
 }
 
 impl Deployment {
@@ -51,6 +53,7 @@
             agents: Vec::new(),
             entries: Vec::new(),
             generation: 0,
+            peers: Vec::new(),
         };
         deployment.start_all().await?;
         deployment.publish().await?;
@@ -126,11 +129,12 @@
     ) -> Result<String, HarnessError> {
         Ok(format!(
             "[process]\ndata centre = {centre}\ncontrol = {}\nadmin = {}\n\
-             configuration service = {}\nhost list = {}\nlog = info\n",
+             configuration service = {}\nhost list = {}\nlog = info\npeers = {}\n",
             address(earlier, "control", ip)?,
             address(earlier, "admin", ip)?,
             self.configuration.port("listen")?,
             self.hosts.port("listen")?,
+            names(&self.peers, ToString::to_string).join(", "),
         ))
     }
 
@@ -140,9 +144,9 @@
     /// Returns a [`HarnessError`] if the configuration service does not take it.
     pub async fn publish(&mut self) -> Result<(), HarnessError> {
         self.generation += 1;
-        let entries = names(&self.plan.entries, |plan| &plan.name);
+        let entries = names(&self.plan.entries, |plan| plan.name.clone());
         let entries = addresses(entries, &self.entries, "listen")?;
-        let agents = names(&self.plan.endpoints, |plan| &plan.name);
+        let agents = names(&self.plan.endpoints, |plan| plan.name.clone());
         let agents = addresses(agents, &self.agents, "traffic")?;
         let documents = [
             (
@@ -256,6 +260,11 @@
         &mut self.entries[index]
     }
 
+    /// Names peers in the settings of the processes that are started from now on.
+    pub fn set_peers(&mut self, peers: &[SocketAddr]) {
+        self.peers = peers.to_vec();
+    }
+
     /// Replaces an ended agent by a new process at the same addresses.
     ///
     /// # Errors
@@ -317,8 +326,8 @@
     }
 }
 
-fn names<T>(plans: &[T], name: impl Fn(&T) -> &String) -> Vec<String> {
-    plans.iter().map(|plan| name(plan).clone()).collect()
+fn names<T>(plans: &[T], name: impl Fn(&T) -> String) -> Vec<String> {
+    plans.iter().map(name).collect()
 }
 
 fn addresses(
--- a/crates/suite/tests/suite/plans.rs
+++ b/crates/suite/tests/suite/plans.rs
@@ -27,3 +27,13 @@
             &["plan", "orders"],
         ))
 }
+
+/// One data centre with an entry and an engine.
+pub fn one_engine(engine: EndpointPlan) -> Plan {
+    Plan::new()
+        .with_centre("tb1")
+        .with_entry("e1", "tb1")
+        .with_endpoint(engine)
+        .with_route(RoutePlan::new_model("plan", "hive", "mid"))
+        .with_team(TeamPlan::new("kakheti", 10_000_000, 10_000_000, &["plan"]))
+}
