--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod settings;
 pub mod value;
 
-pub use assemble::{assemble, check};
+pub use assemble::{assemble, check, check_alone};
 pub use document::{DOCUMENT_LIMIT_BYTES, Document, DocumentKind, document_names};
 pub use part::{DEADLINE_DEFAULT, DEADLINE_LIMIT, OUTPUT_DEFAULT_TOKENS, TOKENS_LIMIT};
 pub use problem::{Problem, Problems};
--- a/crates/suite/tests/suite/input.rs
+++ b/crates/suite/tests/suite/input.rs
@@ -21,7 +21,7 @@
 async fn garbage_on_any_port_stops_nothing() -> Result<(), HarnessError> {
     let mut deployment = Deployment::start(plans::single()).await?;
     let mut ports = Vec::new();
-    for name in ["listen", "admin"] {
+    for name in ["listen", "control", "admin"] {
         ports.push(deployment.entry(0).port(name)?);
     }
     for name in ["control", "traffic", "admin"] {
