Test bursts at cold engines, and callers while faults strike

Cause: each fault had a test of its own, and none several at once. Seeded faults (kill, replacement, freeze, crash, outage) now strike while sixty chats and twenty bookings run; no request may reach endpoints twice, none that reached one may be told "not run", and every whole answer is its caller's own.

--- a/crates/suite/tests/suite/main.rs
+++ b/crates/suite/tests/suite/main.rs
@@ -1,11 +1,13 @@
 //! Integration tests with the real processes, one module for each subject.
 
 mod callers;
+mod chaos;
 mod configuration;
 mod cuts;
 mod freezes;
 mod input;
 mod kills;
+mod overload;
 mod path;
 mod plans;
 mod support;
