Borrow tokens between entries, and hand shares over safely

Cause: a share was rate/hosts and burst/hosts and nothing moved between hosts, so a team whose callers all reach one entry got a part of its rate, and a request larger than burst/hosts never ran. A host added by a new configuration began at once, while the others still spent the larger old shares, and a late refund on a bucket that had refilled let a burst be spent twice.

Change: a short share asks the other holders. The lender debits before it answers and keeps the room of the loan free until the borrower has told that its own capacity covers it, or until it can no longer be credited; the borrower drops what comes, or is kept beyond its capacity, a second after it asked. So the levels of all shares with all loans never exceed the burst. A request waits half a second at most for tokens. A peer that could not grant the need is left alone until it has refilled. Shares of a team are held by at most eight hosts. A share that grows because a host was left out waits ten seconds; a process that has just started waits until every declared peer knows the same hosts and one of them tells what was declared before. Refunds are replayed as if the tokens had never been charged.

The entry's machine is split by job, and its timers are ordered instead of searched. The entry now serves its control port to declared hosts.

Proof: thirteen tests, of which one runs ledgers under loss, duplication, delay, pause, restart, partition and changes of hosts against one exact bucket.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -10,7 +10,10 @@
 mod pending;
 mod placement;
 
-pub use ledger::Ledger;
+pub use ledger::{
+    Ask, Charge, HANDOVER, HOLDERS_LIMIT, LOAN_LIFETIME, Ledger, Loan, LoanId, ShareState,
+    Shortfall,
+};
 pub use machine::{Entry, EntryState, OPEN_TEAM};
 pub use message::{Action, Arrival, Ending, Event};
 pub use placement::Placement;
--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -1,114 +1,331 @@
 //! Rate and burst of each team, as one entry may spend them.
 //!
-//! A team's rate and burst are split evenly among the declared entry hosts. A share starts empty, so
-//! that a restart never makes tokens.
+//! A team's rate and burst are split evenly among its holders: declared entry hosts that a
+//! rendezvous hash picks. A share starts empty, so that a restart never makes tokens. An entry that
+//! is short borrows from the holders. The argument that no window exceeds the promise is in
+//! `docs/design/rate.md`.
 
-use std::collections::HashMap;
+mod borrowing;
+mod headroom;
+mod holders;
+mod loan;
+mod share;
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::fleet::{Fleet, Team};
-use crate::name::TeamName;
+use serde::Serialize;
+
+use crate::fleet::Fleet;
+use crate::id::Generation;
+use crate::name::{HostName, TeamName};
 use crate::time::Timestamp;
 
-const MICROS_PER_SECOND: u64 = 1_000_000;
+use borrowing::Borrower;
+pub use holders::{HOLDERS_LIMIT, HolderSet};
+pub use loan::{Ask, LOAN_LIFETIME, Loan, LoanId};
+use share::Share;
 
-#[derive(Debug)]
-struct Share {
-    /// Token-microseconds, so that slow rates lose nothing to rounding.
-    level: u128,
-    rate: u64,
-    burst: u64,
-    holders: u64,
-    updated: Timestamp,
+/// Time in which every process that can be reached has a configuration in force.
+///
+/// A share that grows or begins because the set of hosts changed does so only after this time.
+pub const HANDOVER: Duration = Duration::from_secs(10);
+
+/// Generation of a document that was never published before.
+const FIRST_GENERATION: Generation = Generation(1);
+
+/// Pause between the questions of a process that has just started.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Why tokens could not be taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shortfall {
+    /// The request is larger than the team's whole burst, or the team's rate is zero.
+    TooLarge,
+    /// The share holds too little now.
+    Short {
+        /// When the team's own rate would have filled the gap.
+        refill: Duration,
+    },
+}
+
+/// What a request was charged, by which its unused tokens are given back.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Charge {
+    /// Parts of tokens that the share's own level paid.
+    own: u128,
+    mark: u64,
+}
+
+/// What operators see of one team's share.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct ShareState {
+    /// The team.
+    pub team: TeamName,
+    /// Tokens that may be spent here now.
+    pub level: u64,
+    /// Tokens that this host's share holds when full.
+    pub capacity: u64,
+    /// Tokens lent to other hosts whose room is still held for them.
+    pub lent: u64,
+    /// Tokens borrowed beyond the share's capacity.
+    pub borrowed: u64,
 }
 
-/// This entry's shares of every team that has asked for something.
-#[derive(Debug, Default)]
+/// This entry's shares of every declared team.
+#[derive(Debug)]
 pub struct Ledger {
-    shares: HashMap<TeamName, Share>,
+    name: HostName,
+    holders: HolderSet,
+    shares: BTreeMap<TeamName, Account>,
+    /// Peers that have not yet confirmed the set of hosts to a process that has just started.
+    unheard: BTreeSet<HostName>,
+    /// Whether this process has shares, and so knows which hosts were declared before.
+    opened: bool,
+    /// Whether this process, or a peer that has confirmed, knows that no undeclared host may spend
+    /// after `begin`.
+    vouched: bool,
+    begin: Timestamp,
+    /// When a change of the set of hosts is in force everywhere.
+    settled: Timestamp,
+    confirm: Timestamp,
+    next: u64,
+}
+
+#[derive(Debug)]
+struct Account {
+    share: Share,
+    borrower: Borrower,
 }
 
 impl Ledger {
-    /// Opens an empty share for each team that is new and forgets those that are gone.
+    /// A ledger without shares. `first` numbers its asks and loans; it is drawn at random, so that
+    /// the messages of an earlier process match nothing.
+    #[must_use]
+    pub fn new(name: HostName, first: u64) -> Self {
+        Self {
+            name,
+            holders: HolderSet::default(),
+            shares: BTreeMap::new(),
+            unheard: BTreeSet::new(),
+            opened: false,
+            vouched: false,
+            begin: Timestamp::ZERO,
+            settled: Timestamp::ZERO,
+            confirm: Timestamp::NEVER,
+            next: first,
+        }
+    }
+
+    /// Takes a configuration: shares that shrink do so at once, shares that grow because the set of
+    /// hosts changed do so after [`HANDOVER`].
     pub fn configure(&mut self, fleet: &Fleet, now: Timestamp) {
+        let holders = HolderSet::new(fleet);
+        if holders != self.holders {
+            self.change_holders(&holders, is_first(fleet), now);
+        }
         self.shares.retain(|team, _| fleet.teams.contains_key(team));
-        for team in fleet.teams.keys() {
-            self.shares
-                .entry(team.clone())
-                .or_insert_with(|| Share::new(now));
+        for team in fleet.teams.values() {
+            let part = holders.divisor(&self.name, &team.name);
+            let account = self
+                .shares
+                .entry(team.name.clone())
+                .or_insert_with(|| Account {
+                    share: Share::new(now),
+                    borrower: Borrower::default(),
+                });
+            account.share.configure(team, part, self.settled, now);
+            account.borrower.peers = holders.peers(&self.name, &team.name);
         }
+        self.holders = holders;
+        self.open_if_vouched(now);
     }
 
-    /// Takes `tokens` from a team's share, or says how long the share needs to hold them.
+    /// A host that is no longer declared may spend until it knows. One that is new waits until the
+    /// others have told that they know it, and one of them what was declared before.
+    fn change_holders(&mut self, holders: &HolderSet, first: bool, now: Timestamp) {
+        let begins = !self.opened || !self.holders.contains(&self.name);
+        if begins || !self.holders.is_subset(holders) {
+            self.settled = now + HANDOVER;
+        }
+        if begins {
+            self.opened = false;
+            self.unheard = holders.others(&self.name);
+            self.vouched = first;
+            self.begin = now;
+            self.confirm = now;
+        }
+    }
+
+    /// Takes `tokens` of a team.
     ///
     /// # Errors
-    /// Returns the time after which the tokens are there, or `None` if they never fit the burst.
+    /// Returns a [`Shortfall`] if the tokens are not here.
     pub fn take(
         &mut self,
-        fleet: &Fleet,
-        team: &Team,
+        team: &TeamName,
         tokens: u64,
         now: Timestamp,
-    ) -> Result<(), Option<Duration>> {
-        let share = self
-            .shares
-            .entry(team.name.clone())
-            .or_insert_with(|| Share::new(now));
-        share.refill(team, fleet.hosts.len() as u64, now);
-        share.take(tokens)
+    ) -> Result<Charge, Shortfall> {
+        let Some(account) = self.shares.get_mut(team) else {
+            return Err(Shortfall::TooLarge);
+        };
+        account.share.take(tokens, now)
     }
 
-    /// Gives back tokens that were reserved and not used.
-    pub fn refund(&mut self, team: &TeamName, tokens: u64) {
-        if let Some(share) = self.shares.get_mut(team) {
-            share.give(tokens);
+    /// Gives back tokens that were charged and not used.
+    pub fn refund(&mut self, team: &TeamName, charge: Charge, unused: u64, now: Timestamp) {
+        if let Some(account) = self.shares.get_mut(team) {
+            account.share.give(charge, unused, now);
         }
     }
-}
 
-impl Share {
-    fn new(now: Timestamp) -> Self {
-        Self {
-            level: 0,
-            rate: 0,
-            burst: 0,
-            holders: 1,
-            updated: now,
+    /// The asks to send now so that a request of `tokens` can be paid, if any peer may help. `total`
+    /// is what all requests of the team lack that wait here.
+    pub fn asks(&mut self, team: &TeamName, tokens: u64, total: u64, now: Timestamp) -> Vec<Ask> {
+        let Some(account) = self.shares.get_mut(team) else {
+            return Vec::new();
+        };
+        let wish = account.share.wish(tokens, total, now);
+        let sequence = &mut self.next;
+        account
+            .borrower
+            .asks(&wish, now)
+            .into_iter()
+            .map(|(peer, settled)| {
+                *sequence = sequence.wrapping_add(1);
+                account.borrower.sent(&peer, *sequence, now);
+                Ask {
+                    id: *sequence,
+                    peer,
+                    team: Some(team.clone()),
+                    need: wish.need,
+                    most: wish.most,
+                    settled,
+                }
+            })
+            .collect()
+    }
+
+    /// When a peer may grant tokens of this team: now if an ask is under way, else when the first
+    /// peer may be asked again.
+    #[must_use]
+    pub fn prospect(&self, team: &TeamName, now: Timestamp) -> Timestamp {
+        let account = self.shares.get(team);
+        account.map_or(Timestamp::NEVER, |account| account.borrower.prospect(now))
+    }
+
+    /// Answers a peer's ask. The tokens are debited before the answer leaves. `waiting` is the size
+    /// of the request of that team that waits for tokens here, if one does. Of two holders that both
+    /// lack tokens, the one that lacks more lends.
+    pub fn lend(&mut self, ask: &Ask, waiting: Option<u64>, now: Timestamp) -> Loan {
+        let id = LoanId(self.next);
+        let account = ask.team.as_ref().and_then(|team| self.shares.get_mut(team));
+        let grant = account.map(|account| {
+            let lack = waiting.map(|tokens| account.share.wish(tokens, tokens, now).need);
+            let busy = lack.is_some_and(|lack| (lack, &self.name) <= (ask.need, &ask.peer));
+            account.share.lend(id, ask, busy, now)
+        });
+        let grant = grant.unwrap_or_default();
+        if grant.tokens > 0 {
+            self.next = self.next.wrapping_add(1);
+        }
+        Loan {
+            id,
+            tokens: grant.tokens,
+            left: grant.left,
+            wait: grant.wait,
+            holders: self.holders.fingerprint(),
+            settling: self.opened.then(|| self.settled.since(now)),
         }
     }
 
-    fn refill(&mut self, team: &Team, holders: u64, now: Timestamp) {
-        let elapsed = now.since(self.updated).as_micros();
-        self.updated = now;
-        (self.rate, self.burst, self.holders) = (team.rate, team.burst, holders.max(1));
-        self.level = (self.level + elapsed * u128::from(self.rate)).min(self.capacity());
+    /// Takes the answer to an ask, or its failure.
+    pub fn lent(&mut self, ask: &Ask, loan: Option<Loan>, now: Timestamp) {
+        if let Some(loan) = &loan {
+            self.confirmed(&ask.peer, loan, now);
+        }
+        let account = ask.team.as_ref().and_then(|team| self.shares.get_mut(team));
+        let Some(account) = account else { return };
+        let Some(asked) = account.borrower.answered(ask, loan.as_ref(), now) else {
+            return;
+        };
+        if let Some(loan) = loan.filter(|loan| loan.tokens > 0)
+            && now < asked + LOAN_LIFETIME
+        {
+            account
+                .share
+                .borrow(loan.tokens, asked + LOAN_LIFETIME, now);
+            if account.share.borrowed() == 0 {
+                account.borrower.settle(&ask.peer, loan.id);
+            }
+        }
     }
 
-    /// Level units: one token of the whole team's is `MICROS_PER_SECOND * holders`.
-    fn unit(&self) -> u128 {
-        u128::from(MICROS_PER_SECOND * self.holders)
+    fn confirmed(&mut self, peer: &HostName, loan: &Loan, now: Timestamp) {
+        if self.opened || loan.holders != self.holders.fingerprint() {
+            return;
+        }
+        self.unheard.remove(peer);
+        if let Some(settling) = loan.settling {
+            self.vouched = true;
+            self.begin = self.begin.max(now + settling);
+        }
+        self.open_if_vouched(now);
+    }
+
+    /// Lets the shares of a new process begin before [`HANDOVER`] has passed, if that is safe.
+    fn open_if_vouched(&mut self, now: Timestamp) {
+        if self.opened || !self.vouched || !self.unheard.is_empty() || self.holders.is_empty() {
+            return;
+        }
+        self.open();
+        self.settled = self.settled.min(self.begin.max(now));
+        for account in self.shares.values_mut() {
+            account.share.begin(self.settled);
+        }
     }
 
-    fn capacity(&self) -> u128 {
-        u128::from(self.burst) * u128::from(MICROS_PER_SECOND)
+    fn open(&mut self) {
+        self.opened = true;
+        self.unheard.clear();
+        self.confirm = Timestamp::NEVER;
     }
 
-    fn take(&mut self, tokens: u64) -> Result<(), Option<Duration>> {
-        let need = u128::from(tokens) * self.unit();
-        if need <= self.level {
-            self.level -= need;
-            return Ok(());
+    /// Asks that tell a process that has just started whether its peers know the same hosts.
+    pub fn confirmations(&mut self, now: Timestamp) -> Vec<Ask> {
+        if now < self.confirm {
+            return Vec::new();
         }
-        if need > self.capacity() || self.rate == 0 {
-            return Err(None);
+        if now >= self.settled {
+            self.open();
+            return Vec::new();
         }
-        let micros = (need - self.level).div_ceil(u128::from(self.rate));
-        Err(Some(Duration::from_micros(
-            u64::try_from(micros).unwrap_or(u64::MAX),
-        )))
+        self.confirm = now + CONFIRM_INTERVAL;
+        let peers = self.unheard.iter().cloned();
+        peers.map(Ask::question).collect()
+    }
+
+    /// When [`Ledger::confirmations`] has something to say.
+    #[must_use]
+    pub fn wake(&self) -> Timestamp {
+        self.confirm
     }
 
-    fn give(&mut self, tokens: u64) {
-        self.level = (self.level + u128::from(tokens) * self.unit()).min(self.capacity());
+    /// Every share that is not simply full.
+    #[must_use]
+    pub fn states(&self, now: Timestamp) -> Vec<ShareState> {
+        let state = |(team, account): (&TeamName, &Account)| account.share.state(team, now);
+        self.shares.iter().filter_map(state).collect()
     }
 }
+
+/// Whether a configuration is the first that was ever published, so that no other host can have
+/// been declared before.
+fn is_first(fleet: &Fleet) -> bool {
+    let mut generations = fleet.generations.values();
+    generations.all(|generation| *generation <= FIRST_GENERATION)
+}
--- /dev/null
+++ b/crates/core/src/entry/ledger/holders.rs
@@ -0,0 +1,94 @@
+//! Which hosts hold a share of a team.
+
+use std::collections::BTreeSet;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+
+use crate::fleet::Fleet;
+use crate::name::{HostName, TeamName};
+
+/// Hosts that hold a share of one team at most. More would cut a small burst into useless pieces.
+pub const HOLDERS_LIMIT: usize = 8;
+
+/// The declared entry hosts. A host whose address changes counts as another one.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HolderSet {
+    hosts: Vec<(HostName, SocketAddr)>,
+}
+
+impl HolderSet {
+    /// The hosts of a configuration.
+    #[must_use]
+    pub fn new(fleet: &Fleet) -> Self {
+        let hosts = fleet.hosts.values();
+        Self {
+            hosts: hosts
+                .map(|host| (host.name.clone(), host.control))
+                .collect(),
+        }
+    }
+
+    /// Whether no host is declared.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// Whether a host is declared.
+    #[must_use]
+    pub fn contains(&self, name: &HostName) -> bool {
+        self.hosts.iter().any(|(host, _)| host == name)
+    }
+
+    /// Whether every host of this set is in `later`, at the same address.
+    #[must_use]
+    pub fn is_subset(&self, later: &Self) -> bool {
+        self.hosts.iter().all(|host| later.hosts.contains(host))
+    }
+
+    /// Recognises the same set at another process of this version.
+    #[must_use]
+    pub fn fingerprint(&self) -> u64 {
+        hash(&self.hosts)
+    }
+
+    /// Every declared host but `name`.
+    #[must_use]
+    pub fn others(&self, name: &HostName) -> BTreeSet<HostName> {
+        let names = self.hosts.iter().map(|(host, _)| host);
+        names.filter(|host| *host != name).cloned().collect()
+    }
+
+    /// The part of a team that `name` holds: one in so many, or none.
+    #[must_use]
+    pub fn divisor(&self, name: &HostName, team: &TeamName) -> Option<u64> {
+        let holders = self.holders(team);
+        holders.contains(&name).then_some(holders.len() as u64)
+    }
+
+    /// The other holders of a team, in the order in which `name` asks them. Each asker has an
+    /// order of its own, so that asks are spread.
+    #[must_use]
+    pub fn peers(&self, name: &HostName, team: &TeamName) -> Vec<HostName> {
+        let mut peers = self.holders(team);
+        peers.retain(|host| *host != name);
+        peers.sort_by_key(|host| hash(&(name, host, team)));
+        peers.into_iter().cloned().collect()
+    }
+
+    fn holders(&self, team: &TeamName) -> Vec<&HostName> {
+        let mut hosts: Vec<_> = self.hosts.iter().map(|(host, _)| host).collect();
+        if hosts.len() > HOLDERS_LIMIT {
+            hosts.sort_by_key(|host| hash(&(host, team)));
+            hosts.truncate(HOLDERS_LIMIT);
+        }
+        hosts
+    }
+}
+
+/// Every process of one version computes the same value, since the hasher has fixed keys.
+fn hash(value: &impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -1,25 +1,26 @@
 //! The state machine of an entry.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+mod admission;
+mod binding;
+mod endings;
+mod payment;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Serialize;
 
-use super::ledger::Ledger;
-use super::message::{Action, Arrival, Ending, Event};
+use super::ledger::{Ledger, ShareState};
+use super::message::{Action, Event};
 use super::pending::{Pending, Phase};
 use super::placement::Placement;
-use crate::agent::RunStatus;
-use crate::fleet::{Fleet, Route, RouteAccess};
-use crate::id::{BootNonce, Generation, OfferId, RequestId, ReservationId};
-use crate::name::{EndpointName, HostName, TeamName};
-use crate::refusal::{Execution, NotRunReason, Refusal, RefusalKind, ReturnReason};
+use crate::fleet::Fleet;
+use crate::id::{BootNonce, Generation, RequestId};
+use crate::name::{HostName, TeamName};
+use crate::refusal::{Refusal, RefusalKind, ReturnReason};
 use crate::time::Timestamp;
 
-/// Reservations that one request holds at once.
-const FANOUT: usize = 3;
-
 /// How long an agent that could not be reached is asked last.
 const SHUN_TIME: Duration = Duration::from_secs(2);
 
@@ -38,6 +39,10 @@
     placement: Placement,
     ledger: Ledger,
     requests: HashMap<RequestId, Pending>,
+    /// When requests that wait must be looked at.
+    timers: BTreeSet<(Timestamp, RequestId)>,
+    /// Requests that wait for tokens of their team, in the order of arrival.
+    unpaid: BTreeMap<TeamName, VecDeque<RequestId>>,
     leaving: bool,
 }
 
@@ -50,6 +55,9 @@
     waiting: usize,
     dispatched: usize,
     leaving: bool,
+    /// Requests that wait for tokens, by team.
+    unpaid: BTreeMap<TeamName, usize>,
+    shares: Vec<ShareState>,
 }
 
 impl Entry {
@@ -57,12 +65,14 @@
     #[must_use]
     pub fn new(name: HostName, boot: BootNonce, seed: u64) -> Self {
         Self {
+            ledger: Ledger::new(name.clone(), seed),
             name,
             boot,
             fleet: Arc::default(),
             placement: Placement::new(seed),
-            ledger: Ledger::default(),
             requests: HashMap::new(),
+            timers: BTreeSet::new(),
+            unpaid: BTreeMap::new(),
             leaving: false,
         }
     }
@@ -71,23 +81,18 @@
     pub fn handle(&mut self, event: Event, now: Timestamp) -> Vec<Action> {
         let mut actions = Vec::new();
         match event {
-            Event::Configured(fleet) => {
-                self.ledger.configure(&fleet, now);
-                self.fleet = fleet;
-            }
+            Event::Configured(fleet) => self.configure(fleet, now, &mut actions),
             Event::Arrived(arrival) => self.arrive(*arrival, now, &mut actions),
             Event::Offered {
                 id,
                 endpoint,
                 offer,
-            } => self.offered(id, endpoint, offer, &mut actions),
+            } => self.offered(id, endpoint, offer, now, &mut actions),
             Event::Returned {
                 id,
                 endpoint,
                 reason,
-            } => {
-                self.returned(id, &endpoint, reason, now, &mut actions);
-            }
+            } => self.returned(id, &endpoint, reason, now, &mut actions),
             Event::Unreachable { id, endpoint } => {
                 self.placement.shun(endpoint.clone(), now + SHUN_TIME);
                 self.returned(id, &endpoint, ReturnReason::EndpointDown, now, &mut actions);
@@ -97,9 +102,11 @@
             Event::Inquired { request, status } => {
                 self.inquired(request, status, now, &mut actions);
             }
-            Event::CallerGone(request) => self.caller_gone(request, &mut actions),
+            Event::CallerGone(request) => self.caller_gone(request, now, &mut actions),
+            Event::BorrowAsked(ask) => self.borrow_asked(*ask, now, &mut actions),
+            Event::Lent { ask, loan } => self.lent(&ask, loan, now, &mut actions),
             Event::Leave => self.leaving = true,
-            Event::Tick => self.expire(now, &mut actions),
+            Event::Tick => self.tick(now, &mut actions),
         }
         actions
     }
@@ -107,14 +114,8 @@
     /// When the entry must be given [`Event::Tick`], at the latest.
     #[must_use]
     pub fn wake(&self) -> Timestamp {
-        let waiting = self
-            .requests
-            .values()
-            .filter(|pending| pending.phase == Phase::Waiting);
-        waiting
-            .map(|pending| pending.deadline)
-            .min()
-            .unwrap_or(Timestamp::NEVER)
+        let first = self.timers.first().map(|(time, _)| *time);
+        first.unwrap_or(Timestamp::NEVER).min(self.ledger.wake())
     }
 
     /// Whether no request is owned, so that a leaving process may exit.
@@ -125,381 +126,77 @@
 
     /// The entry's state for operators.
     #[must_use]
-    pub fn state(&self) -> EntryState {
-        let waiting = self
-            .requests
-            .values()
-            .filter(|p| p.phase == Phase::Waiting)
-            .count();
+    pub fn state(&self, now: Timestamp) -> EntryState {
+        let count = |team: (&TeamName, &VecDeque<RequestId>)| (team.0.clone(), team.1.len());
+        let dispatched = |p: &&Pending| p.phase.is_dispatched();
+        let dispatched = self.requests.values().filter(dispatched).count();
         EntryState {
             boot: self.boot.to_string(),
             generations: self.fleet.generations.clone(),
             configured: !self.fleet.hosts.is_empty(),
-            waiting,
-            dispatched: self.requests.len() - waiting,
+            waiting: self.requests.len() - dispatched,
+            dispatched,
             leaving: self.leaving,
+            unpaid: self.unpaid.iter().map(count).collect(),
+            shares: self.ledger.states(now),
         }
     }
 
-    fn arrive(&mut self, arrival: Arrival, now: Timestamp, actions: &mut Vec<Action>) {
-        let request = arrival.id;
-        match self.admit(arrival, now) {
-            Ok(pending) => {
-                self.requests.insert(request, pending);
-                self.place(request, now, actions);
-            }
-            Err(refusal) => actions.push(Action::Refuse { request, refusal }),
-        }
+    fn configure(&mut self, fleet: Arc<Fleet>, now: Timestamp, actions: &mut Vec<Action>) {
+        self.ledger.configure(&fleet, now);
+        self.fleet = fleet;
+        self.confirm_hosts(now, actions);
     }
 
-    fn admit(&mut self, arrival: Arrival, now: Timestamp) -> Result<Pending, Refusal> {
-        let fleet = Arc::clone(&self.fleet);
-        if self.leaving || !fleet.hosts.contains_key(&self.name) {
-            return Err(Refusal::new(RefusalKind::Unavailable).with_retry(RETRY_DELAY));
+    fn tick(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        self.confirm_hosts(now, actions);
+        while let Some(&(time, request)) = self.timers.first()
+            && time <= now
+        {
+            self.timers.pop_first();
+            self.look_at(request, now, actions);
         }
-        let route = fleet
-            .routes
-            .get(&arrival.route)
-            .ok_or(Refusal::new(RefusalKind::NoRoute))?;
-        let team = self.charge(&arrival, route, now)?;
-        Ok(Pending {
-            team,
-            tier: route.tier,
-            deadline: now + route.deadline,
-            phase: Phase::Waiting,
-            attempt: 0,
-            unasked: self.unasked(&arrival, now),
-            waiting: BTreeSet::new(),
-            reason: None,
-            arrival,
-        })
     }
 
-    /// Checks key and route, and takes the request's tokens from its team's share.
-    fn charge(
-        &mut self,
-        arrival: &Arrival,
-        route: &Route,
-        now: Timestamp,
-    ) -> Result<TeamName, Refusal> {
-        let fleet = Arc::clone(&self.fleet);
-        let team = arrival.key.as_ref().and_then(|key| fleet.team_of_key(key));
-        let Some(team) = team else {
-            return match route.access {
-                RouteAccess::Open => {
-                    TeamName::new(OPEN_TEAM).map_err(|_| Refusal::new(RefusalKind::Unauthenticated))
-                }
-                RouteAccess::Teams => Err(Refusal::new(RefusalKind::Unauthenticated)),
-            };
-        };
-        if !fleet.may_use(Some(team), route) {
-            return Err(Refusal::new(RefusalKind::Forbidden));
-        }
-        match self.ledger.take(&fleet, team, arrival.cost.total(), now) {
-            Ok(()) => Ok(team.name.clone()),
-            Err(Some(delay)) => Err(Refusal::new(RefusalKind::RateExceeded).with_retry(delay)),
-            Err(None) => Err(Refusal::new(RefusalKind::RateExceeded)),
-        }
-    }
-
-    fn unasked(&mut self, arrival: &Arrival, now: Timestamp) -> Vec<EndpointName> {
-        let mut names =
-            self.placement
-                .candidates(&self.fleet, &arrival.route, &arrival.prefixes, now);
-        names.reverse();
-        names
-    }
-
-    /// Places reservations until [`FANOUT`] wait, or refuses the request if nobody is left to ask.
-    fn place(&mut self, request: RequestId, now: Timestamp, actions: &mut Vec<Action>) {
+    /// Handles a timer of a request.
+    fn look_at(&mut self, request: RequestId, now: Timestamp, actions: &mut Vec<Action>) {
         let Some(pending) = self.requests.get_mut(&request) else {
             return;
         };
-        while pending.waiting.len() < FANOUT {
-            let Some(endpoint) = pending.unasked.pop() else {
-                break;
-            };
-            if !Placement::is_eligible(&self.fleet, &endpoint) {
-                continue;
+        pending.timer = None;
+        match pending.phase {
+            Phase::Unpaid { .. } => self.pay_again(request, now, actions),
+            Phase::Waiting if pending.deadline <= now => {
+                let refusal = Refusal::new(RefusalKind::DeadlineExceeded).with_retry(RETRY_DELAY);
+                self.refuse(request, refusal, now, actions);
             }
-            let reservation = Box::new(pending.reservation(&self.name, self.boot, now));
-            pending.waiting.insert(endpoint.clone());
-            actions.push(Action::Reserve {
-                endpoint,
-                reservation,
-            });
-        }
-        if pending.waiting.is_empty() {
-            let refusal = no_place(pending.reason);
-            self.refuse(request, refusal, actions);
+            Phase::Waiting | Phase::Dispatched { .. } | Phase::Inquiring { .. } => {}
         }
     }
 
-    fn offered(
-        &mut self,
-        id: ReservationId,
-        endpoint: EndpointName,
-        offer: OfferId,
-        actions: &mut Vec<Action>,
-    ) {
-        let request = id.request;
-        let waiting = self
-            .requests
-            .get_mut(&request)
-            .filter(|pending| pending.awaits(id));
-        let Some(pending) = waiting else {
-            actions.push(Action::Release {
-                endpoint,
-                request,
-                offer,
-            });
-            return;
-        };
-        pending.waiting.remove(&endpoint);
-        let withdrawn = std::mem::take(&mut pending.waiting);
-        actions.extend(
-            withdrawn
-                .into_iter()
-                .map(|endpoint| Action::Withdraw { endpoint, id }),
-        );
-        if let Some(refusal) = self.revoked(request) {
-            actions.push(Action::Release {
-                endpoint,
-                request,
-                offer,
-            });
-            self.refuse(request, refusal, actions);
-            return;
-        }
+    /// Sets the time at which a request is looked at next.
+    fn set_timer(&mut self, request: RequestId, time: Timestamp) {
+        self.clear_timer(request);
         if let Some(pending) = self.requests.get_mut(&request) {
-            pending.phase = Phase::Dispatched {
-                endpoint: endpoint.clone(),
-                offer,
-                begun: false,
-            };
-            actions.push(Action::Dispatch {
-                request,
-                endpoint,
-                offer,
-            });
-        }
-    }
-
-    /// Checks again, at the last moment before the body leaves, that the key still holds.
-    fn revoked(&self, request: RequestId) -> Option<Refusal> {
-        let pending = self.requests.get(&request)?;
-        let route = self.fleet.routes.get(&pending.arrival.route);
-        let Some(route) = route else {
-            return Some(Refusal::new(RefusalKind::NoRoute));
-        };
-        let team = pending
-            .arrival
-            .key
-            .as_ref()
-            .and_then(|key| self.fleet.team_of_key(key));
-        let same = team.is_some_and(|team| team.name == pending.team);
-        if route.access == RouteAccess::Open || (same && self.fleet.may_use(team, route)) {
-            return None;
+            pending.timer = Some(time);
+            self.timers.insert((time, request));
         }
-        Some(Refusal::new(RefusalKind::Unauthenticated))
     }
 
-    fn returned(
-        &mut self,
-        id: ReservationId,
-        endpoint: &EndpointName,
-        reason: ReturnReason,
-        now: Timestamp,
-        actions: &mut Vec<Action>,
-    ) {
-        let request = id.request;
-        let waiting = self
-            .requests
-            .get_mut(&request)
-            .filter(|pending| pending.awaits(id));
-        let Some(pending) = waiting else { return };
-        if pending.waiting.remove(endpoint) {
-            pending.note(reason);
-            self.place(request, now, actions);
+    fn clear_timer(&mut self, request: RequestId) {
+        let pending = self.requests.get_mut(&request);
+        if let Some(time) = pending.and_then(|pending| pending.timer.take()) {
+            self.timers.remove(&(time, request));
         }
     }
 
-    fn begin(&mut self, request: RequestId) {
-        let phase = self
-            .requests
-            .get_mut(&request)
-            .map(|pending| &mut pending.phase);
-        if let Some(Phase::Dispatched { begun, .. }) = phase {
-            *begun = true;
+    /// Takes a request out, with its timer and its place among the unpaid.
+    fn forget(&mut self, request: RequestId) -> Option<Pending> {
+        self.clear_timer(request);
+        let pending = self.requests.remove(&request)?;
+        if matches!(pending.phase, Phase::Unpaid { .. }) {
+            self.leave_unpaid(&pending.team, request);
         }
+        Some(pending)
     }
-
-    fn end(
-        &mut self,
-        request: RequestId,
-        ending: Ending,
-        now: Timestamp,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(pending) = self.requests.get_mut(&request) else {
-            return;
-        };
-        let Phase::Dispatched {
-            endpoint,
-            offer,
-            begun,
-        } = pending.phase.clone()
-        else {
-            return;
-        };
-        match ending {
-            Ending::Whole { output } => self.complete(request, output, actions),
-            Ending::NotRun(reason) => self.not_run(request, endpoint, reason, now, actions),
-            Ending::NotSent => {
-                self.not_run(request, endpoint, NotRunReason::EndpointDown, now, actions);
-            }
-            Ending::Failed => self.fail(request, Execution::InPart, actions),
-            Ending::Lost if begun => self.fail(request, Execution::InPart, actions),
-            Ending::Lost => {
-                pending.phase = Phase::Inquiring {
-                    endpoint: endpoint.clone(),
-                    offer,
-                };
-                actions.push(Action::Inquire {
-                    request,
-                    endpoint,
-                    offer,
-                });
-            }
-        }
-    }
-
-    fn complete(&mut self, request: RequestId, output: u32, actions: &mut Vec<Action>) {
-        if let Some(pending) = self.requests.remove(&request) {
-            let unused = pending.arrival.cost.output.saturating_sub(output);
-            self.ledger.refund(&pending.team, u64::from(unused));
-        }
-        actions.push(Action::Close(request));
-    }
-
-    fn fail(&mut self, request: RequestId, execution: Execution, actions: &mut Vec<Action>) {
-        let kind = match execution {
-            Execution::Unknown => RefusalKind::OutcomeUnknown,
-            Execution::NotRun | Execution::InPart => RefusalKind::EndpointFailed,
-        };
-        self.requests.remove(&request);
-        let refusal = Refusal::new(kind).with_execution(execution);
-        actions.push(Action::Refuse { request, refusal });
-    }
-
-    /// Binds a request again after the agent's word that nothing ran.
-    fn not_run(
-        &mut self,
-        request: RequestId,
-        endpoint: EndpointName,
-        reason: NotRunReason,
-        now: Timestamp,
-        actions: &mut Vec<Action>,
-    ) {
-        if reason != NotRunReason::OfferVoid {
-            self.placement.shun(endpoint, now + SHUN_TIME);
-        }
-        let Some(arrival) = self
-            .requests
-            .get(&request)
-            .map(|pending| pending.arrival.clone())
-        else {
-            return;
-        };
-        let unasked = self.unasked(&arrival, now);
-        if let Some(pending) = self.requests.get_mut(&request) {
-            pending.attempt += 1;
-            pending.phase = Phase::Waiting;
-            pending.unasked = unasked;
-            pending.reason = None;
-        }
-        self.place(request, now, actions);
-    }
-
-    fn inquired(
-        &mut self,
-        request: RequestId,
-        status: Option<RunStatus>,
-        now: Timestamp,
-        actions: &mut Vec<Action>,
-    ) {
-        let phase = self
-            .requests
-            .get(&request)
-            .map(|pending| pending.phase.clone());
-        let Some(Phase::Inquiring { endpoint, .. }) = phase else {
-            return;
-        };
-        match status {
-            Some(RunStatus::NeverRuns) => {
-                self.not_run(request, endpoint, NotRunReason::EndpointDown, now, actions);
-            }
-            Some(RunStatus::Running | RunStatus::Ran) => {
-                self.fail(request, Execution::InPart, actions);
-            }
-            Some(RunStatus::Unknown) | None => self.fail(request, Execution::Unknown, actions),
-        }
-    }
-
-    fn caller_gone(&mut self, request: RequestId, actions: &mut Vec<Action>) {
-        let Some(pending) = self.requests.remove(&request) else {
-            return;
-        };
-        let id = pending.id();
-        if pending.phase == Phase::Waiting {
-            self.ledger
-                .refund(&pending.team, pending.arrival.cost.total());
-        }
-        let withdraw = |endpoint| Action::Withdraw { endpoint, id };
-        actions.extend(pending.waiting.into_iter().map(withdraw));
-        actions.push(Action::Close(request));
-    }
-
-    fn expire(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        let late = |pending: &&Pending| pending.phase == Phase::Waiting && pending.deadline <= now;
-        let late: Vec<_> = self
-            .requests
-            .values()
-            .filter(late)
-            .map(|p| p.arrival.id)
-            .collect();
-        for request in late {
-            let refusal = Refusal::new(RefusalKind::DeadlineExceeded).with_retry(RETRY_DELAY);
-            self.refuse(request, refusal, actions);
-        }
-    }
-
-    /// Ends a request that has not run: its tokens go back and its reservations are withdrawn.
-    fn refuse(&mut self, request: RequestId, refusal: Refusal, actions: &mut Vec<Action>) {
-        if let Some(pending) = self.requests.remove(&request) {
-            self.ledger
-                .refund(&pending.team, pending.arrival.cost.total());
-            let id = pending.id();
-            let withdraw = |endpoint| Action::Withdraw { endpoint, id };
-            actions.extend(pending.waiting.into_iter().map(withdraw));
-        }
-        actions.push(Action::Refuse { request, refusal });
-    }
-}
-
-/// The refusal of a request that every candidate has returned.
-fn no_place(reason: Option<ReturnReason>) -> Refusal {
-    let kind = match reason {
-        Some(ReturnReason::Full | ReturnReason::Displaced) => RefusalKind::Overloaded,
-        Some(ReturnReason::Late) => RefusalKind::DeadlineExceeded,
-        Some(ReturnReason::Quarantined) => return Refusal::new(RefusalKind::Quarantined),
-        Some(
-            ReturnReason::Leaving
-            | ReturnReason::EndpointDown
-            | ReturnReason::NotConfigured
-            | ReturnReason::Withdrawn,
-        )
-        | None => RefusalKind::NoEndpoint,
-    };
-    Refusal::new(kind).with_retry(RETRY_DELAY)
 }
--- a/crates/core/src/entry/message.rs
+++ b/crates/core/src/entry/message.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::ledger::{Ask, Loan};
 use crate::agent::RunStatus;
 use crate::fleet::Fleet;
 use crate::id::{KeyDigest, OfferId, RequestId, ReservationId};
@@ -94,6 +95,15 @@
     },
     /// The caller went away.
     CallerGone(RequestId),
+    /// A peer wants to borrow tokens. Answered by [`Action::Lend`] at once.
+    BorrowAsked(Box<Ask>),
+    /// A peer answered an ask, or could not be asked.
+    Lent {
+        /// The ask.
+        ask: Box<Ask>,
+        /// The answer, if there was one.
+        loan: Option<Loan>,
+    },
     /// The process was told to stop: new arrivals are refused.
     Leave,
     /// The time asked for by [`Entry::wake`](super::Entry::wake) has come.
@@ -153,20 +163,25 @@
     },
     /// The request is over; the caller has its answer or is gone.
     Close(RequestId),
+    /// Ask a peer for tokens of a team.
+    Borrow(Box<Ask>),
+    /// Answer the peer whose ask is being handled. The tokens are debited.
+    Lend(Loan),
 }
 
 impl Action {
-    /// The request that the action is about.
+    /// The request that the action is about, if it is about one.
     #[must_use]
-    pub fn request(&self) -> RequestId {
+    pub fn request(&self) -> Option<RequestId> {
         match self {
-            Self::Reserve { reservation, .. } => reservation.id.request,
-            Self::Withdraw { id, .. } => id.request,
+            Self::Reserve { reservation, .. } => Some(reservation.id.request),
+            Self::Withdraw { id, .. } => Some(id.request),
             Self::Release { request, .. }
             | Self::Dispatch { request, .. }
             | Self::Inquire { request, .. }
             | Self::Refuse { request, .. }
-            | Self::Close(request) => *request,
+            | Self::Close(request) => Some(*request),
+            Self::Borrow(_) | Self::Lend(_) => None,
         }
     }
 }
--- a/crates/core/src/entry/pending.rs
+++ b/crates/core/src/entry/pending.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use super::ledger::Charge;
 use super::message::Arrival;
 use crate::id::{BootNonce, OfferId, ReservationId};
 use crate::name::{EndpointName, HostName, TeamName};
@@ -12,6 +13,8 @@
 /// Where a request stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Phase {
+    /// It waits until `until` for tokens of its team.
+    Unpaid { until: Timestamp },
     /// Reservations wait at agents.
     Waiting,
     /// The body was sent, or is being sent, under an accepted offer.
@@ -27,6 +30,13 @@
     },
 }
 
+impl Phase {
+    /// Whether the body may have left.
+    pub(super) fn is_dispatched(&self) -> bool {
+        matches!(self, Self::Dispatched { .. } | Self::Inquiring { .. })
+    }
+}
+
 /// A request that this entry owns.
 #[derive(Debug)]
 pub(super) struct Pending {
@@ -36,6 +46,10 @@
     pub(super) deadline: Timestamp,
     pub(super) phase: Phase,
     pub(super) attempt: u32,
+    /// What its team was charged.
+    pub(super) charge: Charge,
+    /// When it is looked at next.
+    pub(super) timer: Option<Timestamp>,
     /// Candidates that were not asked in this attempt, worst first.
     pub(super) unasked: Vec<EndpointName>,
     /// Agents that hold a reservation.
@@ -45,6 +59,22 @@
 }
 
 impl Pending {
+    pub(super) fn new(arrival: Arrival, team: TeamName, tier: Tier, deadline: Timestamp) -> Self {
+        Self {
+            arrival,
+            team,
+            tier,
+            deadline,
+            phase: Phase::Unpaid { until: deadline },
+            attempt: 0,
+            charge: Charge::default(),
+            timer: None,
+            unasked: Vec::new(),
+            waiting: BTreeSet::new(),
+            reason: None,
+        }
+    }
+
     pub(super) fn id(&self) -> ReservationId {
         ReservationId {
             request: self.arrival.id,
--- a/crates/entry/src/command.rs
+++ b/crates/entry/src/command.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use comfreyhaven_core::entry::{Action, Arrival, Entry, Event};
+use comfreyhaven_core::entry::{Action, Arrival, Ask, Entry, Event, Loan};
 use comfreyhaven_core::{RequestId, Timestamp};
 use tokio::sync::{mpsc, oneshot};
 
@@ -14,6 +14,8 @@
     Event(Event),
     /// A new request, and where to send the actions on it.
     Arrive(Box<Arrival>, mpsc::UnboundedSender<Action>),
+    /// A peer's wish to borrow, and where to send the answer.
+    Borrow(Ask, oneshot::Sender<Option<Loan>>),
     /// A wish for the state.
     Dump(oneshot::Sender<serde_json::Value>),
     /// Whether no request is owned.
@@ -25,28 +27,35 @@
     entry: Entry,
     metrics: Metrics,
     drivers: HashMap<RequestId, mpsc::UnboundedSender<Action>>,
+    asks: mpsc::UnboundedSender<Ask>,
 }
 
 impl Control {
-    pub(crate) fn new(entry: Entry, metrics: Metrics) -> Self {
+    /// A control state whose asks to peers go to `asks`.
+    pub(crate) fn new(entry: Entry, metrics: Metrics, asks: mpsc::UnboundedSender<Ask>) -> Self {
         Self {
             entry,
             metrics,
             drivers: HashMap::new(),
+            asks,
         }
     }
 
     /// Handles one command, or a wake-up, and tells when to be called next.
     pub(crate) fn step(&mut self, command: Option<Command>, now: Timestamp) -> Timestamp {
         match command {
-            None => self.decide(Event::Tick, now),
-            Some(Command::Event(event)) => self.decide(event, now),
+            None => drop(self.decide(Event::Tick, now)),
+            Some(Command::Event(event)) => drop(self.decide(event, now)),
             Some(Command::Arrive(arrival, driver)) => {
                 self.drivers.insert(arrival.id, driver);
                 self.decide(Event::Arrived(arrival), now);
             }
+            Some(Command::Borrow(ask, reply)) => {
+                let loan = self.decide(Event::BorrowAsked(Box::new(ask)), now);
+                let _ = reply.send(loan);
+            }
             Some(Command::Dump(reply)) => {
-                let state = serde_json::to_value(self.entry.state()).unwrap_or_default();
+                let state = serde_json::to_value(self.entry.state(now)).unwrap_or_default();
                 let _ = reply.send(state);
             }
             Some(Command::Idle(reply)) => {
@@ -56,17 +65,31 @@
         self.entry.wake()
     }
 
-    fn decide(&mut self, event: Event, now: Timestamp) {
+    /// Decides on an event and passes the actions on. Returns the loan that a peer is granted.
+    fn decide(&mut self, event: Event, now: Timestamp) -> Option<Loan> {
+        let mut granted = None;
         for action in self.entry.handle(event, now) {
             self.metrics.count(&action);
-            let request = action.request();
-            let last = matches!(action, Action::Refuse { .. } | Action::Close(_));
-            if let Some(driver) = self.drivers.get(&request) {
-                let _ = driver.send(action);
-            }
-            if last {
-                self.drivers.remove(&request);
+            match action {
+                Action::Borrow(ask) => drop(self.asks.send(*ask)),
+                Action::Lend(loan) => granted = Some(loan),
+                action => self.pass(action),
             }
         }
+        granted
+    }
+
+    /// Gives an action to the task of its request.
+    fn pass(&mut self, action: Action) {
+        let Some(request) = action.request() else {
+            return;
+        };
+        let last = matches!(action, Action::Refuse { .. } | Action::Close(_));
+        if let Some(driver) = self.drivers.get(&request) {
+            let _ = driver.send(action);
+        }
+        if last {
+            self.drivers.remove(&request);
+        }
     }
 }
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -103,6 +103,7 @@
                 return true;
             }
             Action::Close(_) => return true,
+            Action::Borrow(_) | Action::Lend(_) => {}
         }
         false
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,9 @@
 mod intake;
 mod links;
 mod metrics;
+mod peer_service;
+mod peers;
+mod pool;
 mod process;
 mod relay;
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -26,7 +26,7 @@
             )?,
             decisions: make(
                 "comfreyhaven_entry_decisions_total",
-                "Reservations, withdrawals, releases, dispatches, inquiries and ends",
+                "Reservations, withdrawals, releases, dispatches, inquiries, ends, asks and loans",
                 &["decision"],
             )?,
         })
@@ -41,6 +41,8 @@
             Action::Dispatch { .. } => "dispatch",
             Action::Inquire { .. } => "inquire",
             Action::Close(_) => "close",
+            Action::Borrow(_) => "borrow",
+            Action::Lend(_) => "lend",
             Action::Refuse { refusal, .. } => {
                 let labels: [&str; 2] = [refusal.kind().into(), refusal.execution().into()];
                 return self.refused.with_label_values(&labels).inc();
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -14,7 +14,7 @@
 use comfreyhaven_process::platform::HttpConfiguration;
 use comfreyhaven_process::{configuration, server, shutdown};
 use prometheus::Registry;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -22,6 +22,8 @@
 use crate::http::{self, Context};
 use crate::links::Links;
 use crate::metrics::Metrics;
+use crate::peer_service;
+use crate::peers::{self, Peers};
 
 /// How often a leaving entry looks whether it may exit.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
@@ -43,7 +45,8 @@
     let metrics = Metrics::new(&registry).map_err(std::io::Error::other)?;
     let boot = BootNonce::new(rand::random());
     let entry = Entry::new(settings.name.clone(), boot, rand::random());
-    let mut state = Control::new(entry, metrics);
+    let (ask_sender, asks) = mpsc::unbounded_channel();
+    let mut state = Control::new(entry, metrics, ask_sender);
     let step = move |command, now| state.step(command, now);
     let (thread, mailbox) = ControlThread::spawn(Clock::start(), step)?;
 
@@ -70,6 +73,14 @@
         health,
     ));
 
+    let peers = Peers::new(settings.name.clone(), source, fleet.clone(), tasks.clone());
+    tasks.spawn(peers::run(asks, peers, mailbox.clone(), stop.clone()));
+    tasks.spawn(peer_service::serve(
+        control_listener,
+        mailbox.clone(),
+        fleet.clone(),
+        stop.clone(),
+    ));
     let links = Links::new(source, fleet.clone(), tasks.clone());
     let drivers = TaskTracker::new();
     let context = Context {
@@ -85,7 +96,7 @@
     stop.cancel();
     tasks.close();
     tasks.wait().await;
-    drop((mailbox, control_listener));
+    drop(mailbox);
     thread.join().await
 }
 
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use comfreyhaven_core::agent::RunStatus;
+use comfreyhaven_core::entry::{Loan, LoanId};
 use comfreyhaven_core::refusal::ReturnReason;
 use comfreyhaven_core::{
     Generation, HostName, OfferId, RequestId, Reservation, ReservationId, TeamName,
@@ -58,17 +59,21 @@
 pub struct BorrowRequest {
     /// Who asks.
     pub borrower: HostName,
-    /// The team.
-    pub team: TeamName,
-    /// Tokens wanted.
-    pub tokens: u64,
+    /// The team, or `None` to learn only which hosts the peer knows.
+    pub team: Option<TeamName>,
+    /// Tokens that the request in hand lacks.
+    pub need: u64,
+    /// Tokens that the borrower can use at most.
+    pub most: u64,
+    /// Earlier loans of the callee whose room it need not keep any longer.
+    pub settled: Vec<LoanId>,
 }
 
-/// Tokens that the lender has already debited.
+/// The answer to a wish to borrow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BorrowReply {
-    /// Tokens granted, from zero to those wanted.
-    pub tokens: u64,
+    /// Tokens that the lender has already debited, or `None` if the callee lends to nobody.
+    pub loan: Option<Loan>,
 }
 
 /// Calls that every process answers to its peers.
