--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -11,7 +11,7 @@
 mod placement;
 
 pub use ledger::{
-    Ask, Charge, HANDOVER, HOLDERS_LIMIT, LOAN_LIFETIME, Ledger, Loan, LoanId, ShareState,
+    Ask, Charge, HANDOVER, HOLDERS_LIMIT, LOAN_LIFETIME, Ledger, Loan, LoanId, Return, ShareState,
     Shortfall,
 };
 pub use machine::{Entry, EntryState, OPEN_TEAM};
--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -8,7 +8,9 @@
 mod borrowing;
 mod headroom;
 mod holders;
+mod lending;
 mod loan;
+mod outbox;
 mod share;
 
 #[cfg(test)]
@@ -26,14 +28,17 @@
 
 use borrowing::Borrower;
 pub use holders::{HOLDERS_LIMIT, HolderSet};
-pub use loan::{Ask, LOAN_LIFETIME, Loan, LoanId};
-use share::Share;
+pub use loan::{Ask, LOAN_LIFETIME, Loan, LoanId, Return};
+use share::{Share, Wish};
 
 /// Time in which every process that can be reached has a configuration in force.
 ///
 /// A share that grows or begins because the set of hosts changed does so only after this time.
 pub const HANDOVER: Duration = Duration::from_secs(10);
 
+/// How long words to a lender wait for an ask that takes them along.
+const FLUSH_DELAY: Duration = Duration::from_millis(50);
+
 /// Generation of a document that was never published before.
 const FIRST_GENERATION: Generation = Generation(1);
 
@@ -53,11 +58,14 @@
 }
 
 /// What a request was charged, by which its unused tokens are given back.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Charge {
     /// Parts of tokens that the share's own level paid.
     own: u128,
+    /// Low point of the share's headroom at which it paid.
     mark: u64,
+    /// Tokens that loans paid.
+    loans: Vec<(HostName, LoanId, u64)>,
 }
 
 /// What operators see of one team's share.
@@ -92,6 +100,8 @@
     /// When a change of the set of hosts is in force everywhere.
     settled: Timestamp,
     confirm: Timestamp,
+    /// When lenders of a team are told what there is to tell.
+    flushes: BTreeSet<(Timestamp, TeamName)>,
     next: u64,
 }
 
@@ -99,6 +109,7 @@
 struct Account {
     share: Share,
     borrower: Borrower,
+    flush: Option<Timestamp>,
 }
 
 impl Ledger {
@@ -116,6 +127,7 @@
             begin: Timestamp::ZERO,
             settled: Timestamp::ZERO,
             confirm: Timestamp::NEVER,
+            flushes: BTreeSet::new(),
             next: first,
         }
     }
@@ -129,16 +141,18 @@
         }
         self.shares.retain(|team, _| fleet.teams.contains_key(team));
         for team in fleet.teams.values() {
-            let part = holders.divisor(&self.name, &team.name);
+            let part = holders.part(&self.name, &team.name);
             let account = self
                 .shares
                 .entry(team.name.clone())
                 .or_insert_with(|| Account {
                     share: Share::new(now),
                     borrower: Borrower::default(),
+                    flush: None,
                 });
             account.share.configure(team, part, self.settled, now);
             account.borrower.peers = holders.peers(&self.name, &team.name);
+            account.borrower.rate = team.rate / holders.count(&team.name).max(1);
         }
         self.holders = holders;
         self.open_if_vouched(now);
@@ -177,10 +191,11 @@
     }
 
     /// Gives back tokens that were charged and not used.
-    pub fn refund(&mut self, team: &TeamName, charge: Charge, unused: u64, now: Timestamp) {
+    pub fn refund(&mut self, team: &TeamName, charge: &Charge, unused: u64, now: Timestamp) {
         if let Some(account) = self.shares.get_mut(team) {
             account.share.give(charge, unused, now);
         }
+        self.flush_after(team, now + FLUSH_DELAY);
     }
 
     /// The asks to send now so that a request of `tokens` can be paid, if any peer may help. `total`
@@ -190,32 +205,44 @@
             return Vec::new();
         };
         let wish = account.share.wish(tokens, total, now);
-        let sequence = &mut self.next;
-        account
-            .borrower
-            .asks(&wish, now)
-            .into_iter()
-            .map(|(peer, settled)| {
-                *sequence = sequence.wrapping_add(1);
-                account.borrower.sent(&peer, *sequence, now);
-                Ask {
-                    id: *sequence,
-                    peer,
-                    team: Some(team.clone()),
-                    need: wish.need,
-                    most: wish.most,
-                    settled,
-                }
-            })
-            .collect()
+        let peers = account.borrower.asks(&wish, now);
+        self.address(team, peers, &wish, now)
     }
 
-    /// When a peer may grant tokens of this team: now if an ask is under way, else when the first
-    /// peer may be asked again.
-    #[must_use]
-    pub fn prospect(&self, team: &TeamName, now: Timestamp) -> Timestamp {
-        let account = self.shares.get(team);
-        account.map_or(Timestamp::NEVER, |account| account.borrower.prospect(now))
+    fn address(
+        &mut self,
+        team: &TeamName,
+        peers: Vec<HostName>,
+        wish: &Wish,
+        now: Timestamp,
+    ) -> Vec<Ask> {
+        let Some(account) = self.shares.get_mut(team) else {
+            return Vec::new();
+        };
+        let mut asks = Vec::new();
+        for peer in peers {
+            self.next = self.next.wrapping_add(1);
+            account.borrower.sent(&peer, self.next, now);
+            let words = account.share.words(&peer);
+            asks.push(Ask {
+                id: self.next,
+                peer,
+                team: Some(team.clone()),
+                need: wish.need,
+                most: wish.most,
+                settled: words.settled,
+                returned: words.returned,
+            });
+        }
+        asks
+    }
+
+    /// When peers may grant what a request of `tokens` lacks, or `None` if they seem to have too
+    /// little. It is now if an ask is under way.
+    pub fn prospect(&mut self, team: &TeamName, tokens: u64, now: Timestamp) -> Option<Timestamp> {
+        let account = self.shares.get_mut(team)?;
+        let wish = account.share.wish(tokens, tokens, now);
+        account.borrower.prospect(wish.need, now)
     }
 
     /// Answers a peer's ask. The tokens are debited before the answer leaves. `waiting` is the size
@@ -237,7 +264,6 @@
             id,
             tokens: grant.tokens,
             left: grant.left,
-            wait: grant.wait,
             holders: self.holders.fingerprint(),
             settling: self.opened.then(|| self.settled.since(now)),
         }
@@ -248,21 +274,57 @@
         if let Some(loan) = &loan {
             self.confirmed(&ask.peer, loan, now);
         }
-        let account = ask.team.as_ref().and_then(|team| self.shares.get_mut(team));
-        let Some(account) = account else { return };
-        let Some(asked) = account.borrower.answered(ask, loan.as_ref(), now) else {
+        let Some(team) = &ask.team else { return };
+        let Some(account) = self.shares.get_mut(team) else {
             return;
         };
-        if let Some(loan) = loan.filter(|loan| loan.tokens > 0)
-            && now < asked + LOAN_LIFETIME
-        {
-            account
-                .share
-                .borrow(loan.tokens, asked + LOAN_LIFETIME, now);
-            if account.share.borrowed() == 0 {
-                account.borrower.settle(&ask.peer, loan.id);
+        let asked = account.borrower.answered(ask, loan.as_ref(), now);
+        let (Some(asked), Some(loan)) = (asked, loan) else {
+            return;
+        };
+        if loan.tokens > 0 {
+            let expiry = asked + LOAN_LIFETIME;
+            account.share.borrow(&ask.peer, &loan, expiry, now);
+            self.flush_after(team, expiry.min(now + FLUSH_DELAY));
+        }
+    }
+
+    /// Sees to it that lenders are told what there is to tell, soon after `time`.
+    fn flush_after(&mut self, team: &TeamName, time: Timestamp) {
+        if let Some(account) = self.shares.get_mut(team) {
+            let time = time.min(account.flush.unwrap_or(time));
+            if let Some(earlier) = account.flush.replace(time) {
+                self.flushes.remove(&(earlier, team.clone()));
+            }
+            self.flushes.insert((time, team.clone()));
+        }
+    }
+
+    /// Words to lenders that have waited long enough.
+    pub fn flush(&mut self, now: Timestamp) -> Vec<Ask> {
+        let mut asks = Vec::new();
+        while let Some((time, team)) = self.flushes.pop_first() {
+            if now < time {
+                self.flushes.insert((time, team));
+                break;
+            }
+            let Some(account) = self.shares.get_mut(&team) else {
+                continue;
+            };
+            account.flush = None;
+            for (peer, words) in account.share.all_words(now) {
+                asks.push(Ask {
+                    team: Some(team.clone()),
+                    settled: words.settled,
+                    returned: words.returned,
+                    ..Ask::question(peer)
+                });
+            }
+            if let Some(expiry) = account.share.next_expiry() {
+                self.flush_after(&team, expiry);
             }
         }
+        asks
     }
 
     fn confirmed(&mut self, peer: &HostName, loan: &Loan, now: Timestamp) {
@@ -309,10 +371,11 @@
         peers.map(Ask::question).collect()
     }
 
-    /// When [`Ledger::confirmations`] has something to say.
+    /// When [`Ledger::confirmations`] or [`Ledger::flush`] has something to say.
     #[must_use]
     pub fn wake(&self) -> Timestamp {
-        self.confirm
+        let flush = self.flushes.first().map(|(time, _)| *time);
+        self.confirm.min(flush.unwrap_or(Timestamp::NEVER))
     }
 
     /// Every share that is not simply full.
--- a/crates/core/src/entry/ledger/borrowing.rs
+++ b/crates/core/src/entry/ledger/borrowing.rs
@@ -1,28 +1,31 @@
 //! Whom a short share asks, and when.
 //!
-//! A team has at most [`ASKS_LIMIT`] asks under way and one to each peer. A peer that could not
-//! grant what was needed is left alone until it has refilled, and one that did not answer for a
-//! time that doubles, so that a team at its limit does not flood its holders.
+//! A team has one ask under way, and more only after [`HEDGE_DELAY`]: what several peers grant for one
+//! need would lie idle here. Each answer tells what the
+//! peer has left, from which its level is estimated; nobody is asked if all peers together seem to
+//! have too little. So a team at its limit does not flood its holders.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::loan::{Ask, LOAN_LIFETIME, Loan, LoanId};
+use super::loan::{Ask, LOAN_LIFETIME, Loan};
 use super::share::Wish;
 use crate::name::HostName;
 use crate::time::Timestamp;
 
-/// Asks of one team under way at once.
-const ASKS_LIMIT: usize = 3;
+/// Time after which another peer is asked although an answer is still due.
+const HEDGE_DELAY: Duration = Duration::from_millis(20);
 
-/// Shortest pause before a peer that could not grant the need is asked again.
+/// Pause before a peer that could not grant the need is asked again, and first pause after a
+/// failure.
 const PAUSE_MIN: Duration = Duration::from_millis(20);
 
-/// Longest pause before a peer is asked again.
+/// Longest pause before a peer that failed is asked again.
 const PAUSE_MAX: Duration = Duration::from_secs(5);
 
-/// Loans that one ask can settle.
-const SETTLED_LIMIT: usize = 16;
+/// How long an answer tells anything: later, refunds may have filled the peer.
+const ESTIMATE_LIFETIME: Duration = Duration::from_millis(50);
 
 #[derive(Debug, Default)]
 struct Peer {
@@ -31,7 +34,8 @@
     /// When it may be asked again.
     after: Timestamp,
     failures: u32,
-    settled: Vec<LoanId>,
+    /// What it had left, and when it said so.
+    left: Option<(u64, Timestamp)>,
 }
 
 /// One team's asks.
@@ -39,52 +43,80 @@
 pub(super) struct Borrower {
     /// The other holders, in the order in which they are asked.
     pub(super) peers: Vec<HostName>,
+    /// Tokens a second that each of them gains.
+    pub(super) rate: u64,
     known: BTreeMap<HostName, Peer>,
 }
 
 impl Borrower {
-    /// The peers to ask now, with the loans that each ask settles.
-    pub(super) fn asks(&mut self, wish: &Wish, now: Timestamp) -> Vec<(HostName, Vec<LoanId>)> {
-        if wish.need == 0 {
-            return Vec::new();
-        }
+    /// The peers to ask now, those first that seem to have most.
+    pub(super) fn asks(&mut self, wish: &Wish, now: Timestamp) -> Vec<HostName> {
         self.give_up(now);
-        let under_way = self.known.values().filter(|peer| peer.asked.is_some());
-        let free = ASKS_LIMIT.saturating_sub(under_way.count());
-        let mut asks = Vec::new();
-        for name in &self.peers {
-            if asks.len() == free {
-                break;
-            }
-            let peer = self.known.entry(name.clone()).or_default();
-            if peer.asked.is_none() && peer.after <= now {
-                asks.push((name.clone(), std::mem::take(&mut peer.settled)));
-            }
+        let free = usize::from(!self.is_asking(now));
+        if wish.need == 0 || self.estimate(now) < wish.need {
+            return Vec::new();
         }
-        asks
+        let askable = |name: &&HostName| self.level(name, now) > 0 && self.after(name) <= now;
+        let mut peers: Vec<&HostName> = self.peers.iter().filter(askable).collect();
+        peers.sort_by_key(|name| Reverse(self.level(name, now)));
+        peers.into_iter().take(free).cloned().collect()
+    }
+
+    /// Whether an ask is under way whose answer is not overdue.
+    fn is_asking(&self, now: Timestamp) -> bool {
+        let mut asked = self.known.values().filter_map(|peer| peer.asked);
+        asked.any(|(_, since)| now < since + HEDGE_DELAY)
     }
 
     pub(super) fn sent(&mut self, name: &HostName, id: u64, now: Timestamp) {
         self.known.entry(name.clone()).or_default().asked = Some((id, now));
     }
 
-    /// When a peer may grant something, now if an ask is under way.
-    pub(super) fn prospect(&self, now: Timestamp) -> Timestamp {
-        let time = |name| match self.known.get(name) {
-            Some(peer) if peer.asked.is_none() => peer.after.max(now),
-            Some(_) | None => now,
-        };
-        let times = self.peers.iter().map(time);
-        times.min().unwrap_or(Timestamp::NEVER)
+    /// When a peer may grant what is needed, or nothing if all together seem to have too little.
+    pub(super) fn prospect(&self, need: u64, now: Timestamp) -> Option<Timestamp> {
+        if self.known.values().any(|peer| peer.asked.is_some()) {
+            return Some(now);
+        }
+        if self.estimate(now) < need {
+            return None;
+        }
+        let times = self.peers.iter().map(|name| self.after(name).max(now));
+        times.min()
+    }
+
+    /// What all peers seem to have.
+    fn estimate(&self, now: Timestamp) -> u64 {
+        let levels = self.peers.iter().map(|name| self.level(name, now));
+        levels.fold(0, u64::saturating_add)
+    }
+
+    /// What a peer seems to have at most.
+    fn level(&self, name: &HostName, now: Timestamp) -> u64 {
+        let peer = self.known.get(name);
+        match peer.and_then(|peer| peer.left) {
+            Some(_) if peer.is_some_and(|peer| peer.failures > 0 && now < peer.after) => 0,
+            Some((left, since)) if now.since(since) < ESTIMATE_LIFETIME => {
+                let micros = now.since(since).as_micros() * u128::from(self.rate);
+                left.saturating_add(u64::try_from(micros / 1_000_000).unwrap_or(u64::MAX))
+            }
+            Some(_) | None => u64::MAX,
+        }
+    }
+
+    /// When a peer may be asked, or never while an ask to it is under way.
+    fn after(&self, name: &HostName) -> Timestamp {
+        match self.known.get(name) {
+            Some(peer) if peer.asked.is_some() => Timestamp::NEVER,
+            Some(peer) => peer.after,
+            None => Timestamp::ZERO,
+        }
     }
 
     /// Counts asks whose answer could no longer be used as failed.
     fn give_up(&mut self, now: Timestamp) {
+        let late = |since: Timestamp| since + LOAN_LIFETIME <= now;
         for peer in self.known.values_mut() {
-            if peer
-                .asked
-                .is_some_and(|(_, since)| since + LOAN_LIFETIME <= now)
-            {
+            if peer.asked.is_some_and(|(_, since)| late(since)) {
                 peer.fail(now);
             }
         }
@@ -100,34 +132,28 @@
         let peer = self.known.get_mut(&ask.peer)?;
         let (_, since) = peer.asked.filter(|(id, _)| *id == ask.id)?;
         match loan {
-            Some(loan) => peer.succeed(loan, now),
+            Some(loan) => peer.succeed(ask, loan, now),
             None => peer.fail(now),
         }
         Some(since)
     }
-
-    /// Notes a loan that the borrower's own capacity now covers.
-    pub(super) fn settle(&mut self, name: &HostName, loan: LoanId) {
-        let peer = self.known.entry(name.clone()).or_default();
-        if peer.settled.len() < SETTLED_LIMIT {
-            peer.settled.push(loan);
-        }
-    }
 }
 
 impl Peer {
-    fn succeed(&mut self, loan: &Loan, now: Timestamp) {
+    fn succeed(&mut self, ask: &Ask, loan: &Loan, now: Timestamp) {
         self.asked = None;
         self.failures = 0;
-        self.after = if loan.wait.is_zero() {
-            now
+        self.left = Some((loan.left, now));
+        self.after = if loan.tokens < ask.need {
+            now + PAUSE_MIN
         } else {
-            now + loan.wait.clamp(PAUSE_MIN, PAUSE_MAX)
+            now
         };
     }
 
     fn fail(&mut self, now: Timestamp) {
         self.asked = None;
+        self.left = Some((0, now));
         let pause = PAUSE_MIN * 2_u32.saturating_pow(self.failures.min(8));
         self.failures += 1;
         self.after = now + pause.min(PAUSE_MAX);
--- a/crates/core/src/entry/ledger/holders.rs
+++ b/crates/core/src/entry/ledger/holders.rs
@@ -8,7 +8,36 @@
 use crate::name::{HostName, TeamName};
 
 /// Hosts that hold a share of one team at most. More would cut a small burst into useless pieces.
-pub const HOLDERS_LIMIT: usize = 8;
+pub const HOLDERS_LIMIT: usize = 3;
+
+/// The part of a team that one host holds. The default holds nothing.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Part {
+    /// How many hosts hold a part.
+    pub(super) divisor: u64,
+    /// Which of them this is; the first ones hold the tokens that cannot be split evenly.
+    pub(super) index: u64,
+}
+
+impl Part {
+    pub(super) fn is_none(self) -> bool {
+        self.divisor == 0
+    }
+
+    /// Whether this part may hold more than `other`.
+    pub(super) fn exceeds(self, other: Self) -> bool {
+        let order = |part: Self| (part.is_none(), part.divisor, part.index);
+        order(self) < order(other)
+    }
+
+    /// This part of a whole number of tokens.
+    pub(super) fn of(self, tokens: u64) -> u64 {
+        match self.divisor {
+            0 => 0,
+            divisor => tokens / divisor + u64::from(self.index < tokens % divisor),
+        }
+    }
+}
 
 /// The declared entry hosts. A host whose address changes counts as another one.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -59,11 +88,20 @@
         names.filter(|host| *host != name).cloned().collect()
     }
 
-    /// The part of a team that `name` holds: one in so many, or none.
-    #[must_use]
-    pub fn divisor(&self, name: &HostName, team: &TeamName) -> Option<u64> {
+    /// The part of a team that `name` holds.
+    pub(super) fn part(&self, name: &HostName, team: &TeamName) -> Part {
         let holders = self.holders(team);
-        holders.contains(&name).then_some(holders.len() as u64)
+        let index = holders.iter().position(|host| *host == name);
+        index.map_or(Part::default(), |index| Part {
+            divisor: holders.len() as u64,
+            index: index as u64,
+        })
+    }
+
+    /// How many hosts hold a share of a team.
+    #[must_use]
+    pub fn count(&self, team: &TeamName) -> u64 {
+        self.holders(team).len() as u64
     }
 
     /// The other holders of a team, in the order in which `name` asks them. Each asker has an
--- a/crates/core/src/entry/ledger/loan.rs
+++ b/crates/core/src/entry/ledger/loan.rs
@@ -13,6 +13,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct LoanId(pub u64);
 
+/// Tokens of a loan that were not used, or came too late to be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Return {
+    /// The loan.
+    pub loan: LoanId,
+    /// Tells the returns of one loan apart.
+    pub number: u64,
+    /// Tokens that the lender has again.
+    pub tokens: u64,
+}
+
 /// A wish to borrow tokens of a team.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ask {
@@ -26,8 +37,11 @@
     pub need: u64,
     /// Tokens that the borrower can use at most.
     pub most: u64,
-    /// Earlier loans of this lender that now count against the borrower's own capacity.
+    /// Earlier loans of this lender that are spent, returned, or counted against the borrower's own
+    /// capacity.
     pub settled: Vec<LoanId>,
+    /// Tokens of earlier loans that the lender has again.
+    pub returned: Vec<Return>,
 }
 
 impl Ask {
@@ -41,6 +55,7 @@
             need: 0,
             most: 0,
             settled: Vec::new(),
+            returned: Vec::new(),
         }
     }
 }
@@ -54,8 +69,6 @@
     pub tokens: u64,
     /// Tokens that the lender has left.
     pub left: u64,
-    /// Time in which the lender will have refilled what was needed and could not be granted.
-    pub wait: Duration,
     /// Fingerprint of the hosts that the lender knows.
     pub holders: u64,
     /// Time until every process knows of the hosts that this set left out, or `None` if the lender
--- a/crates/core/src/entry/ledger/share.rs
+++ b/crates/core/src/entry/ledger/share.rs
@@ -4,14 +4,17 @@
 //! borrower's capacity, are at most the team's burst. The lender keeps the room of a loan free
 //! until the loan is settled or can no longer be credited.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use super::headroom::Headroom;
-use super::loan::{Ask, LOAN_LIFETIME, LoanId};
+use super::holders::Part;
+use super::lending::Lending;
+use super::loan::{Ask, LOAN_LIFETIME, Loan, LoanId, Return};
+use super::outbox::{Outbox, Words};
 use super::{Charge, ShareState, Shortfall};
 use crate::fleet::Team;
-use crate::name::TeamName;
+use crate::name::{HostName, TeamName};
 use crate::time::Timestamp;
 
 /// Parts of a token, so that slow rates lose nothing to rounding.
@@ -38,19 +41,12 @@
     pub(super) tokens: u64,
     /// Tokens that are left.
     pub(super) left: u64,
-    /// When the rest of the need would be here.
-    pub(super) wait: Duration,
-}
-
-#[derive(Debug)]
-struct Lent {
-    id: LoanId,
-    parts: u128,
-    expiry: Timestamp,
 }
 
 #[derive(Debug)]
 struct Borrowed {
+    lender: HostName,
+    id: LoanId,
     parts: u128,
     expiry: Timestamp,
 }
@@ -59,15 +55,15 @@
 pub(super) struct Share {
     rate: u64,
     burst: u64,
-    /// One in so many of the team is held here; zero is none.
-    divisor: u64,
-    /// The divisor that comes in force, and when.
-    next: (u64, Timestamp),
+    part: Part,
+    /// The part that comes in force, and when.
+    next: (Part, Timestamp),
     level: u128,
     updated: Timestamp,
-    lent: VecDeque<Lent>,
+    lending: Lending,
     borrowed: VecDeque<Borrowed>,
     headroom: Headroom,
+    outbox: Outbox,
 }
 
 impl Share {
@@ -75,13 +71,14 @@
         Self {
             rate: 0,
             burst: 0,
-            divisor: 0,
-            next: (0, now),
+            part: Part::default(),
+            next: (Part::default(), now),
             level: 0,
             updated: now,
-            lent: VecDeque::new(),
+            lending: Lending::default(),
             borrowed: VecDeque::new(),
             headroom: Headroom::default(),
+            outbox: Outbox::default(),
         }
     }
 
@@ -89,20 +86,18 @@
     pub(super) fn configure(
         &mut self,
         team: &Team,
-        part: Option<u64>,
+        part: Part,
         settled: Timestamp,
         now: Timestamp,
     ) {
         self.refill(now);
         self.headroom.note(self.capacity_left());
         (self.rate, self.burst) = (team.rate, team.burst);
-        let divisor = part.unwrap_or_default();
-        let grows = divisor != 0 && (self.divisor == 0 || divisor < self.divisor);
-        if grows && now < settled {
-            self.next = (divisor, settled);
+        if part.exceeds(self.part) && now < settled {
+            self.next = (part, settled);
         } else {
-            self.divisor = divisor;
-            self.next = (divisor, now);
+            self.part = part;
+            self.next = (part, now);
         }
         self.clip();
     }
@@ -113,34 +108,41 @@
     }
 
     fn refill(&mut self, now: Timestamp) {
-        let (divisor, start) = self.next;
-        if divisor != self.divisor && start <= now {
+        let (part, start) = self.next;
+        if part != self.part && start <= now {
             self.fill(start.max(self.updated));
             self.headroom.note(self.capacity_left());
-            self.divisor = divisor;
+            self.part = part;
         }
         self.fill(now);
-        self.drop_lent(|lent| lent.expiry <= now);
-        self.borrowed.retain(|loan| now < loan.expiry);
+        self.release(&[], now);
+        self.expire(now);
         self.absorb();
     }
 
-    /// Forgets loans whose room is needed no longer.
-    fn drop_lent(&mut self, over: impl Fn(&Lent) -> bool) {
-        if self.lent.iter().any(&over) {
-            self.headroom.note(self.capacity_left());
-            self.lent.retain(|lent| !over(lent));
+    /// Releases the room of loans that are over.
+    fn release(&mut self, settled: &[LoanId], now: Timestamp) {
+        let (room, level) = (self.room(), self.level);
+        let headroom = &mut self.headroom;
+        let mark = || headroom.note(room.saturating_sub(level));
+        self.lending.release(settled, now, mark);
+    }
+
+    /// Gives back what was borrowed and not spent in time.
+    fn expire(&mut self, now: Timestamp) {
+        let expired = |loan: &&Borrowed| loan.expiry <= now;
+        for loan in self.borrowed.iter().filter(expired) {
+            let tokens = tokens(loan.parts);
+            self.outbox.give_back(&loan.lender, loan.id, tokens);
+            self.outbox.settle(&loan.lender, loan.id);
         }
+        self.borrowed.retain(|loan| now < loan.expiry);
     }
 
     fn fill(&mut self, until: Timestamp) {
         let elapsed = until.since(self.updated).as_micros();
         self.updated = self.updated.max(until);
-        if self.divisor > 0 {
-            let parts =
-                elapsed * u128::from(self.rate) * PARTS_PER_MICRO / u128::from(self.divisor);
-            self.level += parts;
-        }
+        self.level += self.gain(elapsed);
         self.clip();
     }
 
@@ -148,31 +150,27 @@
         self.level = self.level.min(self.room());
     }
 
+    /// What the share gains in a time.
+    fn gain(&self, micros: u128) -> u128 {
+        let whole = micros * u128::from(self.rate) * PARTS_PER_MICRO;
+        whole
+            .checked_div(u128::from(self.part.divisor))
+            .unwrap_or_default()
+    }
+
     fn capacity(&self) -> u128 {
-        match self.divisor {
-            0 => 0,
-            divisor => u128::from(self.burst) * PARTS_PER_TOKEN / u128::from(divisor),
-        }
+        u128::from(self.part.of(self.burst)) * PARTS_PER_TOKEN
     }
 
     /// What the level may be while loans are out.
     fn room(&self) -> u128 {
-        self.capacity().saturating_sub(self.lent_parts())
-    }
-
-    fn lent_parts(&self) -> u128 {
-        self.lent.iter().map(|lent| lent.parts).sum()
+        self.capacity().saturating_sub(self.lending.room())
     }
 
     fn borrowed_parts(&self) -> u128 {
         self.borrowed.iter().map(|loan| loan.parts).sum()
     }
 
-    /// Tokens borrowed beyond the capacity.
-    pub(super) fn borrowed(&self) -> u64 {
-        tokens(self.borrowed_parts().div_ceil(PARTS_PER_TOKEN) * PARTS_PER_TOKEN)
-    }
-
     /// Moves loans into the level as far as its own room allows.
     fn absorb(&mut self) {
         while let Some(loan) = self.borrowed.front_mut() {
@@ -193,6 +191,7 @@
         if let Some(loan) = self.borrowed.front_mut() {
             loan.parts -= parts;
             if loan.parts == 0 {
+                self.outbox.settle(&loan.lender, loan.id);
                 self.borrowed.pop_front();
             }
         }
@@ -216,16 +215,19 @@
 
     /// Spends loans first, since they expire.
     fn spend(&mut self, mut parts: u128) -> Charge {
-        while let Some(first) = self.borrowed.front().map(|loan| loan.parts) {
-            let spent = first.min(parts);
+        let mut charge = Charge::default();
+        while let Some(first) = self.borrowed.front().filter(|_| parts > 0) {
+            let spent = first.parts.min(parts);
+            charge
+                .loans
+                .push((first.lender.clone(), first.id, tokens(spent)));
             self.reduce_first(spent);
             parts -= spent;
-            if parts == 0 {
-                return Charge::default();
-            }
         }
-        let mark = self.debit(parts);
-        Charge { own: parts, mark }
+        if parts > 0 {
+            (charge.own, charge.mark) = (parts, self.debit(parts));
+        }
+        charge
     }
 
     /// Lowers the level. Returns the number of the low point of the headroom before it.
@@ -235,14 +237,40 @@
         mark
     }
 
-    /// Gives unused tokens of a charge back, as if they had never been charged. Those that a loan
-    /// paid are lost.
-    pub(super) fn give(&mut self, charge: Charge, unused: u64, now: Timestamp) {
+    /// Gives unused tokens of a charge back, as if they had never been charged: first here, then to
+    /// the lenders.
+    pub(super) fn give(&mut self, charge: &Charge, unused: u64, now: Timestamp) {
         self.refill(now);
-        let parts = (u128::from(unused) * PARTS_PER_TOKEN).min(charge.own);
+        let parts = u128::from(unused) * PARTS_PER_TOKEN;
         self.headroom.note(self.capacity_left());
-        self.level += self.headroom.refund(parts, charge.mark);
+        let own = match charge.own {
+            0 => 0,
+            own => self.headroom.refund(parts.min(own), charge.mark),
+        };
+        self.level += own;
         self.clip();
+        let mut rest = tokens(parts - own);
+        for (lender, loan, tokens) in &charge.loans {
+            let back = rest.min(*tokens);
+            self.outbox.give_back(lender, *loan, back);
+            rest -= back;
+        }
+    }
+
+    /// Takes what one lender is to be told.
+    pub(super) fn words(&mut self, lender: &HostName) -> Words {
+        self.outbox.take(lender)
+    }
+
+    /// Takes what the lenders are to be told at `now`.
+    pub(super) fn all_words(&mut self, now: Timestamp) -> BTreeMap<HostName, Words> {
+        self.refill(now);
+        self.outbox.take_all()
+    }
+
+    /// When the first loan that is kept beyond the capacity expires.
+    pub(super) fn next_expiry(&self) -> Option<Timestamp> {
+        self.borrowed.iter().map(|loan| loan.expiry).min()
     }
 
     /// What a request of `count` tokens lacks, and how much can be used for all that wait.
@@ -262,50 +290,55 @@
     /// Debits a loan. A share that is busy grants nothing.
     pub(super) fn lend(&mut self, id: LoanId, ask: &Ask, busy: bool, now: Timestamp) -> Grant {
         self.refill(now);
-        self.drop_lent(|lent| ask.settled.contains(&lent.id));
+        self.take_back(&ask.returned);
+        self.release(&ask.settled, now);
         let level = tokens(self.level);
         let spare = if busy { 0 } else { ask.need.max(level / 2) };
         let granted = spare.min(ask.most).min(level);
         if granted > 0 {
             let parts = u128::from(granted) * PARTS_PER_TOKEN;
             self.debit(parts);
-            let expiry = now + ROOM_LIFETIME;
-            self.lent.push_back(Lent { id, parts, expiry });
+            self.lending.add(id, parts, now + ROOM_LIFETIME);
         }
-        let missing = ask.need.saturating_sub(granted);
         Grant {
             tokens: granted,
             left: level - granted,
-            wait: self.fill_time(missing),
         }
     }
 
-    fn fill_time(&self, count: u64) -> Duration {
-        let slowness = u128::from(count) * u128::from(self.divisor) * 1_000_000;
-        let micros = slowness / u128::from(self.rate.max(1));
-        Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    fn take_back(&mut self, returned: &[Return]) {
+        for back in returned {
+            let parts = u128::from(back.tokens) * PARTS_PER_TOKEN;
+            self.headroom.note(self.capacity_left());
+            self.level += self.lending.take_back(back, parts, &mut self.headroom);
+            self.clip();
+        }
     }
 
     /// Credits a loan that lasts until `expiry`.
-    pub(super) fn borrow(&mut self, count: u64, expiry: Timestamp, now: Timestamp) {
+    pub(super) fn borrow(
+        &mut self,
+        lender: &HostName,
+        loan: &Loan,
+        expiry: Timestamp,
+        now: Timestamp,
+    ) {
+        self.borrowed.push_back(Borrowed {
+            lender: lender.clone(),
+            id: loan.id,
+            parts: u128::from(loan.tokens) * PARTS_PER_TOKEN,
+            expiry,
+        });
         self.refill(now);
-        let parts = u128::from(count) * PARTS_PER_TOKEN;
-        self.borrowed.push_back(Borrowed { parts, expiry });
-        self.absorb();
     }
 
     /// What operators see, or nothing if the share is full and no loan is out.
     pub(super) fn state(&self, team: &TeamName, now: Timestamp) -> Option<ShareState> {
-        let elapsed = now.since(self.updated).as_micros() * u128::from(self.rate);
-        let filled = match self.divisor {
-            0 => 0,
-            divisor => elapsed * PARTS_PER_MICRO / u128::from(divisor),
-        };
-        let level = (self.level + filled).min(self.room());
-        let lent = self.lent.iter().filter(|lent| now < lent.expiry);
-        let lent: u128 = lent.map(|lent| lent.parts).sum();
+        let gained = self.gain(now.since(self.updated).as_micros());
+        let level = (self.level + gained).min(self.room());
+        let lent = self.lending.room();
         let borrowed = self.borrowed_parts();
-        if level == self.capacity() && lent == 0 && borrowed == 0 {
+        if level == self.capacity() && self.lending.is_idle(now) && borrowed == 0 {
             return None;
         }
         Some(ShareState {
--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -145,11 +145,11 @@
     fn configure(&mut self, fleet: Arc<Fleet>, now: Timestamp, actions: &mut Vec<Action>) {
         self.ledger.configure(&fleet, now);
         self.fleet = fleet;
-        self.confirm_hosts(now, actions);
+        self.tell_peers(now, actions);
     }
 
     fn tick(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        self.confirm_hosts(now, actions);
+        self.tell_peers(now, actions);
         while let Some(&(time, request)) = self.timers.first()
             && time <= now
         {
--- a/crates/core/src/entry/machine/payment.rs
+++ b/crates/core/src/entry/machine/payment.rs
@@ -14,7 +14,7 @@
 /// How long a request waits for tokens at most.
 const PAYMENT_WAIT: Duration = Duration::from_millis(500);
 
-/// How often the first waiting request of a team looks for tokens.
+/// How often a waiting request looks for tokens.
 const PAYMENT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Requests of one team that wait for tokens at most.
@@ -38,11 +38,7 @@
             return self.refuse(request, refusal, now, actions);
         }
         waiting.push_back(request);
-        if waiting.len() == 1 {
-            self.settle_unpaid(&team, now, actions);
-        } else {
-            self.set_timer(request, until);
-        }
+        self.charge(&team, request, now, actions);
     }
 
     /// Looks again at a request that waits for tokens.
@@ -54,47 +50,59 @@
     ) {
         if let Some(pending) = self.requests.get(&request) {
             let team = pending.team.clone();
-            self.settle_unpaid(&team, now, actions);
+            self.charge(&team, request, now, actions);
         }
     }
 
-    /// Charges the waiting requests of a team in their order, until one must wait on.
-    fn settle_unpaid(&mut self, team: &TeamName, now: Timestamp, actions: &mut Vec<Action>) {
-        while let Some(&request) = self.unpaid.get(team).and_then(|waiting| waiting.front()) {
-            let Some(pending) = self.requests.get(&request) else {
+    /// Charges every waiting request of a team that its tokens now cover.
+    fn charge_all(&mut self, team: &TeamName, now: Timestamp, actions: &mut Vec<Action>) {
+        for request in self.unpaid.get(team).cloned().unwrap_or_default() {
+            self.charge(team, request, now, actions);
+        }
+    }
+
+    /// Charges one request, or lets it wait while a loan or its team's rate may soon cover it.
+    ///
+    /// A request that the tokens cover does not wait behind a larger one that they do not cover, as
+    /// it would not with one exact bucket.
+    fn charge(
+        &mut self,
+        team: &TeamName,
+        request: RequestId,
+        now: Timestamp,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let Phase::Unpaid { until } = pending.phase else {
+            return;
+        };
+        let tokens = pending.arrival.cost.total();
+        match self.ledger.take(team, tokens, now) {
+            Ok(charge) => {
+                pending.charge = charge;
                 self.leave_unpaid(team, request);
-                continue;
-            };
-            let (tokens, phase) = (pending.arrival.cost.total(), pending.phase.clone());
-            match self.ledger.take(team, tokens, now) {
-                Ok(charge) => {
-                    self.leave_unpaid(team, request);
-                    if let Some(pending) = self.requests.get_mut(&request) {
-                        pending.charge = charge;
-                    }
-                    self.bind(request, now, actions);
-                }
-                Err(Shortfall::TooLarge) => {
-                    let refusal = Refusal::new(RefusalKind::RateExceeded);
-                    self.refuse(request, refusal, now, actions);
-                }
-                Err(Shortfall::Short { refill }) => {
-                    let Phase::Unpaid { until } = phase else {
-                        return;
-                    };
-                    self.borrow(team, tokens, now, actions);
-                    let hope = self.ledger.prospect(team, now).min(now + refill);
-                    if now < until && hope < until {
-                        return self.set_timer(request, until.min(now + PAYMENT_INTERVAL));
-                    }
-                    let refusal = Refusal::new(RefusalKind::RateExceeded).with_retry(refill);
-                    self.refuse(request, refusal, now, actions);
+                self.bind(request, now, actions);
+            }
+            Err(Shortfall::TooLarge) => {
+                let refusal = Refusal::new(RefusalKind::RateExceeded);
+                self.refuse(request, refusal, now, actions);
+            }
+            Err(Shortfall::Short { refill }) => {
+                self.borrow(team, tokens, now, actions);
+                let lent = self.ledger.prospect(team, tokens, now);
+                let soon = refill <= PAYMENT_INTERVAL;
+                if now < until && (soon || lent.is_some_and(|time| time < until)) {
+                    return self.set_timer(request, until.min(now + PAYMENT_INTERVAL));
                 }
+                let refusal = Refusal::new(RefusalKind::RateExceeded).with_retry(refill);
+                self.refuse(request, refusal, now, actions);
             }
         }
     }
 
-    /// Asks peers for what the first waiting request of a team lacks.
+    /// Asks peers for what a waiting request of a team lacks.
     fn borrow(&mut self, team: &TeamName, tokens: u64, now: Timestamp, actions: &mut Vec<Action>) {
         let waiting = self.unpaid.get(team).into_iter().flatten();
         let costs = waiting.filter_map(|request| self.requests.get(request));
@@ -113,9 +121,10 @@
         }
     }
 
-    /// Asks peers whether they know the same hosts, while this process has just started.
-    pub(super) fn confirm_hosts(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        let asks = self.ledger.confirmations(now);
+    /// Tells peers what the ledger has to tell.
+    pub(super) fn tell_peers(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        let mut asks = self.ledger.confirmations(now);
+        asks.extend(self.ledger.flush(now));
         actions.extend(asks.into_iter().map(|ask| Action::Borrow(Box::new(ask))));
     }
 
@@ -139,13 +148,13 @@
     ) {
         self.ledger.lent(ask, loan, now);
         if let Some(team) = &ask.team {
-            self.settle_unpaid(team, now, actions);
+            self.charge_all(team, now, actions);
         }
     }
 
     /// Gives a request's unused tokens back to the share that paid them.
     pub(super) fn refund(&mut self, pending: &Pending, unused: u64, now: Timestamp) {
         self.ledger
-            .refund(&pending.team, pending.charge, unused, now);
+            .refund(&pending.team, &pending.charge, unused, now);
     }
 }
--- a/crates/entry/src/peer_service.rs
+++ b/crates/entry/src/peer_service.rs
@@ -61,6 +61,7 @@
             need: request.need,
             most: request.most,
             settled: request.settled,
+            returned: request.returned,
         };
         let loan = control::ask(self.mailbox, |reply| Command::Borrow(ask, reply)).await;
         BorrowReply { loan }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -50,6 +50,7 @@
             need: ask.need,
             most: ask.most,
             settled: ask.settled.clone(),
+            returned: ask.returned.clone(),
         };
         let reply = client.borrow(within(LOAN_LIFETIME), request).await;
         Ok(self.pool.check(&cell, reply)?.loan)
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use comfreyhaven_core::agent::RunStatus;
-use comfreyhaven_core::entry::{Loan, LoanId};
+use comfreyhaven_core::entry::{Loan, LoanId, Return};
 use comfreyhaven_core::refusal::ReturnReason;
 use comfreyhaven_core::{
     Generation, HostName, OfferId, RequestId, Reservation, ReservationId, TeamName,
@@ -67,6 +67,8 @@
     pub most: u64,
     /// Earlier loans of the callee whose room it need not keep any longer.
     pub settled: Vec<LoanId>,
+    /// Tokens of earlier loans that the callee has again.
+    pub returned: Vec<Return>,
 }
 
 /// The answer to a wish to borrow.
