--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,8 +10,10 @@
 pub mod fleet;
 pub mod id;
 pub mod name;
+pub mod pause;
 pub mod refusal;
 pub mod request;
+pub mod spread;
 pub mod time;
 
 pub use id::{BootNonce, Generation, KeyDigest, OfferId, RequestId, ReservationId};
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,7 +10,6 @@
 mod intake;
 mod links;
 mod metrics;
-mod peer_service;
 mod peers;
 mod pool;
 mod process;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,4 +1,4 @@
-//! Borrowing from other entries.
+//! Borrowing from other entries, and lending to them.
 
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -6,10 +6,11 @@
 use comfreyhaven_core::HostName;
 use comfreyhaven_core::entry::{Ask, Event, LOAN_LIFETIME, Loan};
 use comfreyhaven_core::fleet::Fleet;
-use comfreyhaven_process::control::Mailbox;
+use comfreyhaven_process::control::{self, Mailbox};
+use comfreyhaven_process::peer::Lender;
 use comfreyhaven_wire::preface::ServiceKind;
-use comfreyhaven_wire::service::{BorrowRequest, PeerControlClient};
-use tarpc::client::Config;
+use comfreyhaven_wire::service::{BorrowReply, BorrowRequest, PeerControlClient};
+use tarpc::client::{Config, RpcError};
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -39,7 +40,18 @@
         }
     }
 
+    /// Asks once more if the connection was lost, as it is after a time without calls. If the first
+    /// ask was granted, its tokens are lost.
     async fn borrow(&self, ask: &Ask) -> Result<Option<Loan>, LinkError> {
+        match self.call(ask).await {
+            Err(LinkError::Call(error)) if !matches!(error, RpcError::DeadlineExceeded) => {
+                self.call(ask).await
+            }
+            answer => answer,
+        }
+    }
+
+    async fn call(&self, ask: &Ask) -> Result<Option<Loan>, LinkError> {
         let target = self.fleet.borrow().hosts.get(&ask.peer).map(|h| h.control);
         let target = target.ok_or(LinkError::Undeclared)?;
         let make = |transport| PeerControlClient::new(Config::default(), transport);
@@ -57,6 +69,34 @@
     }
 }
 
+/// Lends what the control thread grants.
+#[derive(Clone)]
+pub(crate) struct MailboxLender {
+    mailbox: Mailbox<Command>,
+}
+
+impl MailboxLender {
+    pub(crate) fn new(mailbox: Mailbox<Command>) -> Self {
+        Self { mailbox }
+    }
+}
+
+impl Lender for MailboxLender {
+    async fn lend(&self, request: BorrowRequest) -> BorrowReply {
+        let ask = Ask {
+            id: 0,
+            peer: request.borrower,
+            team: request.team,
+            need: request.need,
+            most: request.most,
+            settled: request.settled,
+            returned: request.returned,
+        };
+        let loan = control::ask(self.mailbox.clone(), |reply| Command::Borrow(ask, reply)).await;
+        BorrowReply { loan }
+    }
+}
+
 /// Sends the asks of the control thread and brings the answers back, until `stop`.
 pub(crate) async fn run(
     mut asks: mpsc::UnboundedReceiver<Ask>,
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -1,20 +1,20 @@
 //! The entry process from start to exit.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use comfreyhaven_config::settings::EntrySettings;
 use comfreyhaven_core::BootNonce;
 use comfreyhaven_core::entry::{Entry, Event};
-use comfreyhaven_core::fleet::Fleet;
 use comfreyhaven_process::admin::{self, Health};
 use comfreyhaven_process::clock::Clock;
+use comfreyhaven_process::configuration::Configuration;
 use comfreyhaven_process::control::{self, ControlThread, Mailbox};
 use comfreyhaven_process::error::ProcessError;
+use comfreyhaven_process::peer;
 use comfreyhaven_process::platform::HttpConfiguration;
 use comfreyhaven_process::{configuration, server, shutdown};
 use prometheus::Registry;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -22,8 +22,7 @@
 use crate::http::{self, Context};
 use crate::links::Links;
 use crate::metrics::Metrics;
-use crate::peer_service;
-use crate::peers::{self, Peers};
+use crate::peers::{self, MailboxLender, Peers};
 
 /// How often a leaving entry looks whether it may exit.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
@@ -48,22 +47,36 @@
     let (ask_sender, asks) = mpsc::unbounded_channel();
     let mut state = Control::new(entry, metrics, ask_sender);
     let step = move |command, now| state.step(command, now);
-    let (thread, mailbox) = ControlThread::spawn(Clock::start(), step)?;
+    let (pauses, paused) = mpsc::unbounded_channel();
+    let (thread, mailbox) = ControlThread::spawn(Clock::start(), Command::urgency, pauses, step)?;
 
     let (tasks, stop) = (TaskTracker::new(), CancellationToken::new());
-    let (fleet_sender, fleet) = watch::channel(Arc::new(Fleet::default()));
     let source = process.control.ip();
-    let service = HttpConfiguration::new(source, process.configuration);
-    tasks.spawn(configuration::follow(service, fleet_sender, stop.clone()));
+    let configuration = Configuration::start(
+        control_listener.local_addr()?,
+        &process.peers,
+        HttpConfiguration::new(source, process.configuration),
+        configuration::Metrics::new(&registry).map_err(std::io::Error::other)?,
+        &tasks,
+        stop.clone(),
+    );
+    let fleet = configuration.fleet();
     let configured = |fleet| Command::Event(Event::Configured(fleet));
-    tasks.spawn(configuration::pass_on(
-        fleet.clone(),
+    tasks.spawn(configuration.clone().pass_on(
         mailbox.clone(),
+        paused,
         configured,
+        || Command::Confirmed,
+        stop.clone(),
+    ));
+    tasks.spawn(peer::listen(
+        control_listener,
+        configuration.clone(),
+        MailboxLender::new(mailbox.clone()),
         stop.clone(),
     ));
     let (dump, ready) = (mailbox.clone(), mailbox.clone());
-    let state = move || control::ask(dump.clone(), Command::Dump);
+    let state = move || dump_state(dump.clone(), configuration.clone());
     let health = move || health(ready.clone());
     tasks.spawn(admin::serve(
         admin_listener,
@@ -75,12 +88,6 @@
 
     let peers = Peers::new(settings.name.clone(), source, fleet.clone(), tasks.clone());
     tasks.spawn(peers::run(asks, peers, mailbox.clone(), stop.clone()));
-    tasks.spawn(peer_service::serve(
-        control_listener,
-        mailbox.clone(),
-        fleet.clone(),
-        stop.clone(),
-    ));
     let links = Links::new(source, fleet.clone(), tasks.clone());
     let drivers = TaskTracker::new();
     let context = Context {
@@ -107,6 +114,13 @@
     }
 }
 
+/// The dump of the process's state.
+async fn dump_state(mailbox: Mailbox<Command>, configuration: Configuration) -> serde_json::Value {
+    let mut state = control::ask(mailbox, Command::Dump).await;
+    state["configuration"] = configuration.status();
+    state
+}
+
 async fn health(mailbox: Mailbox<Command>) -> Health {
     let state = control::ask(mailbox, Command::Dump).await;
     Health {
