--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -9,8 +9,12 @@
 mod message;
 mod pending;
 mod placement;
+mod waits;
 
-pub use ledger::Ledger;
+pub use ledger::{
+    Ask, Charge, HANDOVER, HOLDERS_LIMIT, LOAN_LIFETIME, Ledger, Loan, LoanId, Return, ShareState,
+    Shortfall,
+};
 pub use machine::{Entry, EntryState, OPEN_TEAM};
 pub use message::{Action, Arrival, Ending, Event};
 pub use placement::Placement;
--- a/crates/core/tests/core/network/entries.rs
+++ b/crates/core/tests/core/network/entries.rs
@@ -70,9 +70,35 @@
                 self.truth.get_mut(&request).unwrap().ends += 1;
                 self.cancel(request);
             }
+            entry::Action::Borrow(ask) => self.borrow(index, ask),
+            entry::Action::Lend(_) => {}
         }
     }
 
+    /// Asks a peer for tokens. The ask or its answer may be lost.
+    fn borrow(&mut self, index: usize, ask: Box<entry::Ask>) {
+        let boot = self.entries[index].boot;
+        let peer = (0..ENTRIES).find(|peer| host_name(*peer) == ask.peer);
+        let mut loan = None;
+        if let Some(peer) = peer.filter(|_| !self.lost()) {
+            let borrower = host_name(index);
+            let asked = entry::Ask {
+                peer: borrower,
+                ..(*ask).clone()
+            };
+            let event = entry::Event::BorrowAsked(Box::new(asked));
+            for action in self.entries[peer].core.handle(event, self.now) {
+                match action {
+                    entry::Action::Lend(granted) => loan = Some(granted),
+                    other => self.entry_action(peer, other),
+                }
+            }
+        }
+        let loan = loan.filter(|_| !self.lost());
+        let event = entry::Event::Lent { ask, loan };
+        self.soon(Delivery::Entry(index, boot, event));
+    }
+
     /// Sends a message that may be lost without anybody noticing, or arrive twice.
     pub(super) fn send(&mut self, agent: usize, event: agent::Event) {
         if self.lost() {
--- a/crates/process/src/peer.rs
+++ b/crates/process/src/peer.rs
@@ -145,7 +145,7 @@
 
 impl Lender for NoLender {
     async fn lend(&self, _: BorrowRequest) -> BorrowReply {
-        BorrowReply { tokens: 0 }
+        BorrowReply { loan: None }
     }
 }
 
@@ -178,6 +178,16 @@
     }
 
     async fn borrow(self, _: Context, request: BorrowRequest) -> BorrowReply {
+        let fleet = self.configuration.fleet();
+        let address = fleet
+            .borrow()
+            .hosts
+            .get(&request.borrower)
+            .map(|host| host.control.ip());
+        if address != Some(self.peer) {
+            log::warn!(peer:% = self.peer; "no loan: this is not {}", request.borrower);
+            return BorrowReply { loan: None };
+        }
         self.lender.lend(request).await
     }
 }
