Count only what was asked after a pause as a confirmation

The index that a watch had answered during the pause ended the hold before the values were read, and an exchange that was under way when the process stopped counted as a peer's word.

Change: answers to what was asked before the pause are compared but confirm nothing, and the service confirms only after an index that was asked for since, once all that it shows was read.

Two tests of the suite were wrong: the faulty document's test looked for its problem before the document was read, and the restart's test waited past the moment that it is about. Both now look at the whole time.

--- a/crates/core/src/spread/hold.rs
+++ b/crates/core/src/spread/hold.rs
@@ -20,7 +20,10 @@
 pub(super) struct Hold {
     needed: usize,
     until: Timestamp,
-    service: bool,
+    /// Whether the service's word is enough, and peers that cannot be asked are no reason to go on.
+    pause: bool,
+    /// Peers that were asked before the pause, whose next answer may be as old.
+    earlier: BTreeSet<SocketAddr>,
     heard: BTreeSet<SocketAddr>,
     failed: BTreeSet<SocketAddr>,
 }
@@ -29,24 +32,27 @@
     /// The hold of a process that has just started. The service alone does not end it, since it
     /// may be stale.
     pub(super) fn start() -> Self {
-        Self::new(START_WORDS, Timestamp::NEVER, false)
-    }
-
-    /// The hold of a process that was paused.
-    pub(super) fn pause(now: Timestamp) -> Self {
-        Self::new(1, now + PAUSE_TIMEOUT, true)
-    }
-
-    fn new(needed: usize, until: Timestamp, service: bool) -> Self {
         Self {
-            needed,
-            until,
-            service,
+            needed: START_WORDS,
+            until: Timestamp::NEVER,
+            pause: false,
+            earlier: BTreeSet::new(),
             heard: BTreeSet::new(),
             failed: BTreeSet::new(),
         }
     }
 
+    /// The hold of a process that was paused while the peers in `earlier` were being asked.
+    pub(super) fn pause(earlier: BTreeSet<SocketAddr>, now: Timestamp) -> Self {
+        Self {
+            needed: 1,
+            until: now + PAUSE_TIMEOUT,
+            pause: true,
+            earlier,
+            ..Self::start()
+        }
+    }
+
     /// A document is known: from now on the wait is bounded.
     pub(super) fn learned(&mut self, now: Timestamp) {
         if self.until == Timestamp::NEVER {
@@ -55,20 +61,26 @@
     }
 
     pub(super) fn heard(&mut self, peer: SocketAddr) {
-        self.heard.insert(peer);
+        if !self.earlier.remove(&peer) {
+            self.heard.insert(peer);
+        }
     }
 
     pub(super) fn failed(&mut self, peer: SocketAddr) {
         self.failed.insert(peer);
     }
 
-    /// The service has answered.
+    /// Everything that the service showed since the hold began has been read.
     pub(super) fn served(&mut self) {
-        if self.service {
+        if self.pause {
             self.needed = 0;
         }
     }
 
+    pub(super) fn is_pause(&self) -> bool {
+        self.pause
+    }
+
     pub(super) fn until(&self) -> Timestamp {
         self.until
     }
@@ -85,9 +97,7 @@
 
     /// Whether enough of `peers` have spoken.
     pub(super) fn is_satisfied(&self, peers: &[SocketAddr]) -> bool {
-        self.missing() == 0
-            || peers
-                .iter()
-                .all(|peer| self.heard.contains(peer) || self.failed.contains(peer))
+        let tried = |peer| self.heard.contains(peer) || self.failed.contains(peer);
+        self.missing() == 0 || (!self.pause && peers.iter().all(tried))
     }
 }
--- a/crates/core/src/spread/machine.rs
+++ b/crates/core/src/spread/machine.rs
@@ -64,9 +64,6 @@
             Event::Called { peer, versions } => self.compare(peer, versions),
             Event::Fetched { name, outcome } => self.fetched(&name, outcome, now),
             Event::Indexed(index) => {
-                if let Some(hold) = &mut self.hold {
-                    hold.served();
-                }
                 let (service, mut pace) = self.service(now);
                 service.indexed(index, &mut pace);
             }
@@ -185,9 +182,10 @@
     }
 
     fn pause(&mut self, now: Timestamp) {
-        if self.hold.is_none() {
-            self.hold = Some(Hold::pause(now));
+        if self.hold.as_ref().is_none_or(Hold::is_pause) {
+            self.hold = Some(Hold::pause(self.peers.asking().clone(), now));
         }
+        self.service.renew();
         self.peers.hurry(START_WORDS, now);
     }
 
@@ -216,7 +214,10 @@
     }
 
     fn settle_hold(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        let Some(hold) = &self.hold else { return };
+        let Some(hold) = &mut self.hold else { return };
+        if self.service.is_read() {
+            hold.served();
+        }
         let compared = self.peers.is_declared()
             && self.wanted.is_empty()
             && hold.is_satisfied(self.peers.all());
@@ -226,7 +227,7 @@
             return;
         }
         let (missing, tried) = (hold.missing(), hold.tried());
-        let count = missing.saturating_sub(self.peers.asking());
+        let count = missing.saturating_sub(self.peers.asking().len());
         let peers = self.peers.pick(count, &tried, &mut self.random);
         actions.extend(peers.into_iter().map(Action::Exchange));
     }
--- a/crates/core/src/spread/peers.rs
+++ b/crates/core/src/spread/peers.rs
@@ -77,8 +77,8 @@
     }
 
     /// Peers that are being asked.
-    pub(super) fn asking(&self) -> usize {
-        self.asking.len()
+    pub(super) fn asking(&self) -> &BTreeSet<SocketAddr> {
+        &self.asking
     }
 
     /// Processes that read from the service as often as this one may.
--- a/crates/core/src/spread/service.rs
+++ b/crates/core/src/spread/service.rs
@@ -43,6 +43,18 @@
     queue: VecDeque<String>,
     phase: Phase,
     backoff: Duration,
+    freshness: Freshness,
+}
+
+/// How old what was read may be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Freshness {
+    /// The index must be asked for again.
+    Old,
+    /// The index is being asked for, or values that it shows are to be read.
+    Reading,
+    /// All that the index showed was read.
+    Read,
 }
 
 impl Service {
@@ -53,9 +65,20 @@
             queue: VecDeque::new(),
             phase: Phase::Until(Timestamp::ZERO),
             backoff: BACKOFF_MIN,
+            freshness: Freshness::Old,
         }
     }
 
+    /// Whether all was read that the service showed since [`Service::renew`].
+    pub(super) fn is_read(&self) -> bool {
+        self.freshness == Freshness::Read
+    }
+
+    /// Asks for the index again, after the call that is under way.
+    pub(super) fn renew(&mut self) {
+        self.freshness = Freshness::Old;
+    }
+
     pub(super) fn wake(&self) -> Timestamp {
         match self.phase {
             Phase::Until(time) => time,
@@ -69,11 +92,16 @@
             return None;
         }
         self.phase = Phase::Calling;
-        let watch = Action::Watch {
-            known: if watcher { self.known.revision } else { 0 },
-        };
-        let name = self.queue.front().cloned();
-        Some(name.map_or(watch, |name| Action::Read { name }))
+        if let Some(name) = self.queue.front().cloned() {
+            return Some(Action::Read { name });
+        }
+        let waits = watcher && self.freshness == Freshness::Read;
+        if self.freshness == Freshness::Old {
+            self.freshness = Freshness::Reading;
+        }
+        Some(Action::Watch {
+            known: if waits { self.known.revision } else { 0 },
+        })
     }
 
     /// Takes the index, and plans to read what has changed.
@@ -111,6 +139,7 @@
     /// A call failed: the index is asked for again after a pause.
     pub(super) fn failed(&mut self, pace: &mut Pace<'_>) {
         self.queue.clear();
+        self.freshness = Freshness::Old;
         self.phase = Phase::Until(pace.now + pace.jitter(self.backoff));
         self.backoff = (self.backoff * 2).min(BACKOFF_MAX);
     }
@@ -120,6 +149,9 @@
             pace.read_pause()
         } else {
             self.known.revision = self.target.revision;
+            if self.freshness == Freshness::Reading {
+                self.freshness = Freshness::Read;
+            }
             let interval = if pace.watcher {
                 WATCH_PAUSE
             } else {
--- a/crates/core/src/spread/tests.rs
+++ b/crates/core/src/spread/tests.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 
-use super::{Action, Event, Outcome, Spread, Version, Versions};
+use super::{Action, Event, Index, Outcome, Spread, Version, Versions};
 use crate::id::Generation;
 use crate::time::Timestamp;
 use world::{View, address, started};
@@ -116,6 +116,57 @@
     assert!(world.nodes[1].confirmed);
 }
 
+#[test]
+fn an_answer_from_before_the_pause_confirms_nothing() {
+    let mut spread = Spread::new(address(0), Vec::new(), 8);
+    let now = Timestamp::ZERO;
+    let peer = address(1);
+    let answered = Event::Answered {
+        peer,
+        versions: Versions::new(),
+    };
+    let exchange = Action::Exchange(peer);
+    let declared = Event::Declared(vec![address(0), peer]);
+    assert!(spread.handle(declared, now).contains(&exchange));
+    spread.handle(answered.clone(), now);
+    assert!(spread.is_confirmed());
+    let now = Timestamp::from_millis(60_000);
+    assert!(spread.handle(Event::Tick, now).contains(&exchange));
+    spread.handle(Event::Paused, now);
+    assert!(spread.handle(answered.clone(), now).contains(&exchange));
+    assert!(!spread.is_confirmed());
+    spread.handle(answered, now);
+    assert!(spread.is_confirmed());
+}
+
+#[test]
+fn an_index_confirms_nothing_before_its_values_are_read() {
+    let mut spread = Spread::new(address(0), Vec::new(), 9);
+    let now = Timestamp::ZERO;
+    spread.handle(Event::Declared(vec![address(0)]), now);
+    assert!(spread.is_confirmed());
+    spread.handle(Event::Tick, now);
+    spread.handle(Event::Indexed(Index::default()), now);
+    spread.handle(Event::Paused, now);
+    let now = Timestamp::from_millis(300);
+    let watch = Action::Watch { known: 0 };
+    assert!(spread.handle(Event::Tick, now).contains(&watch));
+    let values = [("teams-0".to_owned(), 7)].into();
+    let index = Index {
+        revision: 7,
+        values,
+    };
+    spread.handle(Event::Indexed(index), now);
+    assert!(!spread.is_confirmed());
+    let version = Version::new(Generation(2), "second");
+    let read = Event::Read {
+        name: "teams-0".to_owned(),
+        outcome: Outcome::Known(version),
+    };
+    spread.handle(read, now);
+    assert!(spread.is_confirmed());
+}
+
 #[test]
 fn a_faulty_document_is_not_fetched_again() {
     let mut spread = Spread::new(address(0), Vec::new(), 7);
--- a/crates/suite/tests/suite/configuration.rs
+++ b/crates/suite/tests/suite/configuration.rs
@@ -64,11 +64,14 @@
     deployment.publish_text("teams-0", stale).await?;
     deployment.entry(0).kill().await?;
     deployment.restart_entry(0).await?;
-    deployment.wait_ready().await?;
     let withdrawn = deployment.caller(0, "key-kakheti")?;
-    assert_eq!(withdrawn.get("/orders/status/1").await?.status, 401);
     let issued = deployment.caller(0, "key-new")?;
-    assert_eq!(issued.get("/orders/status/1").await?.status, 200);
+    wait::until("the issued key", async || {
+        assert_ne!(withdrawn.get("/orders/status/1").await?.status, 200);
+        Ok(issued.get("/orders/status/1").await?.status == 200)
+    })
+    .await?;
+    assert_eq!(withdrawn.get("/orders/status/1").await?.status, 401);
     all_have(&deployment, "teams-0", 2).await
 }
 
@@ -154,13 +157,10 @@
     deployment.publish_text("teams-0", teams).await?;
     all_have(&deployment, "teams-0", 2).await?;
     for entry in 0..2 {
+        let shown = |state: &Value| state["configuration"]["problems"] != json!([]);
+        wait::entry(&deployment, entry, shown).await?;
         let state = deployment.entry_state(entry).await?;
         assert_eq!(state["generations"]["routes"], 1);
-        let problems = state["configuration"]["problems"].as_array();
-        assert!(
-            problems.is_some_and(|problems| !problems.is_empty()),
-            "{state}"
-        );
     }
     let caller = deployment.caller(0, "key-kakheti")?;
     assert_eq!(caller.get("/orders/status/1").await?.status, 200);
