--- a/crates/core/src/agent/offers.rs
+++ b/crates/core/src/agent/offers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::queue::{Class, Waiting};
 use crate::id::{BootNonce, OfferId, RequestId, ReservationId};
 use crate::request::Reservation;
 use crate::time::Timestamp;
@@ -15,6 +16,7 @@
 pub(super) struct Pending {
     pub(super) reservation: Reservation,
     pub(super) deadline: Timestamp,
+    pub(super) class: Class,
     expiry: Timestamp,
 }
 
@@ -39,17 +41,13 @@
         self.boot
     }
 
-    pub(super) fn make(
-        &mut self,
-        reservation: Reservation,
-        deadline: Timestamp,
-        now: Timestamp,
-    ) -> OfferId {
+    pub(super) fn make(&mut self, waiting: Waiting, now: Timestamp) -> OfferId {
         let sequence = self.next;
         self.next += 1;
         let pending = Pending {
-            reservation,
-            deadline,
+            reservation: waiting.reservation,
+            deadline: waiting.deadline,
+            class: waiting.class,
             expiry: now + OFFER_LIFETIME,
         };
         self.pending.insert(sequence, pending);
@@ -59,21 +57,47 @@
         }
     }
 
-    /// Takes an offer out, if it is of this process, unused and unexpired.
-    pub(super) fn take(&mut self, offer: OfferId, now: Timestamp) -> Option<Pending> {
-        if offer.boot != self.boot {
+    /// Takes an offer out, if it is of this process, made to the request, unused and unexpired.
+    pub(super) fn take(
+        &mut self,
+        offer: OfferId,
+        request: RequestId,
+        now: Timestamp,
+    ) -> Option<Pending> {
+        let pending = self.pending.get(&offer.sequence)?;
+        let own = offer.boot == self.boot && pending.reservation.id.request == request;
+        if !own || now >= pending.expiry {
             return None;
         }
-        let pending = self.pending.remove(&offer.sequence)?;
-        (now < pending.expiry).then_some(pending)
+        self.pending.remove(&offer.sequence)
+    }
+
+    /// Voids an offer.
+    pub(super) fn void(&mut self, offer: OfferId) {
+        if offer.boot == self.boot {
+            self.pending.remove(&offer.sequence);
+        }
     }
 
     /// Voids every offer that was made to a request.
-    pub(super) fn void(&mut self, request: RequestId) {
+    pub(super) fn void_request(&mut self, request: RequestId) {
         self.pending
             .retain(|_, pending| pending.reservation.id.request != request);
     }
 
+    /// Whether this process has made the offer at some time.
+    pub(super) fn has_made(&self, offer: OfferId) -> bool {
+        offer.boot == self.boot && offer.sequence < self.next
+    }
+
+    /// The latest attempt of a request that an offer was made to and may still be under way.
+    pub(super) fn attempt(&self, request: RequestId) -> Option<u32> {
+        let ids = self.pending.values().map(|pending| pending.reservation.id);
+        ids.filter(|id| id.request == request)
+            .map(|id| id.attempt)
+            .max()
+    }
+
     /// Voids the offer that was made to a reservation and may still be under way.
     pub(super) fn withdraw(&mut self, id: ReservationId) {
         self.pending
@@ -94,6 +118,12 @@
         self.pending.len()
     }
 
+    /// Offers to long requests.
+    pub(super) fn long(&self) -> usize {
+        let long = |pending: &&Pending| pending.class == Class::Long;
+        self.pending.values().filter(long).count()
+    }
+
     pub(super) fn tokens(&self) -> u64 {
         self.pending
             .values()
