--- a/crates/config/src/assemble.rs
+++ b/crates/config/src/assemble.rs
@@ -66,9 +66,7 @@
     let mut build = Build::default();
     build.draft(document.draft());
     let mut problems = build.problems;
-    if document.kind() == DocumentKind::Fleet {
-        problems.extend(reference::check(&mut build.declared));
-    }
+    problems.extend(reference::check_alone(&build.declared));
     Problems(problems).unless_empty(())
 }
 
