Let endpoints leave by the host list, and test departures under load

Cause: the host list was an unused port, and no test took a data centre out under load.

An agent that is listed as leaving returns its reservations and refuses bodies until it is listed as live.

--- a/crates/agent/src/command.rs
+++ b/crates/agent/src/command.rs
@@ -54,9 +54,9 @@
     /// How the command is treated after a pause of the process.
     pub(crate) fn urgency(&self) -> Urgency {
         match self {
-            Self::Event(Event::Configured(_) | Event::Leave) | Self::Dump(_) | Self::Idle(_) => {
-                Urgency::Immediate
-            }
+            Self::Event(Event::Configured(_) | Event::Leave | Event::Listed(_))
+            | Self::Dump(_)
+            | Self::Idle(_) => Urgency::Immediate,
             Self::Confirmed => Urgency::Confirms,
             _ => Urgency::Waits,
         }
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -7,13 +7,14 @@
 use comfreyhaven_core::BootNonce;
 use comfreyhaven_core::agent::{Agent, Event};
 use comfreyhaven_core::fleet::{EndpointKind, Fleet};
+use comfreyhaven_core::listing::Listing;
 use comfreyhaven_process::admin::{self, Health};
 use comfreyhaven_process::clock::Clock;
 use comfreyhaven_process::configuration::Configuration;
 use comfreyhaven_process::control::{ControlThread, Mailbox};
 use comfreyhaven_process::error::ProcessError;
-use comfreyhaven_process::platform::HttpConfiguration;
-use comfreyhaven_process::{configuration, control, server, shutdown};
+use comfreyhaven_process::platform::{HttpConfiguration, HttpHostList};
+use comfreyhaven_process::{configuration, control, hosts, server, shutdown};
 use prometheus::Registry;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
@@ -73,6 +74,11 @@
         configuration.clone(),
         stop.clone(),
     ));
+    let name = settings.name.clone();
+    let listed =
+        move |listing: &Listing| Command::Event(Event::Listed(listing.is_leaving(name.as_str())));
+    let list = HttpHostList::new(source, process.hosts);
+    tasks.spawn(hosts::follow(list, mailbox.clone(), listed, stop.clone()));
     let (dump, ready) = (mailbox.clone(), mailbox.clone());
     let state = move || dump_state(dump.clone(), configuration.clone());
     let health = move || health(ready.clone());
--- a/crates/core/src/agent/machine.rs
+++ b/crates/core/src/agent/machine.rs
@@ -65,6 +65,8 @@
     rejections: Tally<NotRunReason>,
     policy: Policy,
     leaving: bool,
+    /// Whether the platform lists the host as leaving.
+    listed: bool,
 }
 
 impl Agent {
@@ -90,6 +92,7 @@
             rejections: Tally::default(),
             policy: Policy::default(),
             leaving: false,
+            listed: false,
         }
     }
 
@@ -120,6 +123,7 @@
             Event::EndpointUp { boot, running } => self.endpoint_up(boot, running, now),
             Event::EndpointDown => self.endpoint_down(),
             Event::Leave => self.leaving = true,
+            Event::Listed(leaving) => self.listed = leaving,
         }
         self.settle(now, &mut actions);
         actions
@@ -162,7 +166,7 @@
         let Some(endpoint) = self.declared() else {
             return Some(ReturnReason::NotConfigured);
         };
-        if self.leaving || !self.fleet.is_in_service(&endpoint.centre) {
+        if self.leaving || self.listed || !self.fleet.is_in_service(&endpoint.centre) {
             return Some(ReturnReason::Leaving);
         }
         self.endpoint
--- a/crates/core/src/agent/machine/state.rs
+++ b/crates/core/src/agent/machine/state.rs
@@ -76,7 +76,7 @@
             returns: self.returns.clone(),
             rejections: self.rejections.clone(),
             endpoint: self.endpoint,
-            leaving: self.leaving,
+            leaving: self.leaving || self.listed,
         }
     }
 }
--- a/crates/core/src/agent/message.rs
+++ b/crates/core/src/agent/message.rs
@@ -79,8 +79,10 @@
     },
     /// The endpoint does not answer.
     EndpointDown,
-    /// The process was told to stop, or the platform lists it as leaving.
+    /// The process was told to stop.
     Leave,
+    /// Whether the platform lists the host as leaving. New work is taken again once it does not.
+    Listed(bool),
     /// The time asked for by [`Agent::wake`](super::Agent::wake) has come.
     Tick,
 }
--- a/crates/harness/src/deployment.rs
+++ b/crates/harness/src/deployment.rs
@@ -374,6 +374,14 @@
         Ok(Caller::new(self.hosts.port("listen")?))
     }
 
+    /// Kills the host list.
+    ///
+    /// # Errors
+    /// Returns the error of the system.
+    pub async fn stop_hosts(&mut self) -> Result<(), HarnessError> {
+        self.hosts.kill().await
+    }
+
     /// The log of a process, such as `entry-e1`, `agent-engine-1` or `engine-1`.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/process/src/hosts.rs
@@ -0,0 +1,49 @@
+//! Follows the platform's host list.
+
+use std::time::Duration;
+
+use comfreyhaven_core::listing::Listing;
+use rand::Rng;
+use tokio_util::sync::CancellationToken;
+
+use crate::control::Mailbox;
+use crate::platform::HostListSource;
+
+/// Time between two looks at the list.
+const POLL_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Longest time between two looks while the list is down.
+const BACKOFF_MAX: Duration = Duration::from_secs(16);
+
+/// Reads the list until `stop`, and tells the control thread of each change.
+pub async fn follow<C>(
+    source: impl HostListSource,
+    mailbox: Mailbox<C>,
+    changed: impl Fn(&Listing) -> C,
+    stop: CancellationToken,
+) {
+    let following = async {
+        let mut listing = Listing::default();
+        let mut interval = POLL_INTERVAL;
+        loop {
+            match source.list().await {
+                Ok(list) => {
+                    interval = POLL_INTERVAL;
+                    if listing.observe(&list) {
+                        let _ = mailbox.send(changed(&listing));
+                    }
+                }
+                Err(error) => {
+                    log::warn!("host list: {error}");
+                    interval = (interval * 2).min(BACKOFF_MAX);
+                }
+            }
+            let jitter = rand::rng().random_range(0.5..1.5);
+            tokio::time::sleep(interval.mul_f64(jitter)).await;
+        }
+    };
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = following => {}
+    }
+}
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod dial;
 pub mod error;
+pub mod hosts;
 pub mod logging;
 pub mod peer;
 pub mod platform;
--- a/crates/process/src/platform.rs
+++ b/crates/process/src/platform.rs
@@ -5,9 +5,8 @@
 use std::future::Future;
 
 use derive_more::{Display, Error, From};
-use serde::{Deserialize, Serialize};
-use strum::{EnumString, IntoStaticStr};
 
+pub use comfreyhaven_core::listing::{HostStatus, ListedHost};
 pub use comfreyhaven_core::spread::Index;
 pub use http::{HttpConfiguration, HttpHostList};
 
@@ -49,37 +48,6 @@
     ) -> impl Future<Output = Result<Option<String>, PlatformError>> + Send;
 }
 
-/// What the platform says of a host.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    strum::Display,
-    EnumString,
-    IntoStaticStr,
-    Serialize,
-    Deserialize,
-)]
-#[serde(rename_all = "snake_case")]
-#[strum(serialize_all = "snake_case")]
-pub enum HostStatus {
-    /// The host runs.
-    Live,
-    /// The host will be taken away.
-    Leaving,
-}
-
-/// One line of the host list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListedHost {
-    /// Name of an entry host or an endpoint.
-    pub name: String,
-    /// What the platform says of it.
-    pub status: HostStatus,
-}
-
 /// Reads the list of hosts, which lags.
 pub trait HostListSource: Send + Sync + 'static {
     /// The list as it stands.
--- a/crates/process/src/platform/http.rs
+++ b/crates/process/src/platform/http.rs
@@ -10,6 +10,7 @@
 use comfreyhaven_config::DOCUMENT_LIMIT_BYTES;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::Request;
+use hyper::header::{ETAG, HOST, HeaderValue, IF_NONE_MATCH};
 
 use super::{ConfigurationSource, HostListSource, Index, ListedHost, PlatformError};
 use crate::dial;
@@ -52,25 +53,40 @@
 }
 
 /// The host list over HTTP.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct HttpHostList {
     source: IpAddr,
     target: SocketAddr,
+    /// The list that was read last, so that one that has not changed is not sent again.
+    last: tokio::sync::Mutex<Option<(HeaderValue, Vec<ListedHost>)>>,
 }
 
 impl HttpHostList {
     /// A client that calls `target` from `source`.
     #[must_use]
     pub fn new(source: IpAddr, target: SocketAddr) -> Self {
-        Self { source, target }
+        Self {
+            source,
+            target,
+            last: tokio::sync::Mutex::default(),
+        }
     }
 }
 
 impl HostListSource for HttpHostList {
     async fn list(&self) -> Result<Vec<ListedHost>, PlatformError> {
-        let body = get(self.source, self.target, "/hosts", READ_TIMEOUT).await?;
-        let body = body.ok_or(PlatformError::Status(404))?;
-        Ok(serde_json::from_slice(&body)?)
+        let mut last = self.last.lock().await;
+        let known = last.as_ref().map(|(tag, _)| tag.clone());
+        let reading = call(self.source, self.target, "/hosts", known);
+        let answer = tokio::time::timeout(READ_TIMEOUT, reading).await;
+        let answer = answer.map_err(|_| PlatformError::Timeout)??;
+        if let (304, Some((_, list))) = (answer.status, &*last) {
+            return Ok(list.clone());
+        }
+        let body = answer.found()?.ok_or(PlatformError::Status(404))?;
+        let list: Vec<ListedHost> = serde_json::from_slice(&body)?;
+        *last = answer.tag.map(|tag| (tag, list.clone()));
+        Ok(list)
     }
 }
 
@@ -80,31 +96,52 @@
     path: &str,
     limit: Duration,
 ) -> Result<Option<Bytes>, PlatformError> {
-    tokio::time::timeout(limit, get_untimed(source, target, path))
+    tokio::time::timeout(limit, call(source, target, path, None))
         .await
-        .map_err(|_| PlatformError::Timeout)?
+        .map_err(|_| PlatformError::Timeout)??
+        .found()
+}
+
+struct PlatformAnswer {
+    status: u16,
+    tag: Option<HeaderValue>,
+    body: Bytes,
 }
 
-async fn get_untimed(
+impl PlatformAnswer {
+    /// The body, or `None` if there is no such value.
+    fn found(&self) -> Result<Option<Bytes>, PlatformError> {
+        match self.status {
+            200 => Ok(Some(self.body.clone())),
+            404 => Ok(None),
+            status => Err(PlatformError::Status(status)),
+        }
+    }
+}
+
+/// Makes one call. With the tag of what is known, an answer that has not changed has no body.
+async fn call(
     source: IpAddr,
     target: SocketAddr,
     path: &str,
-) -> Result<Option<Bytes>, PlatformError> {
+    known: Option<HeaderValue>,
+) -> Result<PlatformAnswer, PlatformError> {
     let mut connection = dial::http::<Empty<Bytes>>(source, target).await?;
     let mut request = Request::new(Empty::new());
     *request.uri_mut() = path.parse().map_err(|_| PlatformError::Text)?;
-    let host = hyper::header::HeaderValue::from_str(&target.to_string());
-    request
-        .headers_mut()
-        .insert(hyper::header::HOST, host.map_err(|_| PlatformError::Text)?);
+    let host = HeaderValue::from_str(&target.to_string()).map_err(|_| PlatformError::Text)?;
+    let headers = request.headers_mut();
+    headers.insert(HOST, host);
+    headers.extend(known.map(|tag| (IF_NONE_MATCH, tag)));
     let answer = connection.sender.send_request(request).await?;
-    match answer.status().as_u16() {
-        200 => {}
-        404 => return Ok(None),
-        status => return Err(PlatformError::Status(status)),
-    }
+    let status = answer.status().as_u16();
+    let tag = answer.headers().get(ETAG).cloned();
     let body = Limited::new(answer.into_body(), DOCUMENT_LIMIT_BYTES)
         .collect()
         .await;
-    Ok(Some(body.map_err(|_| PlatformError::Text)?.to_bytes()))
+    Ok(PlatformAnswer {
+        status,
+        tag,
+        body: body.map_err(|_| PlatformError::Text)?.to_bytes(),
+    })
 }
--- a/crates/suite/tests/suite/configuration.rs
+++ b/crates/suite/tests/suite/configuration.rs
@@ -5,10 +5,10 @@
 use comfreyhaven_core::Generation;
 use comfreyhaven_core::spread::Version;
 use comfreyhaven_harness::{Deployment, EndpointPlan, HarnessError};
-use hyper::Method;
 use serde_json::{Value, json};
 
-use crate::{plans, wait};
+use crate::plans;
+use crate::support::{until, until_agent, until_entry};
 
 /// A pause that the process must notice.
 const LONG_PAUSE: Duration = Duration::from_secs(2);
@@ -19,12 +19,6 @@
     Ok(service.get(&format!("/values/{name}")).await?.text)
 }
 
-async fn set_mode(deployment: &Deployment, mode: &str) -> Result<(), HarnessError> {
-    let service = deployment.configuration()?;
-    service.send(Method::PUT, "/mode", mode.to_owned()).await?;
-    Ok(())
-}
-
 fn has(document: &'static str, generation: u64) -> impl Fn(&Value) -> bool {
     move |state| state["generations"][document] == generation
 }
@@ -46,10 +40,10 @@
     generation: u64,
 ) -> Result<(), HarnessError> {
     for entry in 0..2 {
-        wait::entry(deployment, entry, has(document, generation)).await?;
+        until_entry(deployment, entry, has(document, generation)).await?;
     }
     for agent in 0..3 {
-        wait::agent(deployment, agent, has(document, generation)).await?;
+        until_agent(deployment, agent, has(document, generation)).await?;
     }
     Ok(())
 }
@@ -66,7 +60,7 @@
     deployment.restart_entry(0).await?;
     let withdrawn = deployment.caller(0, "key-kakheti")?;
     let issued = deployment.caller(0, "key-new")?;
-    wait::until("the issued key", async || {
+    until(async || {
         assert_ne!(withdrawn.get("/orders/status/1").await?.status, 200);
         Ok(issued.get("/orders/status/1").await?.status == 200)
     })
@@ -81,11 +75,11 @@
     signal_all_but_first_entry(&mut deployment, "STOP").await?;
     deployment.plan_mut().set_keys("kakheti", &["key-new"]);
     deployment.publish().await?;
-    wait::entry(&deployment, 0, |state| {
+    until_entry(&deployment, 0, |state| {
         has("teams-0", 2)(state) && has("fleet", 2)(state) && has("routes", 2)(state)
     })
     .await?;
-    set_mode(&deployment, "down").await?;
+    deployment.set_configuration_mode("down").await?;
     signal_all_but_first_entry(&mut deployment, "CONT").await?;
     all_have(&deployment, "teams-0", 2).await?;
     let withdrawn = deployment.caller(1, "key-kakheti")?;
@@ -96,7 +90,7 @@
 #[tokio::test]
 async fn a_process_starts_from_its_peers_while_the_service_is_down() -> Result<(), HarnessError> {
     let mut deployment = Deployment::start(plans::small()).await?;
-    set_mode(&deployment, "down").await?;
+    deployment.set_configuration_mode("down").await?;
     let peer = deployment.entry(1).port("control")?;
     deployment.entry(0).kill().await?;
     deployment.set_peers(&[peer]);
@@ -124,17 +118,17 @@
     let expected = version(&wins).to_string();
     deployment.entry(1).signal("STOP").await?;
     deployment.publish_text("teams-0", wins).await?;
-    wait::entry(&deployment, 0, has("teams-0", 2)).await?;
+    until_entry(&deployment, 0, has("teams-0", 2)).await?;
     deployment.publish_text("teams-0", loses).await?;
     deployment.entry(1).signal("CONT").await?;
     let same = |state: &Value| state["configuration"]["versions"]["teams-0"] == expected.as_str();
     for entry in 0..2 {
-        wait::entry(&deployment, entry, same).await?;
+        until_entry(&deployment, entry, same).await?;
     }
     for agent in 0..3 {
-        wait::agent(&deployment, agent, same).await?;
+        until_agent(&deployment, agent, same).await?;
     }
-    wait::entry(&deployment, 0, |state| {
+    until_entry(&deployment, 0, |state| {
         state["configuration"]["conflicts"] == json!(["teams-0"])
     })
     .await
@@ -158,7 +152,7 @@
     all_have(&deployment, "teams-0", 2).await?;
     for entry in 0..2 {
         let shown = |state: &Value| state["configuration"]["problems"] != json!([]);
-        wait::entry(&deployment, entry, shown).await?;
+        until_entry(&deployment, entry, shown).await?;
         let state = deployment.entry_state(entry).await?;
         assert_eq!(state["generations"]["routes"], 1);
     }
@@ -181,12 +175,12 @@
         tokio::spawn(async move { caller.chat("hive", prompt, tokens, true).await })
     };
     let running = call("runs before the key is withdrawn", 500);
-    wait::entry(&deployment, 0, |state| state["dispatched"] == 1).await?;
+    until_entry(&deployment, 0, |state| state["dispatched"] == 1).await?;
     let waiting = call("waits when the key is withdrawn", 1);
-    wait::entry(&deployment, 0, |state| state["waiting"] == 1).await?;
+    until_entry(&deployment, 0, |state| state["waiting"] == 1).await?;
     deployment.plan_mut().set_keys("kakheti", &["key-new"]);
     deployment.publish().await?;
-    wait::entry(&deployment, 0, has("teams-0", 2)).await?;
+    until_entry(&deployment, 0, has("teams-0", 2)).await?;
     assert_eq!(deployment.entry_state(0).await?["dispatched"], 1);
     let refused = waiting.await.expect("the call does not panic")?;
     assert_eq!(refused.status, 401, "{}", refused.text);
@@ -206,7 +200,7 @@
     let call = tokio::spawn(async move { caller.get("/orders/status/withdrawn").await });
     deployment.plan_mut().set_keys("kakheti", &["key-new"]);
     deployment.publish().await?;
-    wait::entry(&deployment, 0, has("teams-0", 2)).await?;
+    until_entry(&deployment, 0, has("teams-0", 2)).await?;
     tokio::time::sleep(LONG_PAUSE).await;
     deployment.entry(1).signal("CONT").await?;
     let reply = call.await.expect("the call does not panic")?;
--- a/crates/suite/tests/suite/main.rs
+++ b/crates/suite/tests/suite/main.rs
@@ -6,7 +6,7 @@
 mod freezes;
 mod input;
 mod kills;
+mod leaving;
 mod path;
 mod plans;
 mod support;
-mod wait;
--- a/crates/suite/tests/suite/support.rs
+++ b/crates/suite/tests/suite/support.rs
@@ -1,9 +1,9 @@
 //! Steps that several subjects share.
 
-use std::future::Future;
 use std::time::Duration;
 
 use comfreyhaven_harness::{CallError, Deployment, HarnessError, Reply};
+use serde_json::Value;
 use tokio::task::JoinHandle;
 
 /// A call that runs beside the test.
@@ -32,11 +32,9 @@
 const HANG_TIMEOUT: Duration = Duration::from_secs(300);
 
 /// Waits until a condition holds.
-pub async fn until<F, T>(mut condition: F) -> Result<(), HarnessError>
-where
-    F: FnMut() -> T,
-    T: Future<Output = Result<bool, HarnessError>>,
-{
+pub async fn until(
+    mut condition: impl AsyncFnMut() -> Result<bool, HarnessError>,
+) -> Result<(), HarnessError> {
     let waiting = async {
         while !condition().await? {
             tokio::time::sleep(Duration::from_millis(5)).await;
@@ -86,3 +84,21 @@
         .unwrap_or("none")
         .to_owned()
 }
+
+/// Waits until the dump of the entry at `index` satisfies a condition.
+pub async fn until_entry(
+    deployment: &Deployment,
+    index: usize,
+    condition: impl Fn(&Value) -> bool,
+) -> Result<(), HarnessError> {
+    until(async || Ok(condition(&deployment.entry_state(index).await?))).await
+}
+
+/// Waits until the dump of the agent at `index` satisfies a condition.
+pub async fn until_agent(
+    deployment: &Deployment,
+    index: usize,
+    condition: impl Fn(&Value) -> bool,
+) -> Result<(), HarnessError> {
+    until(async || Ok(condition(&deployment.agent_state(index).await?))).await
+}
