Measure comfreyhaven beside a naive scheduler

Cause: nothing told how the scheduler does under load and faults.

The engine stand-in counts how often it admitted each prompt.

--- a/crates/harness/src/deployment.rs
+++ b/crates/harness/src/deployment.rs
@@ -1,5 +1,6 @@
 //! A running deployment.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -219,6 +220,14 @@
             .await?)
     }
 
+    /// The address of the endpoint at `index` itself, past its agent.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError::Port`] if it announced no port.
+    pub fn endpoint_address(&self, index: usize) -> Result<SocketAddr, HarnessError> {
+        self.endpoints[index].port("listen")
+    }
+
     /// The state dump of the agent at `index`.
     ///
     /// # Errors
--- a/crates/standin/src/answer_text.rs
+++ b/crates/standin/src/answer_text.rs
@@ -33,6 +33,19 @@
         .collect()
 }
 
+/// Name under which the engine counts how often a prompt ran.
+///
+/// ```
+/// use comfreyhaven_standin::answer_text::run_name;
+///
+/// assert_eq!(run_name("hello"), run_name("hello"));
+/// assert_ne!(run_name("hello"), run_name("world"));
+/// ```
+#[must_use]
+pub fn run_name(prompt: &str) -> String {
+    format!("{:016x}", seed(prompt))
+}
+
 fn seed(prompt: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     prompt.hash(&mut hasher);
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -1,5 +1,5 @@
 //! The engine's HTTP: `POST /v1/chat/completions`, streamed or plain, `GET /load`, and for tests
-//! `GET /seen`, `GET /totals`, `POST /crash?ms=N` (down for so long), `POST /cool` and
+//! `GET /seen`, `GET /runs`, `GET /totals`, `POST /crash?ms=N` (down for so long), `POST /cool` and
 //! `POST /slow?percent=N`.
 
 use std::time::Duration;
@@ -40,6 +40,7 @@
     pub async fn handle(self, request: Request<Incoming>) -> Answer {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/seen") => answer::json(200, &self.seen()),
+            (&Method::GET, "/runs") => answer::json(200, &self.runs()),
             (&Method::GET, "/totals") => answer::json(200, &self.totals()),
             (&Method::POST, "/crash") => {
                 self.crash(number(&request, "ms").map(Duration::from_millis));
--- a/crates/standin/src/engine/shared.rs
+++ b/crates/standin/src/engine/shared.rs
@@ -1,5 +1,6 @@
 //! The engine as its connections share it, with the time that it takes.
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use super::batch::{Admission, Batch};
 use super::sequence::Output;
 use super::spec::{Report, Spec, Totals};
+use crate::answer_text;
 use crate::booking::SeenCall;
 
 /// One engine. Clones share it.
@@ -17,6 +19,7 @@
     spec: Arc<Spec>,
     batch: Arc<Mutex<Batch>>,
     seen: Arc<Mutex<Vec<SeenCall>>>,
+    runs: Arc<Mutex<BTreeMap<String, u32>>>,
     reported: Arc<Mutex<Report>>,
     work: Arc<Notify>,
 }
@@ -29,6 +32,7 @@
             batch: Arc::new(Mutex::new(Batch::new(spec.clone(), rand::random()))),
             spec: Arc::new(spec),
             seen: Arc::default(),
+            runs: Arc::default(),
             reported: Arc::default(),
             work: Arc::default(),
         }
@@ -65,7 +69,11 @@
 
     /// Admits a request, or crashes under it. `None` if the engine is down then.
     pub(super) fn admit(&self, prompt: String, limit: u32) -> Option<mpsc::Receiver<Output>> {
+        let name = answer_text::run_name(&prompt);
         let admission = self.batch().admit(prompt, limit);
+        if !matches!(admission, Admission::Down) {
+            *lock(&self.runs).entry(name).or_default() += 1;
+        }
         match admission {
             Admission::Down => None,
             Admission::Admitted(receiver) => {
@@ -112,6 +120,11 @@
         lock(&self.seen).clone()
     }
 
+    /// How often each prompt was admitted, by its name.
+    pub(super) fn runs(&self) -> BTreeMap<String, u32> {
+        lock(&self.runs).clone()
+    }
+
     pub(super) fn totals(&self) -> Totals {
         self.batch().totals()
     }
--- a/crates/trial/src/commands.rs
+++ b/crates/trial/src/commands.rs
@@ -1,5 +1,6 @@
 //! The subcommands.
 
+mod bench;
 mod run;
 
 use clap::{ArgMatches, Command};
@@ -14,6 +15,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(run::cli())
+        .subcommand(bench::cli())
 }
 
 /// Carries out the subcommand that was given. A signal ends it, and with it what it started.
@@ -24,6 +26,7 @@
     let work = async {
         match matches.subcommand() {
             Some(("run", _)) => run::exec().await,
+            Some(("bench", matches)) => bench::exec(matches).await,
             _ => Ok(()),
         }
     };
--- a/crates/trial/src/error.rs
+++ b/crates/trial/src/error.rs
@@ -14,6 +14,10 @@
     Trace(TraceError),
     /// A file or signal failed.
     Io(std::io::Error),
+    /// A plot cannot be drawn.
+    #[display("cannot plot: {_0}")]
+    #[from(ignore)]
+    Plot(#[error(not(source))] String),
     /// Some request did not get the whole answer to itself.
     #[display("not every request got the whole answer to itself")]
     #[from(ignore)]
--- a/crates/trial/src/fleet.rs
+++ b/crates/trial/src/fleet.rs
@@ -18,7 +18,7 @@
 pub const SERVICES: usize = 3;
 
 /// Decoding steps of the unlike engines, in microseconds.
-const STEPS_US: [u64; 4] = [4_000, 5_000, 6_000, 8_000];
+const STEPS_US: [u64; 4] = [6_000, 8_000, 10_000, 12_000];
 
 /// Requests that a plain service bears at once.
 const SERVICE_BEARING: u32 = 16;
@@ -90,7 +90,7 @@
 const HIVECRAFT_ROUTES: &[RouteSpec] = &[
     RouteSpec::model("question", "hive-question", "high", 2),
     RouteSpec::model("tag", "hive-tag", "mid", 3),
-    RouteSpec::model("plan", "hive-plan", "low", 12),
+    RouteSpec::model("plan", "hive-plan", "low", 8),
     RouteSpec::service("booking", "/orders/workshop/", "high", false),
     RouteSpec::service("status", "/orders/status/", "mid", true),
 ];
@@ -98,7 +98,7 @@
 const BANCADA_ROUTES: &[RouteSpec] = &[
     RouteSpec::model("category", "bench-category", "high", 2),
     RouteSpec::model("care", "bench-care", "mid", 3),
-    RouteSpec::model("critique", "bench-critique", "low", 12),
+    RouteSpec::model("critique", "bench-critique", "low", 8),
     RouteSpec::service("reservation", "/benches/", "high", false),
     RouteSpec::service("fee", "/fees/", "high", false),
     RouteSpec::service("lookup", "/reservations/", "mid", true),
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each subcommand has a file in `commands`; what it does is in the library modules.
 
+pub mod bench;
 mod commands;
 mod error;
 pub mod fleet;
