--- a/crates/agent/src/command.rs
+++ b/crates/agent/src/command.rs
@@ -5,11 +5,22 @@
 use comfreyhaven_core::agent::{Action, Agent, Event, RunStatus};
 use comfreyhaven_core::refusal::{NotRunReason, ReturnReason};
 use comfreyhaven_core::{OfferId, RequestId, Reservation, ReservationId, Timestamp};
+use comfreyhaven_process::control::Urgency;
 use comfreyhaven_wire::service::ReserveReply;
 use tokio::sync::oneshot;
 
 use crate::metrics::Metrics;
 
+/// What becomes of a body.
+pub(crate) enum Verdict {
+    /// It runs.
+    Run,
+    /// It does not run, and the entry is told so.
+    NotRun(NotRunReason),
+    /// Nothing can be said of it: its connection closes without an answer.
+    Close,
+}
+
 /// A message to the control thread.
 pub(crate) enum Command {
     /// An event that nobody waits on.
@@ -23,7 +34,7 @@
     Claim {
         offer: OfferId,
         request: RequestId,
-        reply: oneshot::Sender<Result<(), NotRunReason>>,
+        reply: oneshot::Sender<Verdict>,
     },
     /// An inquiry.
     Inquire {
@@ -35,6 +46,21 @@
     Dump(oneshot::Sender<serde_json::Value>),
     /// Whether nothing runs, waits or is offered.
     Idle(oneshot::Sender<bool>),
+    /// The configuration was confirmed after a pause.
+    Confirmed,
+}
+
+impl Command {
+    /// How the command is treated after a pause of the process.
+    pub(crate) fn urgency(&self) -> Urgency {
+        match self {
+            Self::Event(Event::Configured(_) | Event::Leave) | Self::Dump(_) | Self::Idle(_) => {
+                Urgency::Immediate
+            }
+            Self::Confirmed => Urgency::Confirms,
+            _ => Urgency::Waits,
+        }
+    }
 }
 
 /// The state machine and the tasks that wait for its actions.
@@ -42,7 +68,7 @@
     agent: Agent,
     metrics: Metrics,
     reservations: HashMap<ReservationId, oneshot::Sender<ReserveReply>>,
-    claims: HashMap<OfferId, oneshot::Sender<Result<(), NotRunReason>>>,
+    claims: HashMap<OfferId, oneshot::Sender<Verdict>>,
     inquiries: HashMap<RequestId, Vec<oneshot::Sender<RunStatus>>>,
 }
 
@@ -89,6 +115,7 @@
             Some(Command::Idle(reply)) => {
                 let _ = reply.send(self.agent.is_idle());
             }
+            Some(Command::Confirmed) => {}
         }
         self.agent.wake()
     }
@@ -112,8 +139,9 @@
                 self.answer_reservation(id, ReserveReply::Offered { offer, lifetime });
             }
             Action::Return { id, reason } => self.return_reservation(id, reason),
-            Action::Run(offer) => self.answer_claim(offer, Ok(())),
-            Action::Reject { offer, reason } => self.answer_claim(offer, Err(reason)),
+            Action::Run(offer) => self.answer_claim(offer, Verdict::Run),
+            Action::Reject { offer, reason } => self.answer_claim(offer, Verdict::NotRun(reason)),
+            Action::Close(offer) => self.answer_claim(offer, Verdict::Close),
             Action::Report { request, status } => {
                 for reply in self.inquiries.remove(&request).unwrap_or_default() {
                     let _ = reply.send(status);
@@ -132,7 +160,7 @@
         }
     }
 
-    fn answer_claim(&mut self, offer: OfferId, answer: Result<(), NotRunReason>) {
+    fn answer_claim(&mut self, offer: OfferId, answer: Verdict) {
         if let Some(reply) = self.claims.remove(&offer) {
             let _ = reply.send(answer);
         }
--- a/crates/core/src/agent/machine.rs
+++ b/crates/core/src/agent/machine.rs
@@ -1,24 +1,47 @@
 //! The state machine of an agent.
 
-use std::collections::{BTreeMap, HashMap};
-use std::sync::Arc;
+mod reserving;
+mod running;
+mod state;
 
-use serde::Serialize;
+use std::collections::HashMap;
+use std::sync::Arc;
 
-use super::history::{History, RunStatus};
-use super::message::{Action, Event, RunEnd};
+pub use self::state::AgentState;
+use self::state::Tally;
+use super::estimate::{Estimator, Ratio};
+use super::history::History;
+use super::inherited::Inherited;
+use super::message::{Action, Event};
 use super::offers::{OFFER_LIFETIME, Offers};
-use super::queue::{Queue, QueueDepth, Waiting};
-use super::slots::Slots;
+use super::policy::{Policy, Reserve};
+use super::queue::{Class, Queue};
+use super::sizes::Sizes;
+use super::slots::{LimitCause, Slots};
 use crate::fleet::{Endpoint, Fleet};
-use crate::id::{BootNonce, Generation, OfferId, RequestId, ReservationId};
-use crate::name::{EndpointName, TeamName};
+use crate::id::{BootNonce, OfferId, RequestId};
+use crate::name::EndpointName;
 use crate::refusal::{NotRunReason, ReturnReason};
 use crate::request::Reservation;
 use crate::time::Timestamp;
 
 /// Reservations that wait at one agent at most.
-const QUEUE_LIMIT: usize = 256;
+const QUEUE_LIMIT: usize = 1_024;
+
+/// Part of the limit that is kept for short requests, as a divisor.
+const SHORT_PART: u32 = 4;
+
+/// A body that the endpoint is working on.
+#[derive(Debug)]
+struct Running {
+    offer: OfferId,
+    reservation: Reservation,
+    class: Class,
+    started: Timestamp,
+    first: Option<Timestamp>,
+    /// When tokens were last counted, and how many had come after the first.
+    progress: (Timestamp, u32),
+}
 
 /// The decisions of one agent process.
 #[derive(Debug)]
@@ -28,24 +51,19 @@
     slots: Option<Slots>,
     queue: Queue,
     offers: Offers,
-    running: HashMap<RequestId, u64>,
+    running: HashMap<RequestId, Running>,
     history: History,
     endpoint: Option<u64>,
-    leaving: bool,
-}
-
-/// What an agent shows of itself on request.
-#[derive(Debug, Clone, Serialize)]
-pub struct AgentState {
-    boot: String,
-    generations: BTreeMap<String, Generation>,
-    configured: bool,
-    limit: u32,
-    warm: bool,
-    running: usize,
-    offers: usize,
-    queue: Vec<QueueDepth>,
-    endpoint: Option<u64>,
+    inherited: Inherited,
+    estimator: Estimator,
+    sizes: Sizes,
+    /// Reservations that were offered a slot here, among those that left the queue.
+    demand: Ratio,
+    /// Time of whole runs.
+    served: Ratio,
+    returns: Tally<ReturnReason>,
+    rejections: Tally<NotRunReason>,
+    policy: Policy,
     leaving: bool,
 }
 
@@ -63,23 +81,43 @@
             running: HashMap::new(),
             history: History::default(),
             endpoint: None,
+            inherited: Inherited::default(),
+            estimator: Estimator::default(),
+            sizes: Sizes::default(),
+            demand: Ratio::default(),
+            served: Ratio::default(),
+            returns: Tally::default(),
+            rejections: Tally::default(),
+            policy: Policy::default(),
             leaving: false,
         }
     }
 
+    /// The same agent with another policy. Use it before the first event.
+    #[must_use]
+    pub fn with_policy(self, policy: Policy) -> Self {
+        Self { policy, ..self }
+    }
+
     /// Decides on one event.
     pub fn handle(&mut self, event: Event, now: Timestamp) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.offers.drop_expired(now);
         match event {
             Event::Configured(fleet) => self.configure(fleet),
             Event::Reserve(reservation) => self.reserve(reservation, now, &mut actions),
             Event::Withdraw(id) => self.withdraw(id, &mut actions),
-            Event::Release(offer) => drop(self.offers.take(offer, now)),
+            Event::Release(offer) => self.offers.void(offer),
             Event::Claim { offer, request } => self.claim(offer, request, now, &mut actions),
-            Event::Inquire { offer, request } => self.inquire(offer, request, now, &mut actions),
-            Event::FirstToken(_) | Event::Tick => {}
+            Event::Inquire { offer, request } => {
+                let status = self.status_for(offer, request);
+                actions.push(Action::Report { request, status });
+            }
+            Event::FirstToken(request) => self.first_token(request, now),
+            Event::Progress { request, tokens } => self.progress(request, tokens, now),
+            Event::Tick => {}
             Event::Finished { request, end } => self.finish(request, end, now),
-            Event::EndpointUp { boot, .. } => self.endpoint_up(boot),
+            Event::EndpointUp { boot, running } => self.endpoint_up(boot, running, now),
             Event::EndpointDown => self.endpoint_down(),
             Event::Leave => self.leaving = true,
         }
@@ -90,7 +128,7 @@
     /// When the agent must be given [`Event::Tick`], at the latest.
     #[must_use]
     pub fn wake(&self) -> Timestamp {
-        let times = [self.queue.next_deadline(), self.offers.next_expiry()];
+        let times = [self.queue.next_start(), self.offers.next_expiry()];
         times
             .into_iter()
             .flatten()
@@ -104,33 +142,18 @@
         self.running.is_empty() && self.offers.len() == 0 && self.queue.is_empty()
     }
 
-    /// The agent's state for operators.
-    #[must_use]
-    pub fn state(&self) -> AgentState {
-        AgentState {
-            boot: self.offers.boot().to_string(),
-            generations: self.fleet.generations.clone(),
-            configured: self.slots.is_some(),
-            limit: self.slots.as_ref().map_or(0, Slots::limit),
-            warm: self.slots.as_ref().is_some_and(Slots::is_warm),
-            running: self.running.len(),
-            offers: self.offers.len(),
-            queue: self.queue.depths(),
-            endpoint: self.endpoint,
-            leaving: self.leaving,
-        }
-    }
-
     fn declared(&self) -> Option<&Endpoint> {
         self.fleet.endpoints.get(&self.name)
     }
 
     fn configure(&mut self, fleet: Arc<Fleet>) {
         self.fleet = fleet;
+        let routes = &self.fleet.routes;
+        self.estimator.retain(|route| routes.contains_key(route));
         let endpoint = self.fleet.endpoints.get(&self.name);
         match (&mut self.slots, endpoint) {
             (Some(slots), Some(endpoint)) => slots.configure(endpoint),
-            (slots, endpoint) => *slots = endpoint.map(Slots::new),
+            (slots, endpoint) => *slots = endpoint.map(|e| Slots::new(e, self.policy)),
         }
     }
 
@@ -147,184 +170,86 @@
             .then_some(ReturnReason::EndpointDown)
     }
 
-    fn reserve(&mut self, reservation: Reservation, now: Timestamp, actions: &mut Vec<Action>) {
-        let id = reservation.id;
-        let known = self.fleet.hosts.contains_key(&reservation.entry)
-            && self.fleet.routes.contains_key(&reservation.route);
-        if !known {
-            actions.push(Action::Return {
-                id,
-                reason: ReturnReason::NotConfigured,
-            });
-            return;
-        }
-        let deadline = now + reservation.remaining;
-        if let Some(dropped) = self.queue.push(Waiting {
-            reservation,
-            deadline,
-        }) {
-            let own = dropped.reservation.id == id;
-            let reason = if own {
-                ReturnReason::Full
-            } else {
-                ReturnReason::Displaced
-            };
-            actions.push(Action::Return {
-                id: dropped.reservation.id,
-                reason,
-            });
-        }
-    }
-
-    fn withdraw(&mut self, id: ReservationId, actions: &mut Vec<Action>) {
-        if self.queue.remove(id).is_some() {
-            actions.push(Action::Return {
-                id,
-                reason: ReturnReason::Withdrawn,
-            });
-        }
-        self.offers.withdraw(id);
-    }
-
-    fn claim(
-        &mut self,
-        offer: OfferId,
-        request: RequestId,
-        now: Timestamp,
-        actions: &mut Vec<Action>,
-    ) {
-        match self.admit(offer, request, now) {
-            Ok(tokens) => {
-                self.running.insert(request, tokens);
-                self.history.record(request, RunStatus::Running, now);
-                actions.push(Action::Run(offer));
+    fn endpoint_up(&mut self, boot: u64, reported: u32, now: Timestamp) {
+        let own = count(self.running.len());
+        match self.endpoint.replace(boot) {
+            Some(earlier) if earlier == boot => self.inherited.report(reported, now),
+            Some(_) => {
+                self.inherited.clear();
+                self.cool(LimitCause::Restarted);
             }
-            Err(reason) => actions.push(Action::Reject { offer, reason }),
-        }
-    }
-
-    fn admit(
-        &mut self,
-        offer: OfferId,
-        request: RequestId,
-        now: Timestamp,
-    ) -> Result<u64, NotRunReason> {
-        let pending = self
-            .offers
-            .take(offer, now)
-            .ok_or(NotRunReason::OfferVoid)?;
-        let own = pending.reservation.id.request == request;
-        if !own || self.history.get(request).is_some() {
-            return Err(NotRunReason::OfferVoid);
-        }
-        match self.closed() {
-            Some(ReturnReason::EndpointDown) => return Err(NotRunReason::EndpointDown),
-            Some(_) => return Err(NotRunReason::Leaving),
-            None => {}
-        }
-        if now >= pending.deadline {
-            return Err(NotRunReason::Late);
-        }
-        Ok(pending.reservation.cost.total())
-    }
-
-    fn inquire(
-        &mut self,
-        offer: OfferId,
-        request: RequestId,
-        now: Timestamp,
-        actions: &mut Vec<Action>,
-    ) {
-        let status = self.status_for(offer, request, now);
-        actions.push(Action::Report { request, status });
-    }
-
-    fn status_for(&mut self, offer: OfferId, request: RequestId, now: Timestamp) -> RunStatus {
-        if let Some(status) = self.history.get(request) {
-            return status;
-        }
-        if offer.boot != self.offers.boot() {
-            return RunStatus::Unknown;
-        }
-        self.offers.void(request);
-        self.history.record(request, RunStatus::NeverRuns, now);
-        RunStatus::NeverRuns
-    }
-
-    fn finish(&mut self, request: RequestId, end: RunEnd, now: Timestamp) {
-        self.running.remove(&request);
-        let status = match end {
-            RunEnd::NotRun(_) => RunStatus::NeverRuns,
-            RunEnd::Whole { .. } | RunEnd::Cancelled | RunEnd::Broken => RunStatus::Ran,
-        };
-        self.history.record(request, status, now);
-        let Some(slots) = &mut self.slots else { return };
-        match end {
-            RunEnd::Whole { .. } => slots.on_whole(),
-            RunEnd::Broken | RunEnd::NotRun(_) => slots.on_cold(),
-            RunEnd::Cancelled => {}
-        }
-    }
-
-    fn endpoint_up(&mut self, boot: u64) {
-        let restarted = self
-            .endpoint
-            .replace(boot)
-            .is_some_and(|earlier| earlier != boot);
-        if let (true, Some(slots)) = (restarted, &mut self.slots) {
-            slots.on_cold();
+            None => self.inherited.assume(reported, own, now),
         }
     }
 
     fn endpoint_down(&mut self) {
-        self.endpoint = None;
-        if let Some(slots) = &mut self.slots {
-            slots.on_cold();
+        if self.endpoint.take().is_some() {
+            self.cool(LimitCause::Unreachable);
         }
     }
 
     /// Gives back what can no longer be served here, then offers what is free.
     fn settle(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        self.offers.drop_expired(now);
-        for late in self.queue.take_where(|waiting| waiting.deadline <= now) {
-            actions.push(Action::Return {
-                id: late.reservation.id,
-                reason: ReturnReason::Late,
-            });
+        for late in self.queue.take_late(now) {
+            self.give_back(late.reservation.id, ReturnReason::Late, actions);
         }
         if let Some(reason) = self.closed() {
-            for waiting in self.queue.take_where(|_| true) {
-                actions.push(Action::Return {
-                    id: waiting.reservation.id,
-                    reason,
-                });
+            for waiting in self.queue.drain() {
+                self.give_back(waiting.reservation.id, reason, actions);
             }
         }
-        while self.has_room() {
-            let Some(waiting) = self.pop() else { return };
+        while let Some(class) = self.next_class(now) {
+            let Some(waiting) = self.queue.pop(class) else {
+                break;
+            };
+            self.demand.observe(1, 1);
             let id = waiting.reservation.id;
-            let offer = self.offers.make(waiting.reservation, waiting.deadline, now);
+            let offer = self.offers.make(waiting, now);
             actions.push(Action::Offer {
                 id,
                 offer,
                 lifetime: OFFER_LIFETIME,
             });
         }
+        self.inherited.observe(count(self.running.len()), now);
     }
 
-    fn has_room(&self) -> bool {
-        let (Some(slots), Some(next)) = (&self.slots, self.queue.peek()) else {
-            return false;
+    /// The classes that may take a slot now: [`Class::Long`] stands for both.
+    fn next_class(&self, now: Timestamp) -> Option<Class> {
+        let slots = self.slots.as_ref()?;
+        let next = self.queue.peek(Class::Long)?;
+        let class = match next.class {
+            Class::Long if self.free_for_long(slots, now) == 0 => Class::Short,
+            Class::Long | Class::Short => Class::Long,
         };
-        let count = self.running.len() + self.offers.len();
-        let used = self.running.values().sum::<u64>() + self.offers.tokens();
-        let count = u32::try_from(count).unwrap_or(u32::MAX);
-        slots.fits(count, used, next.reservation.cost.total())
+        let next = self.queue.peek(class)?;
+        let active = self.running.len() + self.offers.len();
+        let active = count(active).saturating_add(self.inherited.runs());
+        let cost = next.reservation.cost.total();
+        slots
+            .fits(active, self.held_tokens(), cost)
+            .then_some(class)
+    }
+
+    /// Slots that long requests may still take.
+    fn free_for_long(&self, slots: &Slots, now: Timestamp) -> u32 {
+        let kept = match self.policy.reserve {
+            Reserve::Short if self.sizes.expects_short(now) => slots.limit() / SHORT_PART,
+            Reserve::Short | Reserve::None => 0,
+        };
+        let running = self.running.values().filter(|run| run.class == Class::Long);
+        let long = count(running.count() + self.offers.long());
+        (slots.limit() - kept).saturating_sub(long)
     }
 
-    fn pop(&mut self) -> Option<Waiting> {
-        let fleet = Arc::clone(&self.fleet);
-        let weight = |team: &TeamName| fleet.teams.get(team).map_or(1, |team| team.weight);
-        self.queue.pop(weight)
+    /// KV tokens that runs and offers hold at most.
+    fn held_tokens(&self) -> u64 {
+        let running = self.running.values();
+        let held: u64 = running.map(|run| run.reservation.cost.total()).sum();
+        held + self.offers.tokens()
     }
 }
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod hosts;
 pub mod launch;
 pub mod naive;
+pub mod relay;
 pub mod values;
--- a/crates/trial/src/bench/measure.rs
+++ b/crates/trial/src/bench/measure.rs
@@ -27,6 +27,8 @@
     WrongfulRefusals,
     /// Refusals of any kind of requests within the team's rate, in percent of those.
     RefusedWithin,
+    /// Requests of the top tier within the team's rate that were refused for want of capacity.
+    ShedHigh,
     /// Most that a team got over rate and burst in any window, in percent of the burst.
     RateExcess,
     /// Requests that endpoints ran more than once.
