--- a/crates/trial/src/bench.rs
+++ b/crates/trial/src/bench.rs
@@ -57,6 +57,8 @@
 pub async fn run(options: &Options, output: &Path) -> Result<(), TrialError> {
     std::fs::create_dir_all(output)?;
     let mut report = Report::default();
+    let capacity = Capacity::new(options.deployed, &options.deployed.trace()?);
+    println!("{}: {capacity}\n", options.deployed);
     for &scenario in &options.scenarios {
         let seeds = options.seeds.unwrap_or(scenario.seeds());
         for seed in 1..=seeds {
--- a/crates/trial/src/bench/capacity.rs
+++ b/crates/trial/src/bench/capacity.rs
@@ -5,6 +5,7 @@
 //! batches.
 
 use comfreyhaven_standin::engine::Spec;
+use derive_more::Display;
 
 use crate::fleet::{Deployed, ENGINES, engine_spec};
 use crate::trace::{Ask, Record};
@@ -16,7 +17,8 @@
 const OUTPUT_MEAN: f64 = 0.75;
 
 /// What the fleet can do of a trace's mix.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Display)]
+#[display("capacity {requests:.0} requests/s of {tokens:.0} tokens/s")]
 pub(super) struct Capacity {
     requests: f64,
     tokens: f64,
@@ -91,3 +93,6 @@
 pub(super) fn number(count: usize) -> f64 {
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/trial/src/bench/judge.rs
+++ b/crates/trial/src/bench/judge.rs
@@ -68,10 +68,6 @@
         (Measure::GoodputHigh, tier("high")),
         (Measure::GoodputMid, tier("mid")),
         (Measure::GoodputLow, tier("low")),
-        (
-            Measure::GoodputFault,
-            goodput(offered.iter().filter(during)),
-        ),
         (Measure::WorstTeam, worst_team(trial, &offered)),
         (Measure::WastedPrefill, wasted(trial)),
         (
@@ -98,6 +94,10 @@
         (Measure::Sent, number(sent)),
     ]);
     values.extend(runs(trial));
+    if trial.scenario.is_fault() {
+        let goodput = goodput(offered.iter().filter(during));
+        values.insert(Measure::GoodputFault, goodput);
+    }
     values
 }
 
--- a/crates/trial/src/bench/scenario.rs
+++ b/crates/trial/src/bench/scenario.rs
@@ -80,4 +80,13 @@
             _ => 1,
         }
     }
+
+    /// Whether something fails.
+    #[must_use]
+    pub const fn is_fault(self) -> bool {
+        !matches!(
+            self,
+            Self::Light | Self::Full | Self::Overload | Self::GreedyTeam
+        )
+    }
 }
--- a/crates/trial/src/bench/schedule.rs
+++ b/crates/trial/src/bench/schedule.rs
@@ -107,3 +107,6 @@
         },
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/trial/src/trace.rs
+++ b/crates/trial/src/trace.rs
@@ -152,3 +152,6 @@
     }
     Ok(records)
 }
+
+#[cfg(test)]
+mod tests;
