--- a/crates/trial/src/bench.rs
+++ b/crates/trial/src/bench.rs
@@ -71,6 +71,10 @@
         println!("{}", report.table(scenario));
         report.write(&output.join("bench.csv"))?;
     }
+    println!(
+        "### overview, comfreyhaven / naive\n\n{}",
+        report.overview()
+    );
     plot::draw(&report, &output.join("bench.svg"))?;
     if options.path {
         println!("{}", path::measure(options.deployed).await?);
--- a/crates/trial/src/bench/report.rs
+++ b/crates/trial/src/bench/report.rs
@@ -9,6 +9,19 @@
 use super::scenario::Scenario;
 use super::system::Kind;
 
+/// Measures of the overview.
+const OVERVIEW: [Measure; 9] = [
+    Measure::GoodputHigh,
+    Measure::GoodputMid,
+    Measure::GoodputLow,
+    Measure::WorstTeam,
+    Measure::WastedPrefill,
+    Measure::WrongfulRefusals,
+    Measure::RateExcess,
+    Measure::DoubledRuns,
+    Measure::Unknown,
+];
+
 /// All rows so far.
 #[derive(Debug, Default)]
 pub(super) struct Report {
@@ -86,13 +99,37 @@
             } else {
                 format!("{:.2}", own.mean / other.mean)
             };
-            let unit = if measure.is_percent() { " %" } else { "" };
             let (own, other) = (own.render(measure), other.render(measure));
-            let _ = writeln!(text, "| {measure}{unit} | {own} | {other} | {ratio} |");
+            let name = column(measure);
+            let _ = writeln!(text, "| {name} | {own} | {other} | {ratio} |");
+        }
+        text
+    }
+
+    /// A Markdown table of the chief measures of every scenario, comfreyhaven before naive.
+    pub(super) fn overview(&self) -> String {
+        let columns: Vec<_> = OVERVIEW.iter().map(|measure| column(*measure)).collect();
+        let rule = "---|".repeat(columns.len() + 1);
+        let mut text = format!("| scenario | {} |\n|{rule}\n", columns.join(" | "));
+        for scenario in Scenario::iter() {
+            let cells: Vec<_> = OVERVIEW
+                .into_iter()
+                .filter_map(|measure| self.cell(scenario, measure))
+                .collect();
+            if !cells.is_empty() {
+                let _ = writeln!(text, "| {scenario} | {} |", cells.join(" | "));
+            }
         }
         text
     }
 
+    fn cell(&self, scenario: Scenario, measure: Measure) -> Option<String> {
+        let own = self.spread(scenario, Kind::Comfreyhaven, measure)?.mean;
+        let other = self.spread(scenario, Kind::Naive, measure)?.mean;
+        let digits = usize::from(measure.is_percent());
+        Some(format!("{own:.digits$} / {other:.digits$}"))
+    }
+
     /// Writes a line for each measure of each run.
     pub(super) fn write(&self, path: &Path) -> std::io::Result<()> {
         let mut text = String::from("scenario,load,seed,system,measure,value\n");
@@ -106,3 +143,9 @@
         std::fs::write(path, text)
     }
 }
+
+/// Name of a measure with its unit.
+fn column(measure: Measure) -> String {
+    let unit = if measure.is_percent() { " %" } else { "" };
+    format!("{measure}{unit}")
+}
