--- a/crates/harness/src/deployment.rs
+++ b/crates/harness/src/deployment.rs
@@ -251,6 +251,14 @@
             .await?)
     }
 
+    /// The address of the endpoint at `index` itself, past its agent.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError::Port`] if it announced no port.
+    pub fn endpoint_address(&self, index: usize) -> Result<SocketAddr, HarnessError> {
+        self.endpoints[index].port("listen")
+    }
+
     /// The state dump of the agent at `index`.
     ///
     /// # Errors
