--- /dev/null
+++ b/crates/capacity/src/measure.rs
@@ -0,0 +1,69 @@
+//! The measurements, by area.
+
+mod agent;
+mod configuration;
+mod connection;
+mod entry;
+mod stream;
+mod wire;
+
+use clap::ValueEnum;
+use clap::builder::PossibleValue;
+use strum::{EnumIter, IntoEnumIterator, IntoStaticStr};
+
+use crate::error::CapacityError;
+use crate::series::Findings;
+
+/// A part of the measurements.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Area {
+    /// Memory and time of the declared fleet.
+    Configuration,
+    /// Memory and time of an entry's decisions.
+    Entry,
+    /// Memory and time of an agent's decisions.
+    Agent,
+    /// Bytes of each message.
+    Wire,
+    /// Control connections over loopback.
+    Connection,
+    /// Open streams through whole processes.
+    Stream,
+}
+
+impl Area {
+    /// Every area.
+    pub fn all() -> impl Iterator<Item = Self> {
+        Self::iter()
+    }
+}
+
+impl ValueEnum for Area {
+    fn value_variants<'a>() -> &'a [Self] {
+        &[
+            Self::Configuration,
+            Self::Entry,
+            Self::Agent,
+            Self::Wire,
+            Self::Connection,
+            Self::Stream,
+        ]
+    }
+
+    fn to_possible_value(&self) -> Option<PossibleValue> {
+        Some(PossibleValue::new(<&'static str>::from(self)))
+    }
+}
+
+/// Measures an area.
+pub fn run(area: Area, findings: &mut Findings) -> Result<(), CapacityError> {
+    match area {
+        Area::Configuration => configuration::run(findings),
+        Area::Entry => entry::run(findings),
+        Area::Agent => agent::run(findings),
+        Area::Wire => wire::run(findings),
+        Area::Connection => connection::run(findings),
+        Area::Stream => stream::run(findings),
+    }
+}
