Give operators render, diff, new, key, state, status, explain and completion

Each subcommand has a file with its arguments and a part of `ops` with its work. `check` takes directories, lists warnings and prints JSON. `diff` tells what a change does ("its keys stop working"), not which lines differ. Exit codes: 0 done, 1 found wrong or different, 2 not carried out.

The operators' ports are not in the configuration, so `status`, `state` and `explain` take them as arguments. `explain` reads GET /requests/ID, which entries do not serve yet.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,29 +1,77 @@
 //! The subcommands.
 
 mod check;
+mod completion;
+mod diff;
+mod explain;
+mod key;
+mod new;
+mod render;
+mod state;
+mod status;
 
-use clap::{ArgMatches, Command};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use crate::error::CliError;
 
+const EXIT_CODES: &str = "Exit codes:\n  \
+    0  done; for diff: nothing changes\n  \
+    1  problems or differences were found, or the request is unknown\n  \
+    2  the command could not be carried out";
+
 /// Describes the whole command line.
 #[must_use]
 pub fn cli() -> Command {
     Command::new("comfreyhaven")
         .about("Checks configurations and looks into a running fleet")
         .version(env!("CARGO_PKG_VERSION"))
+        .after_help(EXIT_CODES)
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(check::cli())
+        .subcommand(completion::cli())
+        .subcommand(diff::cli())
+        .subcommand(explain::cli())
+        .subcommand(key::cli())
+        .subcommand(new::cli())
+        .subcommand(render::cli())
+        .subcommand(state::cli())
+        .subcommand(status::cli())
 }
 
 /// Carries out the subcommand that was given.
 ///
 /// # Errors
 /// Returns a [`CliError`] that says what failed and where.
-pub fn exec(matches: &ArgMatches) -> Result<(), CliError> {
+pub fn exec(matches: &ArgMatches) -> Result<ExitCode, CliError> {
     match matches.subcommand() {
         Some(("check", matches)) => check::exec(matches),
-        _ => Ok(()),
+        Some(("completion", matches)) => completion::exec(matches),
+        Some(("diff", matches)) => diff::exec(matches),
+        Some(("explain", matches)) => explain::exec(matches),
+        Some(("key", matches)) => key::exec(matches),
+        Some(("new", matches)) => new::exec(matches),
+        Some(("render", matches)) => render::exec(matches),
+        Some(("state", matches)) => state::exec(matches),
+        Some(("status", matches)) => status::exec(matches),
+        _ => Ok(ExitCode::SUCCESS),
     }
 }
+
+/// The argument that takes documents.
+fn files() -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .help("Document, or directory whose .ini files are documents")
+        .action(ArgAction::Append)
+        .value_parser(value_parser!(PathBuf))
+}
+
+/// The documents that were given.
+fn files_of(matches: &ArgMatches) -> Vec<PathBuf> {
+    let files = matches.get_many("file").into_iter().flatten();
+    files.cloned().collect()
+}
--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -1,37 +1,54 @@
 //! `comfreyhaven check`.
 
-use std::path::PathBuf;
+use std::process::ExitCode;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{ArgMatches, Command};
+use comfreyhaven_config::lint::{Warning, lint};
+use comfreyhaven_config::{Problem, Problems};
+use serde::Serialize;
 
+use super::{files, files_of};
 use crate::error::CliError;
-use crate::ops;
+use crate::ops::documents;
+use crate::output::{self, Output};
+
+/// What a check found, for programs.
+#[derive(Serialize)]
+struct Report {
+    problems: Vec<Problem>,
+    warnings: Vec<Warning>,
+}
 
 /// Describes the subcommand.
 pub(super) fn cli() -> Command {
     Command::new("check")
         .about("Check documents together, as the processes do")
-        .arg(
-            Arg::new("file")
-                .value_name("FILE")
-                .help("Document to be published")
-                .required(true)
-                .action(ArgAction::Append)
-                .value_parser(value_parser!(PathBuf)),
-        )
+        .arg(files().required(true))
+        .arg(Output::arg())
 }
 
 /// Checks the files that were given.
-pub(super) fn exec(matches: &ArgMatches) -> Result<(), CliError> {
-    let files: Vec<PathBuf> = matches
-        .get_many("file")
-        .into_iter()
-        .flatten()
-        .cloned()
-        .collect();
-    let fleet = ops::check(&files)?;
+pub(super) fn exec(matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    let output = Output::of(matches);
+    let fleet = match documents::load(&files_of(matches)) {
+        Err(CliError::Problems(Problems(problems))) if output == Output::Json => {
+            let warnings = Vec::new();
+            output::json(&Report { problems, warnings })?;
+            return Ok(ExitCode::FAILURE);
+        }
+        loaded => loaded?,
+    };
+    let warnings = lint(&fleet);
+    if output == Output::Json {
+        let problems = Vec::new();
+        output::json(&Report { problems, warnings })?;
+        return Ok(ExitCode::SUCCESS);
+    }
+    for warning in &warnings {
+        println!("warning: {warning}");
+    }
     let (teams, routes) = (fleet.teams.len(), fleet.routes.len());
     let (hosts, endpoints) = (fleet.hosts.len(), fleet.endpoints.len());
     println!("no problems: {teams} teams, {routes} routes, {hosts} hosts, {endpoints} endpoints");
-    Ok(())
+    Ok(ExitCode::SUCCESS)
 }
--- /dev/null
+++ b/crates/cli/src/commands/completion.rs
@@ -0,0 +1,34 @@
+//! `comfreyhaven completion`.
+
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use clap_complete::Shell;
+
+use crate::error::CliError;
+
+/// Describes the subcommand.
+pub(super) fn cli() -> Command {
+    Command::new("completion")
+        .about("Print the completion script of a shell")
+        .arg(
+            Arg::new("shell")
+                .value_name("SHELL")
+                .help("Shell that completes")
+                .required(true)
+                .value_parser(value_parser!(Shell)),
+        )
+}
+
+/// Prints the script.
+pub(super) fn exec(matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    let shell = matches.get_one::<Shell>("shell").copied();
+    let shell = shell.unwrap_or(Shell::Bash);
+    clap_complete::generate(
+        shell,
+        &mut super::cli(),
+        "comfreyhaven",
+        &mut std::io::stdout(),
+    );
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/cli/src/commands/render.rs
@@ -0,0 +1,50 @@
+//! `comfreyhaven render`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use comfreyhaven_config::builder::Configuration;
+use comfreyhaven_core::Generation;
+
+use super::{files, files_of};
+use crate::error::CliError;
+use crate::ops::documents;
+
+/// Describes the subcommand.
+pub(super) fn cli() -> Command {
+    Command::new("render")
+        .about("Print documents in their plain form, with teams spread over teams-0 to teams-f")
+        .arg(
+            Arg::new("generation")
+                .long("generation")
+                .value_name("NUMBER")
+                .help("Generation of every document")
+                .required(true)
+                .value_parser(value_parser!(u64).range(1..)),
+        )
+        .arg(
+            Arg::new("directory")
+                .long("directory")
+                .value_name("DIRECTORY")
+                .help("Write a file for each document there, instead of printing")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(files().required(true))
+}
+
+/// Renders the files that were given.
+pub(super) fn exec(matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    let fleet = documents::load(&files_of(matches))?;
+    let generation = matches.get_one("generation").copied().unwrap_or(1);
+    let rendered = Configuration::from(&fleet).publish(Generation(generation))?;
+    match matches.get_one::<PathBuf>("directory") {
+        Some(directory) => documents::write(directory, &rendered)?,
+        None => {
+            for document in &rendered {
+                println!("# {}\n{}", document.name(), document.text());
+            }
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,11 +1,12 @@
-//! Command line of comfreyhaven for operators.
+//! The operators' command line, as a library.
 //!
-//! Each subcommand has a file in `commands` with a `cli()` that describes it and an `exec()` that
-//! reads its arguments. What it does is in `ops`, which can be called without a command line.
+//! Each subcommand has a file with its arguments (`cli`) and its work (`exec`). What the work needs
+//! is in [`ops`], which can be called without a command line.
 
 mod commands;
 mod error;
 pub mod ops;
+mod output;
 
 pub use commands::{cli, exec};
 pub use error::CliError;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,7 +6,7 @@
 
 fn main() -> ExitCode {
     match exec(&cli().get_matches()) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(error) => {
             eprintln!("comfreyhaven: {error}");
             ExitCode::from(error.code())
--- /dev/null
+++ b/crates/cli/tests/commands.rs
@@ -0,0 +1,167 @@
+//! What the subcommands do and print.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use comfreyhaven_cli::ops::{diff, documents, starter};
+use tempfile::TempDir;
+
+fn run(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_comfreyhaven"));
+    command.args(arguments).output().expect("the program runs")
+}
+
+/// Exit code and output, with the directory's path left out.
+fn shown(directory: &Path, output: &Output) -> String {
+    let code = output.status.code();
+    let (out, err) = (&output.stdout, &output.stderr);
+    let text = [String::from_utf8_lossy(out), String::from_utf8_lossy(err)].concat();
+    format!("exit {code:?}\n{text}").replace(&directory.display().to_string(), "DIR")
+}
+
+fn started() -> TempDir {
+    let directory = tempfile::tempdir().expect("a temporary directory");
+    starter::write(directory.path()).expect("the documents are written");
+    directory
+}
+
+fn path(directory: &TempDir) -> &str {
+    directory.path().to_str().expect("a path in UTF-8")
+}
+
+fn edit(file: PathBuf, from: &str, to: &str) {
+    let text = std::fs::read_to_string(&file).expect("the file is read");
+    assert!(text.contains(from), "{from:?} stands in the file");
+    std::fs::write(file, text.replace(from, to)).expect("the file is written");
+}
+
+#[test]
+fn the_help_lists_commands_and_exit_codes() {
+    insta::assert_snapshot!(comfreyhaven_cli::cli().render_help().to_string());
+}
+
+#[test]
+fn a_new_configuration_passes_the_check() {
+    let directory = started();
+    let output = run(&["check", path(&directory)]);
+    insta::assert_snapshot!(shown(directory.path(), &output));
+}
+
+#[test]
+fn new_does_not_overwrite() {
+    let directory = started();
+    let output = run(&["new", path(&directory)]);
+    insta::assert_snapshot!(shown(directory.path(), &output));
+}
+
+#[test]
+fn faults_are_listed_with_places_and_remedies() {
+    let directory = started();
+    edit(
+        directory.path().join("teams-0.ini"),
+        "rate = 1000/s",
+        "rate = 0/s",
+    );
+    edit(
+        directory.path().join("routes.ini"),
+        "tier = low",
+        "tier = lowest",
+    );
+    let output = run(&["check", path(&directory)]);
+    insta::assert_snapshot!(shown(directory.path(), &output));
+    let output = run(&["check", "--output", "json", path(&directory)]);
+    insta::assert_snapshot!(shown(directory.path(), &output));
+}
+
+#[test]
+fn a_missing_file_is_no_fault_of_the_configuration() {
+    let directory = tempfile::tempdir().expect("a temporary directory");
+    let output = run(&["check", path(&directory)]);
+    insta::assert_snapshot!(shown(directory.path(), &output));
+}
+
+#[test]
+fn a_difference_is_told_in_operators_terms() {
+    let (old, new) = (started(), started());
+    let file = |name: &str| new.path().join(name);
+    edit(file("fleet.ini"), "state = in", "state = out");
+    edit(
+        file("fleet.ini"),
+        "warm requests = 16",
+        "warm requests = 32",
+    );
+    edit(file("routes.ini"), "access = open", "access = teams");
+    edit(
+        file("teams-0.ini"),
+        "routes = assistant, orders",
+        "routes = assistant",
+    );
+    edit(file("teams-0.ini"), "rate = 1000/s", "rate = 2000/s");
+    edit(
+        file("teams-0.ini"),
+        "[team example]",
+        "[team other]\nrate = 1/s\nburst tokens = 1\n[team example]",
+    );
+    let output = run(&["diff", path(&old), path(&new)]);
+    insta::assert_snapshot!(shown(new.path(), &output));
+    let output = run(&["diff", path(&old), path(&old)]);
+    insta::assert_snapshot!(shown(old.path(), &output));
+}
+
+#[test]
+fn what_is_rendered_is_the_same_configuration() {
+    let (old, new) = (
+        started(),
+        tempfile::tempdir().expect("a temporary directory"),
+    );
+    let arguments = [
+        "render",
+        "--generation",
+        "7",
+        "--directory",
+        path(&new),
+        path(&old),
+    ];
+    assert!(run(&arguments).status.success());
+    let load = |directory: &TempDir| documents::load(&[directory.path().to_owned()]);
+    let (old, new) = (load(&old).expect("sound"), load(&new).expect("sound"));
+    assert_eq!(diff::diff(&old, &new), []);
+    assert!(new.generations.values().all(|generation| generation.0 == 7));
+    assert_eq!(new.generations.len(), 18);
+}
+
+#[test]
+fn each_key_is_new_and_its_digest_is_published() {
+    let new = || {
+        let output = run(&["key", "new", "--output", "json"]);
+        serde_json::from_slice::<serde_json::Value>(&output.stdout).expect("JSON")
+    };
+    let (one, other) = (new(), new());
+    assert_ne!(one["key"], other["key"]);
+    let digest = comfreyhaven_core::KeyDigest::of_key(one["key"].as_str().expect("a key"));
+    assert_eq!(one["digest"], digest.to_string());
+}
+
+#[test]
+fn a_process_that_does_not_answer_has_its_line() {
+    let directory = Path::new("/none");
+    // Port 1 of loopback has no listener.
+    let output = run(&["status", "127.0.0.1:1"]);
+    insta::assert_snapshot!(shown(directory, &output));
+    let output = run(&["state", "127.0.0.1:1"]);
+    insta::assert_snapshot!(shown(directory, &output));
+}
+
+#[test]
+fn completion_knows_the_commands() {
+    let output = run(&["completion", "bash"]);
+    let script = String::from_utf8_lossy(&output.stdout).into_owned();
+    for command in [
+        "check", "diff", "explain", "key", "new", "render", "state", "status",
+    ] {
+        assert!(
+            script.contains(&format!("comfreyhaven__subcmd__{command}"))
+                || script.contains(command)
+        );
+    }
+}
