--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -176,14 +176,19 @@
         Some((self.name.clone()?, self.kind()?, self.generation?))
     }
 
-    fn read_header(&mut self, mut header: Section) {
-        self.name = header.take("name");
-        if let (Some(name), None) = (&self.name, self.kind()) {
+    /// Takes the values of a header.
+    pub(crate) fn header_of(header: &mut Section) -> (Option<String>, Option<Generation>) {
+        let name: Option<String> = header.take("name");
+        if let Some(name) = name.as_ref().filter(|name| DocumentKind::of_name(name).is_none()) {
             let expected = "fleet, routes, or teams-0 to teams-f";
             header.fault(Some("name"), Some(name), expected);
         }
         let generation = header.take_count("generation", None, 1..=u64::MAX);
-        self.generation = generation.map(Generation);
+        (name, generation.map(Generation))
+    }
+
+    fn read_header(&mut self, mut header: Section) {
+        (self.name, self.generation) = Self::header_of(&mut header);
         self.problems.extend(header.finish());
     }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -10,6 +10,7 @@
 mod ini;
 mod lines;
 pub mod lint;
+pub mod names;
 mod part;
 mod problem;
 mod reference;
--- a/crates/config/src/section.rs
+++ b/crates/config/src/section.rs
@@ -19,6 +19,7 @@
     document: String,
     title: String,
     values: Vec<(String, String)>,
+    asked: Vec<&'static str>,
     problems: Vec<Problem>,
 }
 
@@ -28,6 +29,7 @@
             document: document.to_owned(),
             title: title.to_owned(),
             values,
+            asked: Vec::new(),
             problems: Vec::new(),
         }
     }
@@ -61,8 +63,9 @@
     }
 
     /// Takes a value that must be there.
-    pub(crate) fn take<T: FromStr<Err: Display>>(&mut self, name: &str) -> Option<T> {
+    pub(crate) fn take<T: FromStr<Err: Display>>(&mut self, name: &'static str) -> Option<T> {
         if !self.has(name) {
+            self.asked.push(name);
             self.fault(Some(name), None, "a value; this one has no default");
             return None;
         }
@@ -72,18 +75,19 @@
     /// Takes a value, or `default` if it is not there.
     pub(crate) fn take_or<T: FromStr<Err: Display>>(
         &mut self,
-        name: &str,
+        name: &'static str,
         default: T,
     ) -> Option<T> {
         if self.has(name) {
             self.take_optional(name)
         } else {
+            self.asked.push(name);
             Some(default)
         }
     }
 
     /// Takes a comma-separated list, empty if it is not there.
-    pub(crate) fn take_list<T: FromStr<Err: Display> + PartialEq>(&mut self, name: &str) -> Vec<T> {
+    pub(crate) fn take_list<T: FromStr<Err: Display> + PartialEq>(&mut self, name: &'static str) -> Vec<T> {
         let Some(text) = self.take_or(name, String::new()) else {
             return Vec::new();
         };
@@ -102,7 +106,7 @@
 
     /// Takes a comma-separated list of digests. Nothing of a malformed item is shown, since it may
     /// be a key that was put in place of its digest.
-    pub(crate) fn take_digests(&mut self, name: &str) -> Vec<KeyDigest> {
+    pub(crate) fn take_digests(&mut self, name: &'static str) -> Vec<KeyDigest> {
         let Some(text) = self.take_or(name, String::new()) else {
             return Vec::new();
         };
@@ -127,7 +131,7 @@
     /// Takes a count between two bounds, or `default` if it is not there.
     pub(crate) fn take_count(
         &mut self,
-        name: &str,
+        name: &'static str,
         default: Option<u64>,
         range: RangeInclusive<u64>,
     ) -> Option<u64> {
@@ -144,7 +148,7 @@
     }
 
     /// Takes an address at which others can reach a process.
-    pub(crate) fn take_address(&mut self, name: &str) -> Option<SocketAddr> {
+    pub(crate) fn take_address(&mut self, name: &'static str) -> Option<SocketAddr> {
         let Address(address) = self.take(name)?;
         let ip = address.ip();
         if address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
@@ -175,6 +179,17 @@
         self.problems
     }
 
+    /// The names that were asked for, each once, in order.
+    pub(crate) fn asked(&self) -> Vec<&'static str> {
+        let mut names = Vec::new();
+        for name in &self.asked {
+            if !names.contains(name) {
+                names.push(*name);
+            }
+        }
+        names
+    }
+
     /// Ends a section whose values are not read.
     pub(crate) fn discard(self) -> Vec<Problem> {
         self.problems
@@ -207,7 +222,8 @@
     }
 
     /// Takes a value that may be missing.
-    pub(crate) fn take_optional<T: FromStr<Err: Display>>(&mut self, name: &str) -> Option<T> {
+    pub(crate) fn take_optional<T: FromStr<Err: Display>>(&mut self, name: &'static str) -> Option<T> {
+        self.asked.push(name);
         let (found, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.values)
             .into_iter()
             .partition(|(known, _)| known == name);
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -77,11 +77,7 @@
     /// # Errors
     /// Returns a [`SettingsError`] that names every fault of the file.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let (process, (name, listen)) = parse(path, "entry", |section| {
-            let name = section.take("name");
-            let listen = address(section, "listen");
-            Some((name?, listen?))
-        })?;
+        let (process, (name, listen)) = parse(path, "entry", entry)?;
         Ok(Self {
             process,
             name,
@@ -96,12 +92,7 @@
     /// # Errors
     /// Returns a [`SettingsError`] that names every fault of the file.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let (process, (name, traffic, endpoint)) = parse(path, "agent", |section| {
-            let name = section.take("name");
-            let traffic = address(section, "traffic");
-            let endpoint = section.take_address("endpoint");
-            Some((name?, traffic?, endpoint?))
-        })?;
+        let (process, (name, traffic, endpoint)) = parse(path, "agent", agent)?;
         Ok(Self {
             process,
             name,
@@ -157,7 +148,20 @@
     }
 }
 
-fn process(section: &mut Section) -> Option<ProcessSettings> {
+pub(crate) fn entry(section: &mut Section) -> Option<(HostName, SocketAddr)> {
+    let name = section.take("name");
+    let listen = address(section, "listen");
+    Some((name?, listen?))
+}
+
+pub(crate) fn agent(section: &mut Section) -> Option<(EndpointName, SocketAddr, SocketAddr)> {
+    let name = section.take("name");
+    let traffic = address(section, "traffic");
+    let endpoint = section.take_address("endpoint");
+    Some((name?, traffic?, endpoint?))
+}
+
+pub(crate) fn process(section: &mut Section) -> Option<ProcessSettings> {
     let centre = section.take("data centre");
     let control = address(section, "control");
     if let Some(control) = control.filter(|control| control.ip().is_unspecified()) {
@@ -179,7 +183,7 @@
 }
 
 /// Where a process listens. A port of zero lets the system choose one.
-fn address(section: &mut Section, name: &str) -> Option<SocketAddr> {
+fn address(section: &mut Section, name: &'static str) -> Option<SocketAddr> {
     section
         .take::<Address>(name)
         .map(|Address(address)| address)
