--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -179,7 +179,10 @@
     /// Takes the values of a header.
     pub(crate) fn header_of(header: &mut Section) -> (Option<String>, Option<Generation>) {
         let name: Option<String> = header.take("name");
-        if let Some(name) = name.as_ref().filter(|name| DocumentKind::of_name(name).is_none()) {
+        if let Some(name) = name
+            .as_ref()
+            .filter(|name| DocumentKind::of_name(name).is_none())
+        {
             let expected = "fleet, routes, or teams-0 to teams-f";
             header.fault(Some("name"), Some(name), expected);
         }
--- a/crates/config/src/section.rs
+++ b/crates/config/src/section.rs
@@ -87,7 +87,10 @@
     }
 
     /// Takes a comma-separated list, empty if it is not there.
-    pub(crate) fn take_list<T: FromStr<Err: Display> + PartialEq>(&mut self, name: &'static str) -> Vec<T> {
+    pub(crate) fn take_list<T: FromStr<Err: Display> + PartialEq>(
+        &mut self,
+        name: &'static str,
+    ) -> Vec<T> {
         let Some(text) = self.take_or(name, String::new()) else {
             return Vec::new();
         };
@@ -222,7 +225,10 @@
     }
 
     /// Takes a value that may be missing.
-    pub(crate) fn take_optional<T: FromStr<Err: Display>>(&mut self, name: &'static str) -> Option<T> {
+    pub(crate) fn take_optional<T: FromStr<Err: Display>>(
+        &mut self,
+        name: &'static str,
+    ) -> Option<T> {
         self.asked.push(name);
         let (found, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.values)
             .into_iter()
