--- a/crates/config/src/assemble.rs
+++ b/crates/config/src/assemble.rs
@@ -58,6 +58,18 @@
     pub(crate) titles: HashSet<String>,
 }
 
+/// Checks what one document says by itself, leaving out references to other documents.
+///
+/// # Errors
+/// Returns every problem that no other document can mend.
+pub fn check_alone(document: &Document) -> Result<(), Problems> {
+    let mut build = Build::default();
+    build.draft(document.draft());
+    let mut problems = build.problems;
+    problems.extend(reference::check_alone(&build.declared));
+    Problems(problems).unless_empty(())
+}
+
 #[derive(Default)]
 struct Build {
     declared: Declared,
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -43,6 +43,8 @@
     pub configuration: SocketAddr,
     /// The host list.
     pub hosts: SocketAddr,
+    /// Control addresses of peers that are asked while no configuration is known.
+    pub peers: Vec<SocketAddr>,
     /// Log filter, as `env_logger` reads it.
     pub log: String,
 }
@@ -171,6 +173,7 @@
     let admin = address(section, "admin");
     let configuration = section.take_address("configuration service");
     let hosts = section.take_address("host list");
+    let peers = section.take_list("peers");
     let log = log(section);
     Some(ProcessSettings {
         centre: centre?,
@@ -178,6 +181,7 @@
         admin: admin?,
         configuration: configuration?,
         hosts: hosts?,
+        peers,
         log: log?,
     })
 }
--- a/crates/harness/src/deployment.rs
+++ b/crates/harness/src/deployment.rs
@@ -1,5 +1,6 @@
 //! A running deployment.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -31,6 +32,7 @@
     relays: Vec<Relays>,
     doors: Vec<Relay>,
     generation: u64,
+    peers: Vec<SocketAddr>,
 }
 
 /// Relays before the ports of one agent.
@@ -65,6 +67,7 @@
             relays: Vec::new(),
             doors: Vec::new(),
             generation: 0,
+            peers: Vec::new(),
         };
         deployment.start_all().await?;
         deployment.publish().await?;
@@ -150,11 +153,12 @@
     ) -> Result<String, HarnessError> {
         Ok(format!(
             "[process]\ndata centre = {centre}\ncontrol = {}\nadmin = {}\n\
-             configuration service = {}\nhost list = {}\nlog = info\n",
+             configuration service = {}\nhost list = {}\nlog = info\npeers = {}\n",
             address(earlier, "control", ip)?,
             address(earlier, "admin", ip)?,
             self.configuration.port("listen")?,
             self.hosts.port("listen")?,
+            names(&self.peers, ToString::to_string).join(", "),
         ))
     }
 
@@ -164,9 +168,9 @@
     /// Returns a [`HarnessError`] if the configuration service does not take it.
     pub async fn publish(&mut self) -> Result<(), HarnessError> {
         self.generation += 1;
-        let entries = names(&self.plan.entries, |plan| &plan.name);
+        let entries = names(&self.plan.entries, |plan| plan.name.clone());
         let entries = addresses(entries, &self.entries, "listen")?;
-        let agents = names(&self.plan.endpoints, |plan| &plan.name);
+        let agents = names(&self.plan.endpoints, |plan| plan.name.clone());
         let mut agents = addresses(agents, &self.agents, "traffic")?;
         for (agent, relays) in agents.iter_mut().zip(&self.relays) {
             agent.control = relays.control.address().to_string();
@@ -296,6 +300,11 @@
         &mut self.entries[index]
     }
 
+    /// Names peers in the settings of the processes that are started from now on.
+    pub fn set_peers(&mut self, peers: &[SocketAddr]) {
+        self.peers = peers.to_vec();
+    }
+
     /// Replaces an ended agent by a new process at the same addresses.
     ///
     /// # Errors
@@ -402,8 +411,8 @@
     }
 }
 
-fn names<T>(plans: &[T], name: impl Fn(&T) -> &String) -> Vec<String> {
-    plans.iter().map(|plan| name(plan).clone()).collect()
+fn names<T>(plans: &[T], name: impl Fn(&T) -> String) -> Vec<String> {
+    plans.iter().map(name).collect()
 }
 
 fn addresses(
--- a/crates/suite/tests/suite/main.rs
+++ b/crates/suite/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests with the real processes, one module for each subject.
 
 mod callers;
+mod configuration;
 mod cuts;
 mod freezes;
 mod input;
@@ -8,3 +9,4 @@
 mod path;
 mod plans;
 mod support;
+mod wait;
