Measure how a change spreads over 940 processes, and count exchanges in the roles

The state machines of the spread run on a virtual clock with 120 to 940 processes.

Times of a core are trials of a shared machine.

--- a/crates/capacity/src/measure.rs
+++ b/crates/capacity/src/measure.rs
@@ -1,6 +1,7 @@
 //! The measurements, by area.
 
 mod agent;
+mod change;
 mod configuration;
 mod connection;
 mod entry;
@@ -26,6 +27,8 @@
     Agent,
     /// Bytes of each message.
     Wire,
+    /// The spread of a change over many processes.
+    Change,
     /// Control connections over loopback.
     Connection,
     /// Open streams through whole processes.
@@ -46,6 +49,7 @@
             Self::Entry,
             Self::Agent,
             Self::Wire,
+            Self::Change,
             Self::Connection,
             Self::Stream,
         ]
@@ -63,6 +67,7 @@
         Area::Entry => entry::run(findings),
         Area::Agent => agent::run(findings),
         Area::Wire => wire::run(findings),
+        Area::Change => change::run(findings),
         Area::Connection => connection::run(findings),
         Area::Stream => stream::run(findings),
     }
--- a/crates/capacity/src/measure/wire.rs
+++ b/crates/capacity/src/measure/wire.rs
@@ -5,6 +5,7 @@
 use comfreyhaven_core::agent::RunStatus;
 use comfreyhaven_core::refusal::ReturnReason;
 use comfreyhaven_core::request::PrefixDigest;
+use comfreyhaven_core::spread::Version;
 use comfreyhaven_core::{BootNonce, Generation, OfferId, RequestId};
 use comfreyhaven_wire::frame::{Frame, RunHead};
 use comfreyhaven_wire::service::{
@@ -40,8 +41,14 @@
     let mut points = Vec::new();
     for count in [4, 8, 12, 18] {
         let names = comfreyhaven_config::document_names().take(count);
-        let generations = names.map(|name| (name, Generation(u64::MAX))).collect();
-        let digest = Digest { generations };
+        let version = Version {
+            generation: Generation(u64::MAX),
+            digest: u64::MAX,
+        };
+        let digest = Digest {
+            from: ([10, 0, 0, 1], 7_000).into(),
+            versions: names.map(|name| (name, version)).collect(),
+        };
         let reply = PeerControlResponse::Exchange(digest.clone());
         points.push(Point {
             size: count as f64,
--- a/crates/capacity/src/role.rs
+++ b/crates/capacity/src/role.rs
@@ -164,9 +164,22 @@
     Ok(endpoints + findings.fit(Cost::HostText)?.slope * target::HOSTS)
 }
 
-/// Bytes a second that a process reads of changes, each in a document of `text` bytes, with the
-/// watches that tell of them.
+/// Bytes a second that a process reads of changes, each in a document of `text` bytes, with its
+/// looks at the index.
 fn following_bytes(text: f64) -> f64 {
-    let changes = target::CHANGES_PER_DAY / target::DAY_S;
-    changes * (text + target::WATCH_BYTES) + target::WATCH_BYTES / target::WATCH_HOLD_S
+    changes() * text + target::WATCH_BYTES / target::POLL_S
+}
+
+/// Bytes a second of exchanges with peers, those that a process begins and those that it answers.
+fn exchange_bytes(findings: &Findings) -> Result<f64, CapacityError> {
+    let bytes = findings.fit(Cost::ExchangeBytes)?.at(target::DOCUMENTS);
+    let processes = target::HOSTS + target::ENGINES;
+    let idle = findings.fit(Cost::IdleExchanges)?.at(processes);
+    let change = findings.fit(Cost::ChangeExchanges)?.at(processes);
+    Ok(2.0 * bytes * (idle + change * changes()))
+}
+
+/// Changes a second, as a mean of a day.
+fn changes() -> f64 {
+    target::CHANGES_PER_DAY / target::DAY_S
 }
--- a/crates/capacity/src/role/agent.rs
+++ b/crates/capacity/src/role/agent.rs
@@ -3,7 +3,7 @@
 use super::{
     Role, Row, Unit, apply_micros, core, fleet_bytes, fleet_text, following_bytes, memory,
 };
-use super::{teams_text, text_bytes};
+use super::{changes, exchange_bytes, teams_text, text_bytes};
 use crate::error::CapacityError;
 use crate::series::{Cost, Findings};
 use crate::target;
@@ -80,7 +80,7 @@
     let decide = reserved * findings.fit(Cost::AgentTime)?.at(depth);
     let calls = requests() * (2.0 * target::FANOUT - 1.0);
     let calls = calls * findings.fit(Cost::CallTime)?.slope;
-    let change = target::CHANGES_PER_DAY / target::DAY_S * apply_micros(findings)?;
+    let change = changes() * apply_micros(findings)?;
     let role = Role::Agent;
     Ok(vec![
         core(role, "decisions", decide, "agent_time x 3 x 1.3/s"),
@@ -110,6 +110,7 @@
     let requests = requests() * super::entry::request_bytes(findings)?;
     let teams = following_bytes(teams_text(findings)?);
     let fleet = following_bytes(fleet_text(findings)?);
+    let peers = exchange_bytes(findings)?;
     let role = Role::Agent;
     let row = |what, value, from| Row::new(role, what, value, Unit::BytesPerSecond, from);
     Ok(vec![
@@ -118,9 +119,22 @@
             requests,
             "as an entry's, x 1.3/s",
         ),
-        row("control, changes in teams", requests + teams, "the sum")
-            .with_budget(target::CONTROL_BYTES),
-        row("control, changes in the fleet", requests + fleet, "the sum")
-            .with_budget(target::CONTROL_BYTES),
+        row(
+            "exchanges with peers",
+            peers,
+            "exchange_bytes x 2 x (idle_exchanges + change_exchanges x 530 / 86,400 s)",
+        ),
+        row(
+            "control, changes in teams",
+            requests + peers + teams,
+            "the sum",
+        )
+        .with_budget(target::CONTROL_BYTES),
+        row(
+            "control, changes in the fleet",
+            requests + peers + fleet,
+            "the sum",
+        )
+        .with_budget(target::CONTROL_BYTES),
     ])
 }
--- a/crates/capacity/src/role/change.rs
+++ b/crates/capacity/src/role/change.rs
@@ -6,53 +6,36 @@
 use crate::target;
 
 pub(super) fn rows(findings: &Findings) -> Result<Vec<Row>, CapacityError> {
-    let watchers = target::HOSTS + target::ENGINES;
-    let idle = watchers / target::WATCH_HOLD_S;
-    // Each process waits for a random part between half and all of the spread, then reads the
-    // document and watches again.
-    let burst = 2.0 * watchers / (target::READ_SPREAD_S / 2.0);
-    let start = watchers * (target::DOCUMENTS + 1.0);
+    let processes = target::HOSTS + target::ENGINES;
     let apply_s = apply_micros(findings)? / 1e6;
-    let service =
-        |what, value, from| Row::new(Role::Service, what, value, Unit::CallsPerSecond, from);
-    let fleet = |what, value, unit, from| Row::new(Role::Fleet, what, value, unit, from);
+    let known_s = findings.worst(Cost::InForceMillis)? / 1e3;
+    let service = |what, cost, from| {
+        let value = findings.fit(cost)?.at(processes);
+        let row = Row::new(Role::Service, what, value, Unit::CallsPerSecond, from);
+        Ok::<_, CapacityError>(row.with_budget(target::READS))
+    };
     Ok(vec![
         service(
-            "watches that wait",
-            idle,
-            "940 watchers / 20 s, without a change",
-        )
-        .with_budget(target::READS),
+            "calls while nothing changes",
+            Cost::IdleCalls,
+            "idle_calls at 940; each watch that waits is one call",
+        )?,
         service(
-            "reads just after a change",
-            burst,
-            "2 calls x 940 in 0.25 s, the random part of the spread",
-        )
-        .with_budget(target::READS),
+            "most calls in a second after a change",
+            Cost::ChangePeak,
+            "change_peak at 940",
+        )?,
         service(
-            "reads when all start in one second",
-            start,
-            "19 calls x 940",
-        )
-        .with_budget(target::READS),
-        service(
-            "reads when a data centre starts in one second",
-            start / target::CENTRES,
-            "19 calls x 104",
-        )
-        .with_budget(target::READS),
-        fleet(
+            "most calls in a second while all start in one instant",
+            Cost::StartPeak,
+            "start_peak at 940",
+        )?,
+        Row::new(
+            Role::Fleet,
             "a change in force everywhere",
-            target::READ_SPREAD_S + apply_s,
-            Unit::Seconds,
-            "spread and apply, with the service up and not over its rate",
-        )
-        .with_budget(target::CHANGE_S),
-        fleet(
-            "a change at the service's rate alone",
-            2.0 * watchers / target::READS + apply_s,
+            known_s + apply_s,
             Unit::Seconds,
-            "2 calls x 940 at 2,000/s, and apply",
+            "longest of in_force_millis, and an apply",
         )
         .with_budget(target::CHANGE_S),
         Row::new(
--- a/crates/capacity/src/role/entry.rs
+++ b/crates/capacity/src/role/entry.rs
@@ -3,7 +3,7 @@
 use super::{
     Role, Row, Unit, apply_micros, core, fleet_bytes, fleet_text, following_bytes, memory,
 };
-use super::{teams_text, text_bytes};
+use super::{changes, exchange_bytes, teams_text, text_bytes};
 use crate::error::CapacityError;
 use crate::series::{Cost, Findings};
 use crate::target;
@@ -87,7 +87,7 @@
     let waiting = rate * target::FIRST_TOKEN_S;
     let decide = rate * (placement + findings.fit(Cost::EntryTime)?.slope * waiting);
     let calls = rate * (2.0 * target::FANOUT - 1.0) * findings.fit(Cost::CallTime)?.slope;
-    let change = target::CHANGES_PER_DAY / target::DAY_S * apply_micros(findings)?;
+    let change = changes() * apply_micros(findings)?;
     let role = Role::Entry;
     Ok(vec![
         core(role, "decisions", decide, "(placement_time at 610) x 2.4/s"),
@@ -129,6 +129,7 @@
     let requests = requests() * request_bytes(findings)?;
     let teams = following_bytes(teams_text(findings)?);
     let fleet = following_bytes(fleet_text(findings)?);
+    let peers = exchange_bytes(findings)?;
     let role = Role::Entry;
     let row = |what, value, from| Row::new(role, what, value, Unit::BytesPerSecond, from);
     Ok(vec![
@@ -140,20 +141,33 @@
         row(
             "changes, all in teams documents",
             teams,
-            "team_text x 4,900 / 16 x 530 / 86,400 s, and watches",
+            "team_text x 4,900 / 16 x 530 / 86,400 s, and looks at the index",
         ),
         row(
             "changes, all in the fleet document",
             fleet,
             "endpoint_text x 610 + host_text x 330, the same",
         ),
-        row("control, changes in teams", requests + teams, "the sum")
-            .with_budget(target::CONTROL_BYTES),
-        row("control, changes in the fleet", requests + fleet, "the sum")
-            .with_budget(target::CONTROL_BYTES),
+        row(
+            "exchanges with peers",
+            peers,
+            "exchange_bytes x 2 x (idle_exchanges + change_exchanges x 530 / 86,400 s)",
+        ),
+        row(
+            "control, changes in teams",
+            requests + peers + teams,
+            "the sum",
+        )
+        .with_budget(target::CONTROL_BYTES),
+        row(
+            "control, changes in the fleet",
+            requests + peers + fleet,
+            "the sum",
+        )
+        .with_budget(target::CONTROL_BYTES),
         row(
             "control with TCP and IP headers, changes in teams",
-            requests + headers() + teams,
+            requests + peers + headers() + teams,
             "10 segments a request, 52 bytes each, more",
         )
         .with_budget(target::CONTROL_BYTES),
--- a/crates/capacity/src/series.rs
+++ b/crates/capacity/src/series.rs
@@ -53,7 +53,8 @@
     PlacementTime,
     /// Bytes that an agent keeps for a waiting reservation.
     ReservationMemory,
-    /// Microseconds of a core that an agent decides on a request, by reservations that wait.
+    /// Microseconds of a core that an agent decides on a reservation and its withdrawal, by
+    /// reservations that wait.
     AgentTime,
     /// Bytes that an agent keeps for a request that has run.
     HistoryMemory,
@@ -91,6 +92,18 @@
     EntryToken,
     /// Microseconds of a core that an agent process takes to pass a token on.
     AgentToken,
+    /// Most calls to the configuration service in a second while all processes start together.
+    StartPeak,
+    /// Calls a second to the configuration service while nothing changes.
+    IdleCalls,
+    /// Exchanges a second that a process begins while nothing changes.
+    IdleExchanges,
+    /// Milliseconds until a change is known to every process.
+    InForceMillis,
+    /// Most calls to the configuration service in a second after a change.
+    ChangePeak,
+    /// Exchanges that a process begins in the ten seconds after a change.
+    ChangeExchanges,
 }
 
 /// Measured points and the line through them.
@@ -151,6 +164,16 @@
         Ok(slope.ok_or(CapacityError::Missing(cost))?.fit)
     }
 
+    /// The largest measured cost, for a slope that is no line.
+    ///
+    /// # Errors
+    /// Returns [`CapacityError::Missing`] if it was not measured.
+    pub fn worst(&self, cost: Cost) -> Result<f64, CapacityError> {
+        let slope = self.slopes.get(&cost);
+        let points = slope.ok_or(CapacityError::Missing(cost))?.points.iter();
+        Ok(points.map(|point| point.cost).fold(0.0, f64::max))
+    }
+
     /// A single figure.
     ///
     /// # Errors
--- a/crates/capacity/src/target.rs
+++ b/crates/capacity/src/target.rs
@@ -47,10 +47,8 @@
 
 /// Reservations that the present design places for a request.
 pub const FANOUT: f64 = 3.0;
-/// Longest wait of a process before it reads a change in the present design, in seconds.
-pub const READ_SPREAD_S: f64 = 0.5;
-/// Seconds after which the service answers a watch that saw no change.
-pub const WATCH_HOLD_S: f64 = 20.0;
+/// Seconds between two looks at the index by a process that does not watch.
+pub const POLL_S: f64 = 60.0;
 /// Bytes of a watch's request and answer: headers, and an index of all documents.
 pub const WATCH_BYTES: f64 = 800.0;
 /// Bytes of the IP and TCP headers of one segment, time stamps included.
