--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -17,7 +17,7 @@
         .arg(
             Arg::new("request")
                 .value_name("REQUEST-ID")
-                .help("Identifier from the answer's x-request-id header, or from a log")
+                .help("Identifier from the answer's x-comfreyhaven-request header, or from a log")
                 .required(true)
                 .value_parser(value_parser!(RequestId)),
         )
