--- a/crates/config/src/reference.rs
+++ b/crates/config/src/reference.rs
@@ -24,6 +24,16 @@
     found
 }
 
+/// Checks the references that stay inside one document.
+pub(crate) fn check_alone(declared: &Declared) -> Vec<Problem> {
+    let mut found = Vec::new();
+    check_centres(declared, &mut found);
+    check_addresses(declared, &mut found);
+    check_paths(declared, &mut found);
+    check_keys(declared, &mut found);
+    found
+}
+
 /// Where a fault is: a section of a document, and the name of a value in it.
 struct Place<'a> {
     document: String,
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -43,6 +43,8 @@
     pub configuration: SocketAddr,
     /// The host list.
     pub hosts: SocketAddr,
+    /// Control addresses of peers that are asked while no configuration is known.
+    pub peers: Vec<SocketAddr>,
     /// Log filter, as `env_logger` reads it.
     pub log: String,
 }
@@ -77,11 +79,7 @@
     /// # Errors
     /// Returns a [`SettingsError`] that names every fault of the file.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let (process, (name, listen)) = parse(path, "entry", |section| {
-            let name = section.take("name");
-            let listen = address(section, "listen");
-            Some((name?, listen?))
-        })?;
+        let (process, (name, listen)) = parse(path, "entry", entry)?;
         Ok(Self {
             process,
             name,
@@ -96,12 +94,7 @@
     /// # Errors
     /// Returns a [`SettingsError`] that names every fault of the file.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let (process, (name, traffic, endpoint)) = parse(path, "agent", |section| {
-            let name = section.take("name");
-            let traffic = address(section, "traffic");
-            let endpoint = section.take_address("endpoint");
-            Some((name?, traffic?, endpoint?))
-        })?;
+        let (process, (name, traffic, endpoint)) = parse(path, "agent", agent)?;
         Ok(Self {
             process,
             name,
@@ -157,7 +150,20 @@
     }
 }
 
-fn process(section: &mut Section) -> Option<ProcessSettings> {
+pub(crate) fn entry(section: &mut Section) -> Option<(HostName, SocketAddr)> {
+    let name = section.take("name");
+    let listen = address(section, "listen");
+    Some((name?, listen?))
+}
+
+pub(crate) fn agent(section: &mut Section) -> Option<(EndpointName, SocketAddr, SocketAddr)> {
+    let name = section.take("name");
+    let traffic = address(section, "traffic");
+    let endpoint = section.take_address("endpoint");
+    Some((name?, traffic?, endpoint?))
+}
+
+pub(crate) fn process(section: &mut Section) -> Option<ProcessSettings> {
     let centre = section.take("data centre");
     let control = address(section, "control");
     if let Some(control) = control.filter(|control| control.ip().is_unspecified()) {
@@ -167,6 +173,7 @@
     let admin = address(section, "admin");
     let configuration = section.take_address("configuration service");
     let hosts = section.take_address("host list");
+    let peers = section.take_list("peers");
     let log = log(section);
     Some(ProcessSettings {
         centre: centre?,
@@ -174,12 +181,13 @@
         admin: admin?,
         configuration: configuration?,
         hosts: hosts?,
+        peers,
         log: log?,
     })
 }
 
 /// Where a process listens. A port of zero lets the system choose one.
-fn address(section: &mut Section, name: &str) -> Option<SocketAddr> {
+fn address(section: &mut Section, name: &'static str) -> Option<SocketAddr> {
     section
         .take::<Address>(name)
         .map(|Address(address)| address)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,9 +9,12 @@
 pub mod entry;
 pub mod fleet;
 pub mod id;
+pub mod listing;
 pub mod name;
+pub mod pause;
 pub mod refusal;
 pub mod request;
+pub mod spread;
 pub mod time;
 
 pub use id::{BootNonce, Generation, KeyDigest, OfferId, RequestId, ReservationId};
--- a/crates/core/tests/core/main.rs
+++ b/crates/core/tests/core/main.rs
@@ -3,6 +3,7 @@
 mod agent_properties;
 mod bearing;
 mod network;
+mod overload;
 mod queue_model;
 mod replay;
 mod support;
--- a/crates/suite/tests/suite/main.rs
+++ b/crates/suite/tests/suite/main.rs
@@ -1,10 +1,14 @@
 //! Integration tests with the real processes, one module for each subject.
 
 mod callers;
+mod chaos;
+mod configuration;
 mod cuts;
 mod freezes;
 mod input;
 mod kills;
+mod leaving;
+mod overload;
 mod path;
 mod plans;
 mod support;
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -1,13 +1,13 @@
 //! The `tarpc` services, one for each role.
 
-use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use comfreyhaven_core::agent::RunStatus;
+use comfreyhaven_core::entry::{Loan, LoanId, Return};
 use comfreyhaven_core::refusal::ReturnReason;
-use comfreyhaven_core::{
-    Generation, HostName, OfferId, RequestId, Reservation, ReservationId, TeamName,
-};
+use comfreyhaven_core::spread::Versions;
+use comfreyhaven_core::{HostName, OfferId, RequestId, Reservation, ReservationId, TeamName};
 use serde::{Deserialize, Serialize};
 
 /// How a reservation left an agent's queue.
@@ -37,11 +37,13 @@
     async fn inquire(request: RequestId, offer: OfferId) -> RunStatus;
 }
 
-/// What a process tells its peers of the configuration, by document.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// What a process tells its peers of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
-    /// Generation in force at the sender.
-    pub generations: BTreeMap<String, Generation>,
+    /// Where the sender's own control service listens.
+    pub from: SocketAddr,
+    /// Newest versions at the sender, by document.
+    pub versions: Versions,
 }
 
 /// A published document as one process passes it to another.
@@ -58,25 +60,31 @@
 pub struct BorrowRequest {
     /// Who asks.
     pub borrower: HostName,
-    /// The team.
-    pub team: TeamName,
-    /// Tokens wanted.
-    pub tokens: u64,
+    /// The team, or `None` to learn only which hosts the peer knows.
+    pub team: Option<TeamName>,
+    /// Tokens that the request in hand lacks.
+    pub need: u64,
+    /// Tokens that the borrower can use at most.
+    pub most: u64,
+    /// Earlier loans of the callee whose room it need not keep any longer.
+    pub settled: Vec<LoanId>,
+    /// Tokens of earlier loans that the callee has again.
+    pub returned: Vec<Return>,
 }
 
-/// Tokens that the lender has already debited.
+/// The answer to a wish to borrow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BorrowReply {
-    /// Tokens granted, from zero to those wanted.
-    pub tokens: u64,
+    /// Tokens that the lender has already debited, or `None` if the callee lends to nobody.
+    pub loan: Option<Loan>,
 }
 
 /// Calls that every process answers to its peers.
 #[tarpc::service]
 pub trait PeerControl {
-    /// Tells which generations the caller has and learns which the callee has.
+    /// Tells which versions the caller has and learns which the callee has.
     async fn exchange(digest: Digest) -> Digest;
-    /// The text of a document in force at the callee.
+    /// The newest text of a document at the callee, in force or waiting for others.
     async fn document(name: String) -> Option<DocumentText>;
     /// Asks an entry for tokens of a team. An agent grants none.
     async fn borrow(request: BorrowRequest) -> BorrowReply;
