--- a/crates/core/src/agent/policy.rs
+++ b/crates/core/src/agent/policy.rs
@@ -16,7 +16,7 @@
 pub enum Growth {
     /// One more request for each completion, so that the limit doubles in each round.
     Multiplicative,
-    /// As [`Growth::Multiplicative`], after a number of completions at the cold limit.
+    /// As [`Growth::Additive`], after a number of completions at the cold limit.
     #[default]
     Held,
     /// One more request for as many completions as the limit.
--- a/crates/core/src/agent/slots.rs
+++ b/crates/core/src/agent/slots.rs
@@ -133,7 +133,7 @@
             return;
         }
         let wanted = match self.policy.growth {
-            Growth::Multiplicative | Growth::Held if self.cause != LimitCause::Slow => 1,
+            Growth::Multiplicative if self.cause != LimitCause::Slow => 1,
             _ => self.limit,
         };
         if self.completions >= wanted && self.limit < self.warm {
