--- a/crates/capacity/src/measure/wire.rs
+++ b/crates/capacity/src/measure/wire.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use comfreyhaven_core::agent::RunStatus;
+use comfreyhaven_core::entry::{Loan, LoanId};
 use comfreyhaven_core::refusal::ReturnReason;
 use comfreyhaven_core::request::PrefixDigest;
 use comfreyhaven_core::spread::Version;
@@ -81,10 +82,20 @@
         + answered(AgentControlResponse::Inquire(RunStatus::NeverRuns))?;
     let wish = BorrowRequest {
         borrower: "entry-000".parse()?,
-        team: "team-0000".parse()?,
+        team: Some("team-0000".parse()?),
+        need: 1_000,
+        most: 100_000,
+        settled: vec![LoanId(u64::MAX)],
+        returned: Vec::new(),
+    };
+    let loan = Loan {
+        id: LoanId(u64::MAX),
         tokens: 100_000,
+        left: 100_000,
+        holders: u64::MAX,
+        settling: Some(Duration::from_secs(1)),
     };
-    let grant = BorrowReply { tokens: 100_000 };
+    let grant = BorrowReply { loan: Some(loan) };
     let borrow = asked(PeerControlRequest::Borrow { request: wish })?
         + answered(PeerControlResponse::Borrow(grant))?;
     findings.set(
