Contain requests that crash endpoints without refusing their neighbours

Cause: a body that crashes its endpoint was dispatched again each time its caller sent it, and each time it took down all that ran beside it.

Change: when an endpoint fails, what ran there is suspect on all entries for 120 s. A suspect is reserved at one agent, which runs it with nothing beside it. If it ends whole it is cleared; if its endpoint fails again, the body is refused on all entries for 600 s. After a broken run an agent offers nothing until its endpoint has answered a probe.

Seen to fail without: with the first failure refusing, neighbours were refused; with a second failure that counts beside others, a body that ran twice in one crash was refused; without warnings, the second entry took the body; with an agent that ignores the mark, others ran beside the suspect; without the pause after a broken run, the process test found an innocent request on an engine that was still down; without the refusal, the process test got 502 instead of 422.

--- a/crates/core/examples/rate/simulation.rs
+++ b/crates/core/examples/rate/simulation.rs
@@ -292,6 +292,7 @@
             }
             Action::Refuse { request, refusal } => self.refused(request, refusal.kind()),
             Action::Lend(_)
+            | Action::Warn { .. }
             | Action::Withdraw { .. }
             | Action::Release { .. }
             | Action::Inquire { .. } => {}
--- a/crates/core/src/agent/machine.rs
+++ b/crates/core/src/agent/machine.rs
@@ -54,6 +54,8 @@
     running: HashMap<RequestId, Running>,
     history: History,
     endpoint: Option<u64>,
+    /// Whether a run broke off since the endpoint last answered a probe.
+    doubtful: bool,
     inherited: Inherited,
     estimator: Estimator,
     sizes: Sizes,
@@ -81,6 +83,7 @@
             running: HashMap::new(),
             history: History::default(),
             endpoint: None,
+            doubtful: false,
             inherited: Inherited::default(),
             estimator: Estimator::default(),
             sizes: Sizes::default(),
@@ -172,6 +175,7 @@
 
     fn endpoint_up(&mut self, boot: u64, reported: u32, now: Timestamp) {
         let own = count(self.running.len());
+        self.doubtful = false;
         match self.endpoint.replace(boot) {
             Some(earlier) if earlier == boot => self.inherited.report(reported, now),
             Some(_) => {
@@ -216,13 +220,16 @@
 
     /// The classes that may take a slot now: [`Class::Long`] stands for both.
     fn next_class(&self, now: Timestamp) -> Option<Class> {
-        let slots = self.slots.as_ref()?;
+        let slots = self.slots.as_ref().filter(|_| !self.doubtful)?;
         let next = self.queue.peek(Class::Long)?;
         let class = match next.class {
             Class::Long if self.free_for_long(slots, now) == 0 => Class::Short,
             Class::Long | Class::Short => Class::Long,
         };
         let next = self.queue.peek(class)?;
+        if self.must_wait(&next.reservation) {
+            return None;
+        }
         let active = self.running.len() + self.offers.len();
         let active = count(active).saturating_add(self.inherited.runs());
         let cost = next.reservation.cost.total();
@@ -231,6 +238,14 @@
             .then_some(class)
     }
 
+    /// Whether a reservation must wait since it, or one that has a slot, must run alone.
+    fn must_wait(&self, next: &Reservation) -> bool {
+        let idle = self.running.is_empty() && self.offers.len() == 0;
+        let apart = self.running.values().any(|run| run.reservation.alone);
+        let busy = !idle || self.inherited.runs() > 0;
+        (next.alone && busy) || apart || self.offers.any_alone()
+    }
+
     /// Slots that long requests may still take.
     fn free_for_long(&self, slots: &Slots, now: Timestamp) -> u32 {
         let kept = match self.policy.reserve {
--- a/crates/core/src/agent/machine/running.rs
+++ b/crates/core/src/agent/machine/running.rs
@@ -50,6 +50,9 @@
             Some(_) => return Err(NotRunReason::Leaving),
             None => {}
         }
+        if self.doubtful {
+            return Err(NotRunReason::EndpointDown);
+        }
         if now >= pending.deadline {
             return Err(NotRunReason::Late);
         }
@@ -121,7 +124,10 @@
         self.correct(&run, end);
         match end {
             RunEnd::Whole { output, .. } => self.learn(&run, output, now),
-            RunEnd::Broken => self.cool(LimitCause::Broken),
+            RunEnd::Broken => {
+                self.doubtful = true;
+                self.cool(LimitCause::Broken);
+            }
             RunEnd::NotRun(NotRunReason::EndpointFull) => self.cool(LimitCause::Refused),
             RunEnd::NotRun(NotRunReason::EndpointDown) => self.cool(LimitCause::Unreachable),
             RunEnd::NotRun(_) | RunEnd::Cancelled => {}
--- a/crates/core/src/agent/offers.rs
+++ b/crates/core/src/agent/offers.rs
@@ -118,6 +118,12 @@
         self.pending.len()
     }
 
+    /// Whether an offer was made to a request that must run alone.
+    pub(super) fn any_alone(&self) -> bool {
+        let mut pending = self.pending.values();
+        pending.any(|pending| pending.reservation.alone)
+    }
+
     /// Offers to long requests.
     pub(super) fn long(&self) -> usize {
         let long = |pending: &&Pending| pending.class == Class::Long;
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -4,6 +4,7 @@
 //! sends the body only under that offer, and goes back to reserving only on the agent's word that
 //! nothing ran.
 
+mod containment;
 mod ledger;
 mod machine;
 mod message;
@@ -11,6 +12,7 @@
 mod placement;
 mod waits;
 
+pub use containment::{BodyState, QUARANTINE_TIME, SUSPECT_TIME, Verdict, Warning};
 pub use ledger::{
     Ask, Charge, HANDOVER, HOLDERS_LIMIT, LOAN_LIFETIME, Ledger, Loan, LoanId, Return, ShareState,
     Shortfall,
--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod binding;
+mod containing;
 mod endings;
 mod payment;
 
@@ -11,6 +12,7 @@
 
 use serde::Serialize;
 
+use super::containment::{BodyState, Containment};
 use super::ledger::{Ledger, ShareState};
 use super::message::{Action, Event};
 use super::pending::{Pending, Phase};
@@ -18,7 +20,7 @@
 use super::waits::Waits;
 use crate::fleet::Fleet;
 use crate::id::{BootNonce, Generation, RequestId};
-use crate::name::{HostName, TeamName};
+use crate::name::{EndpointName, HostName, TeamName};
 use crate::refusal::{Refusal, RefusalKind, ReturnReason};
 use crate::request::Tier;
 use crate::time::Timestamp;
@@ -49,6 +51,7 @@
     undispatched: BTreeSet<(Tier, u64, RequestId)>,
     arrivals: u64,
     waits: Waits,
+    containment: Containment,
     leaving: bool,
 }
 
@@ -66,6 +69,10 @@
     /// Requests that wait for tokens, by team.
     unpaid: BTreeMap<TeamName, usize>,
     shares: Vec<ShareState>,
+    /// Bodies that run alone or are refused.
+    bodies: Vec<BodyState>,
+    /// Agents that are asked last.
+    shunned: Vec<EndpointName>,
 }
 
 impl Entry {
@@ -84,6 +91,7 @@
             undispatched: BTreeSet::new(),
             arrivals: 0,
             waits: Waits::default(),
+            containment: Containment::default(),
             leaving: false,
         }
     }
@@ -116,6 +124,7 @@
             Event::CallerGone(request) => self.caller_gone(request, now, &mut actions),
             Event::BorrowAsked(ask) => self.borrow_asked(*ask, now, &mut actions),
             Event::Lent { ask, loan } => self.lent(&ask, loan, now, &mut actions),
+            Event::Warned(warning) => self.containment.warned(&warning, now),
             Event::Leave => self.leaving = true,
             Event::Tick => self.tick(now, &mut actions),
         }
@@ -151,6 +160,8 @@
             tiers: self.tiers(),
             unpaid: self.unpaid.iter().map(count).collect(),
             shares: self.ledger.states(now),
+            bodies: self.containment.states(now),
+            shunned: self.placement.shunned(now),
         }
     }
 
--- a/crates/core/src/entry/machine/admission.rs
+++ b/crates/core/src/entry/machine/admission.rs
@@ -54,6 +54,9 @@
             .get(&arrival.route)
             .ok_or(Refusal::new(RefusalKind::NoRoute))?;
         let team = self.team_of(&arrival, route)?;
+        if let Some(refusal) = self.quarantined(arrival.body, now) {
+            return Err(refusal);
+        }
         Ok(Pending::new(
             arrival,
             team,
--- a/crates/core/src/entry/machine/binding.rs
+++ b/crates/core/src/entry/machine/binding.rs
@@ -20,9 +20,12 @@
 impl Entry {
     /// Starts an attempt to bind a request.
     pub(super) fn bind(&mut self, request: RequestId, now: Timestamp, actions: &mut Vec<Action>) {
+        let body = self.requests.get(&request).map(|p| p.arrival.body);
+        let alone = body.is_some_and(|body| self.is_suspect(body, now));
         let Some(pending) = self.requests.get_mut(&request) else {
             return;
         };
+        pending.alone = alone;
         let arrival = &pending.arrival;
         let mut names =
             self.placement
@@ -43,7 +46,8 @@
         let Some(pending) = self.requests.get_mut(&request) else {
             return;
         };
-        while pending.waiting.len() < FANOUT {
+        let fanout = if pending.alone { 1 } else { FANOUT };
+        while pending.waiting.len() < fanout {
             let Some(endpoint) = pending.unasked.pop() else {
                 break;
             };
@@ -105,10 +109,8 @@
         let others = std::mem::take(&mut pending.waiting);
         let withdraw = |endpoint| Action::Withdraw { endpoint, id };
         actions.extend(others.into_iter().map(withdraw));
-        let revoked = self.requests.get(&request).and_then(|p| self.revoked(p));
-        if let Some(refusal) = revoked {
-            actions.push(release);
-            return self.refuse(request, refusal, now, actions);
+        if self.stop(request, now, actions) {
+            return actions.push(release);
         }
         self.clear_timer(request);
         if let Some(pending) = self.requests.get_mut(&request) {
@@ -126,6 +128,29 @@
         });
     }
 
+    /// Checks at the last moment before the body leaves whether it still may, and as it was reserved.
+    fn stop(&mut self, request: RequestId, now: Timestamp, actions: &mut Vec<Action>) -> bool {
+        let Some(pending) = self.requests.get(&request) else {
+            return true;
+        };
+        let body = pending.arrival.body;
+        let refusal = self.revoked(pending).or(self.quarantined(body, now));
+        if let Some(refusal) = refusal {
+            self.refuse(request, refusal, now, actions);
+            return true;
+        }
+        let apart = self.is_suspect(body, now);
+        let Some(pending) = self.requests.get_mut(&request) else {
+            return true;
+        };
+        if apart && !pending.alone {
+            pending.attempt += 1;
+            self.bind(request, now, actions);
+            return true;
+        }
+        false
+    }
+
     pub(super) fn returned(
         &mut self,
         id: ReservationId,
--- a/crates/core/src/entry/machine/endings.rs
+++ b/crates/core/src/entry/machine/endings.rs
@@ -41,7 +41,10 @@
             Ending::NotSent => {
                 self.not_run(request, endpoint, NotRunReason::EndpointDown, now, actions);
             }
-            Ending::Failed => self.fail(request, Execution::InPart, actions),
+            Ending::Failed => {
+                self.suspect(request, now, actions);
+                self.fail(request, Execution::InPart, actions);
+            }
             Ending::Lost if begun => self.fail(request, Execution::InPart, actions),
             Ending::Lost => {
                 pending.phase = Phase::Inquiring {
@@ -67,6 +70,7 @@
         if let Some(pending) = self.forget(request) {
             let unused = pending.arrival.cost.output.saturating_sub(output);
             self.refund(&pending, u64::from(unused), now);
+            self.clear(&pending, now, actions);
         }
         actions.push(Action::Close(request));
     }
--- a/crates/core/src/entry/message.rs
+++ b/crates/core/src/entry/message.rs
@@ -2,11 +2,12 @@
 
 use std::sync::Arc;
 
+use super::containment::Warning;
 use super::ledger::{Ask, Loan};
 use crate::agent::RunStatus;
 use crate::fleet::Fleet;
 use crate::id::{KeyDigest, OfferId, RequestId, ReservationId};
-use crate::name::{EndpointName, RouteName};
+use crate::name::{EndpointName, HostName, RouteName};
 use crate::refusal::{NotRunReason, Refusal, ReturnReason};
 use crate::request::{BodyDigest, Cost, PrefixDigest, Reservation};
 
@@ -104,6 +105,8 @@
         /// The answer, if there was one.
         loan: Option<Loan>,
     },
+    /// A peer warns of a body.
+    Warned(Warning),
     /// The process was told to stop: new arrivals are refused.
     Leave,
     /// The time asked for by [`Entry::wake`](super::Entry::wake) has come.
@@ -165,6 +168,13 @@
     Close(RequestId),
     /// Ask a peer for tokens of a team.
     Borrow(Box<Ask>),
+    /// Warn a peer of a body.
+    Warn {
+        /// The peer.
+        peer: HostName,
+        /// What to tell it.
+        warning: Warning,
+    },
     /// Answer the peer whose ask is being handled. The tokens are debited.
     Lend(Loan),
 }
@@ -181,7 +191,7 @@
             | Self::Inquire { request, .. }
             | Self::Refuse { request, .. }
             | Self::Close(request) => Some(*request),
-            Self::Borrow(_) | Self::Lend(_) => None,
+            Self::Borrow(_) | Self::Lend(_) | Self::Warn { .. } => None,
         }
     }
 }
--- a/crates/core/src/entry/pending.rs
+++ b/crates/core/src/entry/pending.rs
@@ -62,6 +62,8 @@
     pub(super) displaced: bool,
     /// When its reservations were placed first.
     pub(super) bound: Timestamp,
+    /// Whether it is reserved to run alone.
+    pub(super) alone: bool,
     /// Order of arrival.
     pub(super) sequence: u64,
 }
@@ -83,6 +85,7 @@
             rounds: 0,
             displaced: false,
             bound: Timestamp::NEVER,
+            alone: false,
             sequence: 0,
         }
     }
@@ -111,6 +114,7 @@
             remaining: self.deadline.since(now),
             prefixes: self.arrival.prefixes.clone(),
             body: self.arrival.body,
+            alone: self.alone,
         }
     }
 
--- a/crates/core/src/entry/placement.rs
+++ b/crates/core/src/entry/placement.rs
@@ -60,6 +60,15 @@
         self.shunned.insert(endpoint, until);
     }
 
+    /// The agents that are asked last.
+    #[must_use]
+    pub fn shunned(&self, now: Timestamp) -> Vec<EndpointName> {
+        let shunned = self.shunned.iter().filter(|(_, until)| now < **until);
+        let mut names: Vec<_> = shunned.map(|(name, _)| name.clone()).collect();
+        names.sort();
+        names
+    }
+
     /// Whether an agent that was declared is still eligible for new work.
     #[must_use]
     pub fn is_eligible(fleet: &Fleet, endpoint: &EndpointName) -> bool {
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -86,4 +86,6 @@
     pub prefixes: Vec<PrefixDigest>,
     /// Recognises the body.
     pub body: BodyDigest,
+    /// Whether it must run with nothing else at its endpoint.
+    pub alone: bool,
 }
--- a/crates/core/tests/core/main.rs
+++ b/crates/core/tests/core/main.rs
@@ -1,6 +1,7 @@
 //! Property and replay tests of the decision core.
 
 mod agent_properties;
+mod containment;
 mod network;
 mod overload;
 mod queue_model;
--- a/crates/core/tests/core/network/entries.rs
+++ b/crates/core/tests/core/network/entries.rs
@@ -72,6 +72,14 @@
             }
             entry::Action::Borrow(ask) => self.borrow(index, ask),
             entry::Action::Lend(_) => {}
+            entry::Action::Warn { peer, warning } => {
+                let peer = (0..ENTRIES).find(|index| host_name(*index) == peer);
+                if let Some(peer) = peer.filter(|_| !self.lost()) {
+                    let boot = self.entries[peer].boot;
+                    let event = entry::Event::Warned(warning);
+                    self.soon(Delivery::Entry(peer, boot, event));
+                }
+            }
         }
     }
 
--- a/crates/entry/src/command.rs
+++ b/crates/entry/src/command.rs
@@ -8,6 +8,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::metrics::Metrics;
+use crate::peers::Word;
 
 /// A message to the control thread.
 pub(crate) enum Command {
@@ -43,17 +44,17 @@
     entry: Entry,
     metrics: Metrics,
     drivers: HashMap<RequestId, mpsc::UnboundedSender<Action>>,
-    asks: mpsc::UnboundedSender<Ask>,
+    words: mpsc::UnboundedSender<Word>,
 }
 
 impl Control {
-    /// A control state whose asks to peers go to `asks`.
-    pub(crate) fn new(entry: Entry, metrics: Metrics, asks: mpsc::UnboundedSender<Ask>) -> Self {
+    /// A control state whose words to peers go to `words`.
+    pub(crate) fn new(entry: Entry, metrics: Metrics, words: mpsc::UnboundedSender<Word>) -> Self {
         Self {
             entry,
             metrics,
             drivers: HashMap::new(),
-            asks,
+            words,
         }
     }
 
@@ -88,7 +89,10 @@
         for action in self.entry.handle(event, now) {
             self.metrics.count(&action);
             match action {
-                Action::Borrow(ask) => drop(self.asks.send(*ask)),
+                Action::Borrow(ask) => drop(self.words.send(Word::Ask(*ask))),
+                Action::Warn { peer, warning } => {
+                    let _ = self.words.send(Word::Warning(peer, warning));
+                }
                 Action::Lend(loan) => granted = Some(loan),
                 action => self.pass(action),
             }
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -103,7 +103,7 @@
                 return true;
             }
             Action::Close(_) => return true,
-            Action::Borrow(_) | Action::Lend(_) => {}
+            Action::Borrow(_) | Action::Lend(_) | Action::Warn { .. } => {}
         }
         false
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -26,7 +26,7 @@
             )?,
             decisions: make(
                 "comfreyhaven_entry_decisions_total",
-                "Reservations, withdrawals, releases, dispatches, inquiries, ends, asks and loans",
+                "Reservations, withdrawals, releases, dispatches, inquiries, ends, asks, loans and warnings",
                 &["decision"],
             )?,
         })
@@ -43,6 +43,7 @@
             Action::Close(_) => "close",
             Action::Borrow(_) => "borrow",
             Action::Lend(_) => "lend",
+            Action::Warn { .. } => "warn",
             Action::Refuse { refusal, .. } => {
                 let labels: [&str; 2] = [refusal.kind().into(), refusal.execution().into()];
                 return self.refused.with_label_values(&labels).inc();
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -2,9 +2,10 @@
 
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use comfreyhaven_core::HostName;
-use comfreyhaven_core::entry::{Ask, Event, LOAN_LIFETIME, Loan};
+use comfreyhaven_core::entry::{Ask, Event, LOAN_LIFETIME, Loan, Warning};
 use comfreyhaven_core::fleet::Fleet;
 use comfreyhaven_process::control::{self, Mailbox};
 use comfreyhaven_process::peer::Lender;
@@ -16,7 +17,10 @@
 use tokio_util::task::TaskTracker;
 
 use crate::command::Command;
-use crate::pool::{LinkError, Pool, within};
+use crate::pool::{Cell, LinkError, Pool, within};
+
+/// Pause before a peer that could not be warned is tried again.
+const WARNING_PAUSE: Duration = Duration::from_secs(1);
 
 /// Connections to the other entries.
 #[derive(Clone)]
@@ -40,6 +44,42 @@
         }
     }
 
+    async fn ask(&self, ask: Ask) -> Event {
+        let loan = self.borrow(&ask).await.unwrap_or_else(|error| {
+            log::debug!(peer:% = ask.peer; "cannot borrow: {error}");
+            None
+        });
+        let ask = Box::new(ask);
+        Event::Lent { ask, loan }
+    }
+
+    /// Warns a peer, with a second try after a failure.
+    async fn warn(&self, peer: &HostName, warning: Warning) {
+        for pause in [Duration::ZERO, WARNING_PAUSE] {
+            tokio::time::sleep(pause).await;
+            match self.warn_once(peer, warning).await {
+                Ok(()) => return,
+                Err(error) => log::warn!(peer:% = peer; "not warned: {error}"),
+            }
+        }
+    }
+
+    async fn warn_once(&self, peer: &HostName, warning: Warning) -> Result<(), LinkError> {
+        let (cell, client) = self.client(peer).await?;
+        let answer = client.warn(within(LOAN_LIFETIME), warning).await;
+        self.pool.check(&cell, answer)
+    }
+
+    async fn client(
+        &self,
+        peer: &HostName,
+    ) -> Result<(Cell<PeerControlClient>, PeerControlClient), LinkError> {
+        let target = self.fleet.borrow().hosts.get(peer).map(|h| h.control);
+        let target = target.ok_or(LinkError::Undeclared)?;
+        let make = |transport| PeerControlClient::new(Config::default(), transport);
+        self.pool.get(target, make).await
+    }
+
     /// Asks once more if the connection was lost, as it is after a time without calls. If the first
     /// ask was granted, its tokens are lost.
     async fn borrow(&self, ask: &Ask) -> Result<Option<Loan>, LinkError> {
@@ -52,10 +92,7 @@
     }
 
     async fn call(&self, ask: &Ask) -> Result<Option<Loan>, LinkError> {
-        let target = self.fleet.borrow().hosts.get(&ask.peer).map(|h| h.control);
-        let target = target.ok_or(LinkError::Undeclared)?;
-        let make = |transport| PeerControlClient::new(Config::default(), transport);
-        let (cell, client) = self.pool.get(target, make).await?;
+        let (cell, client) = self.client(&ask.peer).await?;
         let request = BorrowRequest {
             borrower: self.name.clone(),
             team: ask.team.clone(),
@@ -69,6 +106,15 @@
     }
 }
 
+/// Something to tell a peer.
+#[derive(Debug)]
+pub(crate) enum Word {
+    /// A wish to borrow.
+    Ask(Ask),
+    /// A warning of a body.
+    Warning(HostName, Warning),
+}
+
 /// Lends what the control thread grants.
 #[derive(Clone)]
 pub(crate) struct MailboxLender {
@@ -95,30 +141,35 @@
         let loan = control::ask(self.mailbox.clone(), |reply| Command::Borrow(ask, reply)).await;
         BorrowReply { loan }
     }
+
+    fn warn(&self, warning: Warning) {
+        let _ = self.mailbox.send(Command::Event(Event::Warned(warning)));
+    }
 }
 
-/// Sends the asks of the control thread and brings the answers back, until `stop`.
+/// Sends the words of the control thread and brings the answers back, until `stop`.
 pub(crate) async fn run(
-    mut asks: mpsc::UnboundedReceiver<Ask>,
+    mut words: mpsc::UnboundedReceiver<Word>,
     peers: Peers,
     mailbox: Mailbox<Command>,
     stop: CancellationToken,
 ) {
     let calls = TaskTracker::new();
     loop {
-        let ask = tokio::select! {
+        let word = tokio::select! {
             () = stop.cancelled() => break,
-            ask = asks.recv() => ask,
+            word = words.recv() => word,
         };
-        let Some(ask) = ask else { break };
+        let Some(word) = word else { break };
         let (peers, mailbox) = (peers.clone(), mailbox.clone());
         calls.spawn(async move {
-            let loan = peers.borrow(&ask).await.unwrap_or_else(|error| {
-                log::debug!(peer:% = ask.peer; "cannot borrow: {error}");
-                None
-            });
-            let ask = Box::new(ask);
-            let _ = mailbox.send(Command::Event(Event::Lent { ask, loan }));
+            match word {
+                Word::Ask(ask) => {
+                    let event = peers.ask(ask).await;
+                    let _ = mailbox.send(Command::Event(event));
+                }
+                Word::Warning(peer, warning) => peers.warn(&peer, warning).await,
+            }
         });
     }
     calls.close();
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -44,8 +44,8 @@
     let metrics = Metrics::new(&registry).map_err(std::io::Error::other)?;
     let boot = BootNonce::new(rand::random());
     let entry = Entry::new(settings.name.clone(), boot, rand::random());
-    let (ask_sender, asks) = mpsc::unbounded_channel();
-    let mut state = Control::new(entry, metrics, ask_sender);
+    let (word_sender, words) = mpsc::unbounded_channel();
+    let mut state = Control::new(entry, metrics, word_sender);
     let step = move |command, now| state.step(command, now);
     let (pauses, paused) = mpsc::unbounded_channel();
     let (thread, mailbox) = ControlThread::spawn(Clock::start(), Command::urgency, pauses, step)?;
@@ -87,7 +87,7 @@
     ));
 
     let peers = Peers::new(settings.name.clone(), source, fleet.clone(), tasks.clone());
-    tasks.spawn(peers::run(asks, peers, mailbox.clone(), stop.clone()));
+    tasks.spawn(peers::run(words, peers, mailbox.clone(), stop.clone()));
     let links = Links::new(source, fleet.clone(), tasks.clone());
     let drivers = TaskTracker::new();
     let context = Context {
--- a/crates/process/src/peer.rs
+++ b/crates/process/src/peer.rs
@@ -4,6 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
+use comfreyhaven_core::entry::Warning;
 use comfreyhaven_core::fleet::Fleet;
 use comfreyhaven_wire::preface::{self, ServiceKind};
 use comfreyhaven_wire::service::{
@@ -133,10 +134,12 @@
     answer.map_err(|_| PeerError::Timeout)?
 }
 
-/// Lends tokens of a team to a peer.
+/// An entry's part: lends tokens of a team to a peer, and takes warnings.
 pub trait Lender: Clone + Send + Sync + 'static {
     /// Debits what it grants before it answers.
     fn lend(&self, request: BorrowRequest) -> impl Future<Output = BorrowReply> + Send;
+    /// Takes a warning of a body.
+    fn warn(&self, warning: Warning);
 }
 
 /// Grants nothing, as an agent does.
@@ -147,6 +150,8 @@
     async fn lend(&self, _: BorrowRequest) -> BorrowReply {
         BorrowReply { loan: None }
     }
+
+    fn warn(&self, _: Warning) {}
 }
 
 #[derive(Clone)]
@@ -177,6 +182,18 @@
         self.configuration.document(name).await
     }
 
+    async fn warn(self, _: Context, warning: Warning) {
+        let fleet = self.configuration.fleet();
+        let known = fleet
+            .borrow()
+            .hosts
+            .values()
+            .any(|host| host.control.ip() == self.peer);
+        if known {
+            self.lender.warn(warning);
+        }
+    }
+
     async fn borrow(self, _: Context, request: BorrowRequest) -> BorrowReply {
         let fleet = self.configuration.fleet();
         let address = fleet
--- a/crates/suite/tests/suite/main.rs
+++ b/crates/suite/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod configuration;
+mod containment;
 mod cuts;
 mod freezes;
 mod input;
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use comfreyhaven_core::agent::RunStatus;
-use comfreyhaven_core::entry::{Loan, LoanId, Return};
+use comfreyhaven_core::entry::{Loan, LoanId, Return, Warning};
 use comfreyhaven_core::refusal::ReturnReason;
 use comfreyhaven_core::spread::Versions;
 use comfreyhaven_core::{HostName, OfferId, RequestId, Reservation, ReservationId, TeamName};
@@ -86,6 +86,8 @@
     async fn exchange(digest: Digest) -> Digest;
     /// The newest text of a document at the callee, in force or waiting for others.
     async fn document(name: String) -> Option<DocumentText>;
+    /// Warns an entry of a body that endpoints fail on.
+    async fn warn(warning: Warning);
     /// Asks an entry for tokens of a team. An agent grants none.
     async fn borrow(request: BorrowRequest) -> BorrowReply;
 }
