--- a/crates/harness/src/deployment.rs
+++ b/crates/harness/src/deployment.rs
@@ -251,6 +251,14 @@
             .await?)
     }
 
+    /// The address of the endpoint at `index` itself, past its agent.
+    ///
+    /// # Errors
+    /// Returns [`HarnessError::Port`] if it announced no port.
+    pub fn endpoint_address(&self, index: usize) -> Result<SocketAddr, HarnessError> {
+        self.endpoints[index].port("listen")
+    }
+
     /// The state dump of the agent at `index`.
     ///
     /// # Errors
@@ -374,6 +382,14 @@
         Ok(Caller::new(self.hosts.port("listen")?))
     }
 
+    /// Kills the host list.
+    ///
+    /// # Errors
+    /// Returns the error of the system.
+    pub async fn stop_hosts(&mut self) -> Result<(), HarnessError> {
+        self.hosts.kill().await
+    }
+
     /// The log of a process, such as `entry-e1`, `agent-engine-1` or `engine-1`.
     ///
     /// # Errors
