--- a/crates/capacity/src/measure/agent.rs
+++ b/crates/capacity/src/measure/agent.rs
@@ -160,5 +160,6 @@
             .map(|block| PrefixDigest(u64::MAX - block))
             .collect(),
         body: BodyDigest(u64::MAX),
+        alone: false,
     }
 }
--- a/crates/capacity/src/measure/wire.rs
+++ b/crates/capacity/src/measure/wire.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use comfreyhaven_core::agent::RunStatus;
+use comfreyhaven_core::entry::{Loan, LoanId, Return};
 use comfreyhaven_core::refusal::ReturnReason;
 use comfreyhaven_core::request::PrefixDigest;
 use comfreyhaven_core::spread::Version;
@@ -81,10 +82,25 @@
         + answered(AgentControlResponse::Inquire(RunStatus::NeverRuns))?;
     let wish = BorrowRequest {
         borrower: "entry-000".parse()?,
-        team: "team-0000".parse()?,
-        tokens: 100_000,
+        team: Some("team-0000".parse()?),
+        need: 100_000,
+        most: 100_000,
+        settled: vec![LoanId(u64::MAX)],
+        returned: vec![Return {
+            loan: LoanId(u64::MAX),
+            number: CALL,
+            tokens: 100_000,
+        }],
+    };
+    let grant = BorrowReply {
+        loan: Some(Loan {
+            id: LoanId(u64::MAX),
+            tokens: 100_000,
+            left: 100_000,
+            holders: u64::MAX,
+            settling: Some(Duration::ZERO),
+        }),
     };
-    let grant = BorrowReply { tokens: 100_000 };
     let borrow = asked(PeerControlRequest::Borrow { request: wish })?
         + answered(PeerControlResponse::Borrow(grant))?;
     findings.set(
