--- a/crates/suite/tests/suite/main.rs
+++ b/crates/suite/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod chaos;
 mod configuration;
+mod containment;
 mod cuts;
 mod freezes;
 mod input;
