--- a/crates/core/examples/decisions/simulation.rs
+++ b/crates/core/examples/decisions/simulation.rs
@@ -349,6 +349,7 @@
             remaining: deadline.since(self.now),
             prefixes: Vec::new(),
             body: BodyDigest(0),
+            alone: false,
         })
     }
 
--- a/crates/core/examples/decisions/structure.rs
+++ b/crates/core/examples/decisions/structure.rs
@@ -33,6 +33,7 @@
         remaining: Duration::from_secs(60),
         prefixes: Vec::new(),
         body: BodyDigest(0),
+        alone: false,
     };
     let deadline = Timestamp::from_micros(1_000_000_000 + (request as u64 * 7_919) % 1_000_000);
     let (service, class) = (Duration::ZERO, Class::Short);
--- a/crates/core/tests/core/bearing.rs
+++ b/crates/core/tests/core/bearing.rs
@@ -168,6 +168,7 @@
         request,
         end: RunEnd::Broken,
     });
+    bench.probe(1, 0);
     for _ in 0..2 * HOLD {
         assert_eq!(bench.limit(), u64::from(COLD));
         bench.reserve_small();
--- a/crates/core/tests/core/main.rs
+++ b/crates/core/tests/core/main.rs
@@ -2,6 +2,7 @@
 
 mod agent_properties;
 mod bearing;
+mod containment;
 mod network;
 mod overload;
 mod queue_model;
