End requests whose agent falls silent or whose answer comes too late

Cause: once a body was sent, only a broken connection or an end frame ended a request. A frozen agent, or a half-open connection, held its caller for ever, and an endpoint that never answered did so too (found by reading; the new tests hang without the change).

Ruled out: a limit on the time between tokens at the entry, which could not tell a slow endpoint from a dead agent.

Change: an agent that waits for its endpoint sends a sign of life each second; an entry counts four silent seconds as a lost connection and inquires. A request whose answer has not begun by its deadline is given up as unknown. The driver hears of it while it relays, and drops reservations that still wait when the request is over, where it used to wait for them.

The test of a cancelled run waits until the engine has the request; cancelled before that, the engine never counts it.

--- a/crates/agent/src/bodies.rs
+++ b/crates/agent/src/bodies.rs
@@ -1,5 +1,6 @@
 //! The HTTP server that takes bodies under offers and streams answers back.
 
+use std::pin::pin;
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
@@ -10,7 +11,7 @@
 use comfreyhaven_process::answer::{self, Answer};
 use comfreyhaven_process::control::Mailbox;
 use comfreyhaven_process::server;
-use comfreyhaven_wire::frame::{self, Frame, RunHead, RunReply};
+use comfreyhaven_wire::frame::{self, ALIVE_INTERVAL, Frame, RunHead, RunReply};
 use futures::StreamExt;
 use http_body_util::{BodyExt, Limited, StreamBody};
 use hyper::body::Incoming;
@@ -21,7 +22,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::command::{Command, Verdict};
-use crate::endpoint::{Endpoint, Piece};
+use crate::endpoint::{Endpoint, Piece, Run};
 use crate::peers;
 
 /// Bodies at once.
@@ -151,9 +152,8 @@
     };
     let mut pieces: u32 = 0;
     loop {
-        let piece = tokio::select! {
-            piece = run.next() => piece,
-            () = frames.closed(), if !endpoint.runs_on() => return RunEnd::Cancelled,
+        let Some(piece) = next(&mut run, frames, endpoint.runs_on()).await else {
+            return RunEnd::Cancelled;
         };
         match piece {
             Piece::Head { status, headers } => {
@@ -171,6 +171,20 @@
     }
 }
 
+/// Waits for the endpoint's next piece and shows the entry that this agent is alive. `None` if the
+/// entry is gone and the run does not go on without it.
+async fn next(run: &mut Run, frames: &mpsc::Sender<Bytes>, runs_on: bool) -> Option<Piece> {
+    // The wait must not start anew at each sign of life: it may be sending the request.
+    let mut piece = pin!(run.next());
+    loop {
+        tokio::select! {
+            piece = &mut piece => return Some(piece),
+            () = frames.closed(), if !runs_on => return None,
+            () = tokio::time::sleep(ALIVE_INTERVAL) => send(frames, Ok(Frame::Alive)).await,
+        }
+    }
+}
+
 /// What the control thread is told when a piece comes after `earlier` ones. An engine sends about
 /// one token a piece.
 fn progress(request: RequestId, earlier: u32) -> Option<Event> {
--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -202,6 +202,11 @@
                 let refusal = Refusal::new(RefusalKind::DeadlineExceeded).with_retry(retry);
                 self.refuse(request, refusal, now, actions);
             }
+            Phase::Dispatched { begun: false, .. } | Phase::Inquiring { .. }
+                if pending.deadline <= now =>
+            {
+                self.give_up(request, actions);
+            }
             Phase::Waiting | Phase::Dispatched { .. } | Phase::Inquiring { .. } => {}
         }
     }
--- a/crates/core/src/entry/machine/binding.rs
+++ b/crates/core/src/entry/machine/binding.rs
@@ -112,7 +112,6 @@
         if self.stop(request, now, actions) {
             return actions.push(release);
         }
-        self.clear_timer(request);
         if let Some(pending) = self.requests.get_mut(&request) {
             self.undispatched.remove(&pending.rank());
             pending.phase = Phase::Dispatched {
--- a/crates/core/src/entry/machine/endings.rs
+++ b/crates/core/src/entry/machine/endings.rs
@@ -85,6 +85,15 @@
         actions.push(Action::Refuse { request, refusal });
     }
 
+    /// Ends a dispatched request whose answer has not begun by its deadline. It may yet run, but its
+    /// answer would be worthless.
+    pub(super) fn give_up(&mut self, request: RequestId, actions: &mut Vec<Action>) {
+        self.forget(request);
+        let refusal = Refusal::new(RefusalKind::DeadlineExceeded);
+        let refusal = refusal.with_execution(Execution::Unknown);
+        actions.push(Action::Refuse { request, refusal });
+    }
+
     /// Binds a request again after the agent's word that nothing ran.
     fn not_run(
         &mut self,
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -1,7 +1,8 @@
 //! The task of one request: carries out the control thread's decisions on it.
 
-use comfreyhaven_core::entry::{Action, Event};
-use comfreyhaven_core::{EndpointName, OfferId, RequestId, Reservation};
+use comfreyhaven_core::entry::{Action, Ending, Event};
+use comfreyhaven_core::refusal::Refusal;
+use comfreyhaven_core::{EndpointName, OfferId, RequestId, Reservation, ReservationId};
 use comfreyhaven_process::control::Mailbox;
 use comfreyhaven_wire::service::ReserveReply;
 use tokio::sync::mpsc;
@@ -20,6 +21,9 @@
     links: Links,
     mailbox: Mailbox<Command>,
     actions: mpsc::UnboundedReceiver<Action>,
+    /// Reservations that wait. They end with the request.
+    reservations: JoinSet<()>,
+    /// Withdrawals and releases, which are made even when the request is over.
     calls: JoinSet<()>,
 }
 
@@ -39,6 +43,7 @@
             links,
             mailbox,
             actions,
+            reservations: JoinSet::new(),
             calls: JoinSet::new(),
         }
     }
@@ -54,6 +59,7 @@
                     self.tell(Event::CallerGone(self.request()));
                     continue;
                 }
+                Some(_) = self.reservations.join_next() => continue,
                 Some(_) = self.calls.join_next() => continue,
             };
             let Some(action) = action else { break };
@@ -61,6 +67,7 @@
                 break;
             }
         }
+        self.reservations.shutdown().await;
         while self.calls.join_next().await.is_some() {}
     }
 
@@ -80,26 +87,19 @@
                 reservation,
             } => self.reserve(endpoint, *reservation),
             Action::Withdraw { endpoint, id } => {
-                let links = self.links.clone();
-                self.calls
-                    .spawn(async move { drop(links.withdraw(&endpoint, id).await) });
+                withdraw(&mut self.calls, &self.links, endpoint, id);
             }
             Action::Release {
                 endpoint, offer, ..
-            } => {
-                let links = self.links.clone();
-                self.calls
-                    .spawn(async move { drop(links.release(&endpoint, offer).await) });
-            }
+            } => release(&mut self.calls, &self.links, endpoint, offer),
             Action::Dispatch {
                 endpoint, offer, ..
-            } => self.dispatch(&endpoint, offer).await,
+            } => return self.dispatch(&endpoint, offer).await,
             Action::Inquire {
                 endpoint, offer, ..
             } => self.inquire(&endpoint, offer).await,
             Action::Refuse { refusal, .. } => {
-                log::info!(request:% = self.request(), team:% = self.intake.team; "refused: {refusal}");
-                self.caller.refuse(&refusal).await;
+                self.refuse(&refusal).await;
                 return true;
             }
             Action::Close(_) => return true,
@@ -110,7 +110,7 @@
 
     fn reserve(&mut self, endpoint: EndpointName, reservation: Reservation) {
         let (links, mailbox) = (self.links.clone(), self.mailbox.clone());
-        self.calls.spawn(async move {
+        self.reservations.spawn(async move {
             let id = reservation.id;
             let event = match links.reserve(&endpoint, reservation).await {
                 Ok(ReserveReply::Offered { offer, .. }) => Event::Offered {
@@ -132,22 +132,50 @@
         });
     }
 
-    async fn dispatch(&mut self, endpoint: &EndpointName, offer: OfferId) {
-        let (links, mailbox) = (&self.links, &self.mailbox);
-        let relayed = relay::run(
-            &self.intake,
-            endpoint,
-            offer,
-            links,
-            mailbox,
-            &mut self.caller,
-        )
-        .await;
+    async fn refuse(&mut self, refusal: &Refusal) {
+        log::info!(request:% = self.request(), team:% = self.intake.team; "refused: {refusal}");
+        self.caller.refuse(refusal).await;
+    }
+
+    /// Sends the body and passes the answer on, unless the request is ended first. Tells whether the
+    /// request is over.
+    async fn dispatch(&mut self, endpoint: &EndpointName, offer: OfferId) -> bool {
+        let (links, calls) = (&self.links, &mut self.calls);
+        let (intake, mailbox, caller) = (&self.intake, &self.mailbox, &mut self.caller);
+        let mut relaying = Box::pin(relay::run(intake, endpoint, offer, links, mailbox, caller));
+        let ended = loop {
+            let action = tokio::select! {
+                relayed = &mut relaying => break Err(relayed),
+                action = self.actions.recv() => action,
+            };
+            match action {
+                Some(Action::Withdraw { endpoint, id }) => withdraw(calls, links, endpoint, id),
+                Some(Action::Release {
+                    endpoint, offer, ..
+                }) => release(calls, links, endpoint, offer),
+                Some(Action::Refuse { refusal, .. }) => break Ok(Some(refusal)),
+                Some(Action::Close(_)) | None => break Ok(None),
+                Some(_) => {}
+            }
+        };
+        drop(relaying);
+        match ended {
+            Err(relayed) => {
+                self.relayed(endpoint, relayed);
+                return false;
+            }
+            Ok(Some(refusal)) => self.refuse(&refusal).await,
+            Ok(None) => {}
+        }
+        true
+    }
+
+    fn relayed(&mut self, endpoint: &EndpointName, relayed: Relayed) {
         let request = self.request();
         match relayed {
             Relayed::CallerGone => self.tell(Event::CallerGone(request)),
             Relayed::Ended(ending) => {
-                if let comfreyhaven_core::entry::Ending::Whole { .. } = ending {
+                if let Ending::Whole { .. } = ending {
                     self.caller.finish();
                 }
                 log::info!(request:% = request, team:% = self.intake.team; "ended at {endpoint}: {ending:?}");
@@ -162,3 +190,13 @@
         self.tell(Event::Inquired { request, status });
     }
 }
+
+fn withdraw(calls: &mut JoinSet<()>, links: &Links, endpoint: EndpointName, id: ReservationId) {
+    let links = links.clone();
+    calls.spawn(async move { drop(links.withdraw(&endpoint, id).await) });
+}
+
+fn release(calls: &mut JoinSet<()>, links: &Links, endpoint: EndpointName, offer: OfferId) {
+    let links = links.clone();
+    calls.spawn(async move { drop(links.release(&endpoint, offer).await) });
+}
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -6,11 +6,12 @@
 use comfreyhaven_core::{EndpointName, OfferId};
 use comfreyhaven_process::control::Mailbox;
 use comfreyhaven_process::dial::{self, HttpConnection};
-use comfreyhaven_wire::frame::{self, Frame, RunHead, RunReply};
+use comfreyhaven_wire::frame::{self, Frame, RunHead, RunReply, SILENCE_TIMEOUT};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Method, Request, Response};
+use tokio::time::timeout;
 
 use crate::caller::Caller;
 use crate::command::Command;
@@ -39,10 +40,10 @@
         return Relayed::Ended(Ending::NotSent);
     };
     let sent = tokio::select! {
-        sent = connection.sender.send_request(request) => sent,
+        sent = timeout(SILENCE_TIMEOUT, connection.sender.send_request(request)) => sent,
         () = caller.gone() => return Relayed::CallerGone,
     };
-    let Ok(response) = sent else {
+    let Ok(Ok(response)) = sent else {
         return Relayed::Ended(Ending::Lost);
     };
     let mut frames = Frames {
@@ -51,7 +52,7 @@
     };
     loop {
         let frame = tokio::select! {
-            frame = frames.next() => frame,
+            frame = timeout(SILENCE_TIMEOUT, frames.next()) => frame.ok().flatten(),
             () = caller.gone() => return Relayed::CallerGone,
         };
         match pass(frame, intake, mailbox, caller).await {
@@ -116,6 +117,7 @@
             }
             Err(_) => lost,
         },
+        Some(Frame::Alive) => None,
         Some(Frame::Data(bytes)) => (!caller.send(bytes).await).then_some(Relayed::CallerGone),
         Some(Frame::End(payload)) => match frame::message(&payload) {
             Ok(RunEnd::Whole { output, .. }) => Some(Relayed::Ended(Ending::Whole { output })),
--- a/crates/harness/src/plan.rs
+++ b/crates/harness/src/plan.rs
@@ -217,6 +217,13 @@
         }
     }
 
+    /// Adds a value to the section of a route. Takes effect when the routes are published.
+    pub fn set_route(&mut self, route: &str, name: &str, value: &str) {
+        for known in self.routes.iter_mut().filter(|known| known.name == route) {
+            known.lines.push((name.to_owned(), value.to_owned()));
+        }
+    }
+
     /// Changes the bearing of an endpoint. Takes effect when the fleet is published.
     pub fn set_bearing(&mut self, endpoint: &str, cold: u32, warm: u32) {
         for known in self
--- a/crates/suite/tests/suite/callers.rs
+++ b/crates/suite/tests/suite/callers.rs
@@ -4,13 +4,13 @@
 use comfreyhaven_standin::answer_text;
 
 use crate::plans;
-use crate::support::{chat, outcome, until, until_running};
+use crate::support::{chat, outcome, seen, until, until_running};
 
 #[tokio::test]
 async fn a_run_whose_caller_has_gone_is_cancelled() -> Result<(), HarnessError> {
     let deployment = Deployment::start(plans::single()).await?;
     let call = chat(&deployment, 0, "a plan that nobody waits for", 20_000)?;
-    until_running(&deployment, 0, 1).await?;
+    until(|| async { Ok(seen(&deployment, 0).await? == 1) }).await?;
     call.abort();
     until(|| async { Ok(deployment.ask_endpoint(0, "/totals").await?.json()["cancelled"] == 1) })
         .await?;
@@ -40,6 +40,6 @@
         reply.generated(),
         Some(answer_text::text("holds the only slot", 400))
     );
-    assert_eq!(crate::support::seen(&deployment, 0).await?, 1);
+    assert_eq!(seen(&deployment, 0).await?, 1);
     Ok(())
 }
--- a/crates/suite/tests/suite/freezes.rs
+++ b/crates/suite/tests/suite/freezes.rs
@@ -5,7 +5,7 @@
 use comfreyhaven_standin::relay::Flow;
 
 use crate::plans;
-use crate::support::{chat, outcome, seen, until};
+use crate::support::{chat, cut_off, execution, outcome, seen, until, until_running};
 
 #[tokio::test]
 async fn a_frozen_agent_is_passed_over() -> Result<(), HarnessError> {
@@ -79,3 +79,34 @@
     assert_eq!(seen(&deployment, 0).await? + seen(&deployment, 1).await?, 6);
     Ok(())
 }
+
+#[tokio::test]
+async fn a_caller_whose_agent_freezes_for_good_gets_an_answer() -> Result<(), HarnessError> {
+    let mut deployment = Deployment::start(plans::single()).await?;
+    let call = chat(&deployment, 0, "begun and then silent", 20_000)?;
+    until(|| async { Ok(seen(&deployment, 0).await? == 1) }).await?;
+    deployment.agent(0).signal("STOP").await?;
+    let text = cut_off(outcome(call).await)?;
+    assert!(!text.contains("not_run"), "{text}");
+    until(|| async { Ok(deployment.entry_state(0).await?["dispatched"] == 0) }).await?;
+    deployment.agent(0).signal("CONT").await?;
+    until_running(&deployment, 0, 0).await?;
+    Ok(())
+}
+
+#[tokio::test]
+async fn an_answer_that_has_not_begun_by_its_deadline_is_given_up() -> Result<(), HarnessError> {
+    let mut plan = plans::single();
+    plan.set_route("orders", "deadline", "300ms");
+    let mut deployment = Deployment::start(plan).await?;
+    deployment.endpoint(1).signal("STOP").await?;
+    let caller = deployment.caller(0, "key-kakheti")?;
+    let reply = caller.get("/orders/book/9").await?;
+    assert_eq!(reply.status, 504, "{}", reply.text);
+    deployment.endpoint(1).signal("CONT").await?;
+    let counts = deployment.ask_endpoint(1, "/counts").await?.json();
+    let ran = counts["GET /orders/book/9"].as_u64().unwrap_or(0);
+    assert!(ran <= 1);
+    assert!(execution(&reply) != "not_run" || ran == 0, "{}", reply.text);
+    Ok(())
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -2,7 +2,11 @@
 //!
 //! A body is one [`Frame::Head`] with a [`RunHead`], then the caller's body as it came. An answer is
 //! a sequence of frames: a head with a [`RunReply`], data, and an end with a [`RunEnd`]. An answer
-//! without its end is not whole, whatever the transport says.
+//! without its end is not whole, whatever the transport says. An agent that waits for its endpoint
+//! sends a sign of life each [`ALIVE_INTERVAL`], so that a frozen agent or a half-open connection can
+//! be told from a slow endpoint.
+
+use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use comfreyhaven_core::agent::RunEnd;
@@ -12,6 +16,12 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use strum::FromRepr;
 
+/// Time after which an agent that has nothing else to send shows that it is alive.
+pub const ALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Time without a frame after which the connection to an agent counts as lost.
+pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(4_000);
+
 /// Largest payload of one frame, in bytes.
 pub const FRAME_LIMIT_BYTES: usize = 1 << 20;
 
@@ -57,6 +67,8 @@
     Data(Bytes),
     /// A [`RunEnd`] in MessagePack.
     End(Bytes),
+    /// A sign of life while there is nothing else to send.
+    Alive,
 }
 
 #[derive(Debug, Clone, Copy, FromRepr)]
@@ -65,6 +77,7 @@
     Head = 0,
     Data = 1,
     End = 2,
+    Alive = 3,
 }
 
 /// Bytes that are no frame.
@@ -110,6 +123,7 @@
             Self::Head(payload) => (Kind::Head, payload),
             Self::Data(payload) => (Kind::Data, payload),
             Self::End(payload) => (Kind::End, payload),
+            Self::Alive => (Kind::Alive, &Bytes::new()),
         };
         let mut bytes = BytesMut::with_capacity(PREFIX_BYTES + payload.len());
         bytes.put_u32(u32::try_from(payload.len()).unwrap_or(u32::MAX));
@@ -150,6 +164,7 @@
             Kind::Head => Self::Head(payload),
             Kind::Data => Self::Data(payload),
             Kind::End => Self::End(payload),
+            Kind::Alive => Self::Alive,
         }))
     }
 }
