Tell operators what a process decided on a request

Cause: a log shows single lines, and the state dump only counts, so that nobody could see why one request waited or was refused.

--- a/crates/agent/src/command.rs
+++ b/crates/agent/src/command.rs
@@ -6,9 +6,11 @@
 use comfreyhaven_core::refusal::{NotRunReason, ReturnReason};
 use comfreyhaven_core::{OfferId, RequestId, Reservation, ReservationId, Timestamp};
 use comfreyhaven_process::control::Urgency;
+use comfreyhaven_process::decisions::{Decisions, Step};
 use comfreyhaven_wire::service::ReserveReply;
 use tokio::sync::oneshot;
 
+use crate::describe;
 use crate::metrics::Metrics;
 
 /// What becomes of a body.
@@ -44,6 +46,8 @@
     },
     /// A wish for the state.
     Dump(oneshot::Sender<serde_json::Value>),
+    /// What was decided on a request.
+    Explain(RequestId, oneshot::Sender<Option<Vec<Step>>>),
     /// Whether nothing runs, waits or is offered.
     Idle(oneshot::Sender<bool>),
     /// The configuration was confirmed after a pause.
@@ -56,6 +60,7 @@
         match self {
             Self::Event(Event::Configured(_) | Event::Leave | Event::Listed(_))
             | Self::Dump(_)
+            | Self::Explain(..)
             | Self::Idle(_) => Urgency::Immediate,
             Self::Confirmed => Urgency::Confirms,
             _ => Urgency::Waits,
@@ -67,6 +72,7 @@
 pub(crate) struct Control {
     agent: Agent,
     metrics: Metrics,
+    decisions: Decisions,
     reservations: HashMap<ReservationId, oneshot::Sender<ReserveReply>>,
     claims: HashMap<OfferId, oneshot::Sender<Verdict>>,
     inquiries: HashMap<RequestId, Vec<oneshot::Sender<RunStatus>>>,
@@ -77,6 +83,7 @@
         Self {
             agent,
             metrics,
+            decisions: Decisions::default(),
             reservations: HashMap::new(),
             claims: HashMap::new(),
             inquiries: HashMap::new(),
@@ -115,14 +122,27 @@
             Some(Command::Idle(reply)) => {
                 let _ = reply.send(self.agent.is_idle());
             }
+            Some(Command::Explain(request, reply)) => {
+                let steps = self.decisions.of(request).map(<[Step]>::to_vec);
+                let _ = reply.send(steps);
+            }
             Some(Command::Confirmed) => {}
         }
         self.agent.wake()
     }
 
     fn decide(&mut self, event: Event, now: Timestamp) {
+        let subject = describe::event(&event);
+        let request = subject.as_ref().map(|(request, _)| *request);
+        if let Some((request, what)) = subject {
+            self.decisions.note(request, now, what);
+        }
         for action in self.agent.handle(event, now) {
             self.metrics.count(&action);
+            let (named, what) = describe::action(&action);
+            if let Some(request) = named.or(request) {
+                self.decisions.note(request, now, what);
+            }
             self.perform(action);
         }
     }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod bodies;
 mod command;
+mod describe;
 mod endpoint;
 mod metrics;
 mod peers;
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -79,15 +79,18 @@
         move |listing: &Listing| Command::Event(Event::Listed(listing.is_leaving(name.as_str())));
     let list = HttpHostList::new(source, process.hosts);
     tasks.spawn(hosts::follow(list, mailbox.clone(), listed, stop.clone()));
-    let (dump, ready) = (mailbox.clone(), mailbox.clone());
+    let (dump, ready, asked) = (mailbox.clone(), mailbox.clone(), mailbox.clone());
     let state = move || dump_state(dump.clone(), configuration.clone());
     let health = move || health(ready.clone());
+    let explain =
+        move |request| control::ask(asked.clone(), move |reply| Command::Explain(request, reply));
     tasks.spawn(admin::serve(
         admin_listener,
         registry,
         stop.clone(),
         state,
         health,
+        explain,
     ));
 
     let serving = serve_endpoint(&settings, traffic_listener, &mailbox, fleet, &tasks, &stop);
--- a/crates/capacity/src/measure/entry.rs
+++ b/crates/capacity/src/measure/entry.rs
@@ -2,17 +2,23 @@
 
 use std::sync::Arc;
 
-use comfreyhaven_core::entry::{Action, Arrival, Ending, Entry, Event};
+use comfreyhaven_core::entry::{Action, Arrival, Ending, Entry, Event, HOLDERS_LIMIT};
 use comfreyhaven_core::fleet::Fleet;
 use comfreyhaven_core::request::{BodyDigest, PrefixDigest};
 use comfreyhaven_core::{BootNonce, Cost as Tokens, OfferId, RequestId, ReservationId, Timestamp};
 
 use crate::error::CapacityError;
 use crate::fit::Point;
-use crate::fleet::{self, SMALL, Size};
+use crate::fleet::{self, Size};
 use crate::gauge;
 use crate::series::{Cost, Findings};
 
+/// A fleet so small in hosts that each of them holds a share of every team.
+const SMALL: Size = Size {
+    hosts: HOLDERS_LIMIT,
+    ..fleet::SMALL
+};
+
 /// Requests whose time is measured together.
 const BATCH: u128 = 500;
 
--- a/crates/entry/src/command.rs
+++ b/crates/entry/src/command.rs
@@ -5,8 +5,10 @@
 use comfreyhaven_core::entry::{Action, Arrival, Ask, Entry, Event, Loan};
 use comfreyhaven_core::{RequestId, Timestamp};
 use comfreyhaven_process::control::Urgency;
+use comfreyhaven_process::decisions::{Decisions, Step};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::describe;
 use crate::metrics::Metrics;
 use crate::peers::Word;
 
@@ -20,6 +22,8 @@
     Borrow(Ask, oneshot::Sender<Option<Loan>>),
     /// A wish for the state.
     Dump(oneshot::Sender<serde_json::Value>),
+    /// What was decided on a request.
+    Explain(RequestId, oneshot::Sender<Option<Vec<Step>>>),
     /// Whether no request is owned.
     Idle(oneshot::Sender<bool>),
     /// The configuration was confirmed after a pause.
@@ -30,9 +34,10 @@
     /// How the command is treated after a pause of the process.
     pub(crate) fn urgency(&self) -> Urgency {
         match self {
-            Self::Event(Event::Configured(_) | Event::Leave) | Self::Dump(_) | Self::Idle(_) => {
-                Urgency::Immediate
-            }
+            Self::Event(Event::Configured(_) | Event::Leave)
+            | Self::Dump(_)
+            | Self::Explain(..)
+            | Self::Idle(_) => Urgency::Immediate,
             Self::Confirmed => Urgency::Confirms,
             _ => Urgency::Waits,
         }
@@ -43,6 +48,7 @@
 pub(crate) struct Control {
     entry: Entry,
     metrics: Metrics,
+    decisions: Decisions,
     drivers: HashMap<RequestId, mpsc::UnboundedSender<Action>>,
     words: mpsc::UnboundedSender<Word>,
 }
@@ -53,6 +59,7 @@
         Self {
             entry,
             metrics,
+            decisions: Decisions::default(),
             drivers: HashMap::new(),
             words,
         }
@@ -78,6 +85,10 @@
             Some(Command::Idle(reply)) => {
                 let _ = reply.send(self.entry.is_idle());
             }
+            Some(Command::Explain(request, reply)) => {
+                let steps = self.decisions.of(request).map(<[Step]>::to_vec);
+                let _ = reply.send(steps);
+            }
             Some(Command::Confirmed) => {}
         }
         self.entry.wake()
@@ -86,8 +97,14 @@
     /// Decides on an event and passes the actions on. Returns the loan that a peer is granted.
     fn decide(&mut self, event: Event, now: Timestamp) -> Option<Loan> {
         let mut granted = None;
+        if let Some((request, what)) = describe::event(&event) {
+            self.decisions.note(request, now, what);
+        }
         for action in self.entry.handle(event, now) {
             self.metrics.count(&action);
+            if let (Some(request), Some(what)) = (action.request(), describe::action(&action)) {
+                self.decisions.note(request, now, what);
+            }
             match action {
                 Action::Borrow(ask) => drop(self.words.send(Word::Ask(*ask))),
                 Action::Warn { peer, warning } => {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod caller;
 mod command;
+mod describe;
 mod driver;
 mod http;
 mod intake;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -75,15 +75,18 @@
         MailboxLender::new(mailbox.clone()),
         stop.clone(),
     ));
-    let (dump, ready) = (mailbox.clone(), mailbox.clone());
+    let (dump, ready, asked) = (mailbox.clone(), mailbox.clone(), mailbox.clone());
     let state = move || dump_state(dump.clone(), configuration.clone());
     let health = move || health(ready.clone());
+    let explain =
+        move |request| control::ask(asked.clone(), move |reply| Command::Explain(request, reply));
     tasks.spawn(admin::serve(
         admin_listener,
         registry,
         stop.clone(),
         state,
         health,
+        explain,
     ));
 
     let peers = Peers::new(settings.name.clone(), source, fleet.clone(), tasks.clone());
--- a/crates/process/src/admin.rs
+++ b/crates/process/src/admin.rs
@@ -1,7 +1,8 @@
-//! The operators' port: `/metrics`, `/state` and `/health`.
+//! The operators' port: `/metrics`, `/state`, `/health` and `/requests/ID`.
 
 use std::future::Future;
 
+use comfreyhaven_core::RequestId;
 use hyper::body::Incoming;
 use hyper::{Method, Request};
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -10,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::answer::{self, Answer};
+use crate::decisions::Step;
 use crate::server;
 
 /// Connections of operators at once.
@@ -23,27 +25,32 @@
 }
 
 /// Serves the operators' port until `stop`. `state` dumps the process's state as JSON, and `health`
-/// tells whether it takes new work.
-pub async fn serve<S, F, G, H>(
+/// tells whether it takes new work. `explain` tells what was decided on a request.
+pub async fn serve<S, F, G, H, E, X>(
     listener: TcpListener,
     registry: Registry,
     stop: CancellationToken,
     state: S,
     health: G,
+    explain: E,
 ) where
     S: Fn() -> F + Clone + Send + Sync + 'static,
     F: Future<Output = serde_json::Value> + Send + 'static,
     G: Fn() -> H + Clone + Send + Sync + 'static,
     H: Future<Output = Health> + Send + 'static,
+    E: Fn(RequestId) -> X + Clone + Send + Sync + 'static,
+    X: Future<Output = Option<Vec<Step>>> + Send + 'static,
 {
     let closing = stop.clone();
     server::accept(listener, CONNECTIONS_LIMIT, stop, move |stream, _| {
         let (registry, state, health) = (registry.clone(), state.clone(), health.clone());
+        let explain = explain.clone();
         server::http(
             stream,
             closing.clone(),
             move |request: Request<Incoming>| {
                 let (registry, state, health) = (registry.clone(), state.clone(), health.clone());
+                let explain = explain.clone();
                 async move {
                     match (request.method(), request.uri().path()) {
                         (&Method::GET, "/metrics") => metrics(&registry),
@@ -52,7 +59,11 @@
                             let health = health().await;
                             answer::json(if health.ready { 200 } else { 503 }, &health)
                         }
-                        _ => answer::full(404, "text/plain", "try /metrics, /state or /health\n"),
+                        (&Method::GET, path) => match requested(path) {
+                            Some(request) => steps(explain(request).await),
+                            None => unknown(),
+                        },
+                        _ => unknown(),
                     }
                 }
             },
@@ -61,6 +72,23 @@
     .await;
 }
 
+/// The request that a path such as `/requests/0123...` names.
+fn requested(path: &str) -> Option<RequestId> {
+    path.strip_prefix("/requests/")?.parse().ok()
+}
+
+fn steps(steps: Option<Vec<Step>>) -> Answer {
+    match steps {
+        Some(steps) => answer::json(200, &steps),
+        None => answer::full(404, "text/plain", "nothing is known of this request\n"),
+    }
+}
+
+fn unknown() -> Answer {
+    let text = "try /metrics, /state, /health or /requests/ID\n";
+    answer::full(404, "text/plain", text)
+}
+
 fn metrics(registry: &Registry) -> Answer {
     let mut text = Vec::new();
     match TextEncoder::new().encode(&registry.gather(), &mut text) {
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod configuration;
 pub mod control;
+pub mod decisions;
 pub mod dial;
 pub mod error;
 pub mod hosts;
--- a/crates/suite/tests/suite/main.rs
+++ b/crates/suite/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod containment;
 mod cuts;
+mod explain;
 mod freezes;
 mod input;
 mod kills;
