Bind calls with an idempotency key to the key's home, which runs each once

Cause: a booking that its caller sent again under its idempotency key ran once for each sending, through the same entry or another.

Change: the key's home is the endpoint that a rendezvous hash picks among the route's eligible endpoints. Entries reserve such calls there alone; the agent remembers keys for an hour, in bounded number, and checks them when it takes a reservation and again when it takes the body. A resend is refused as a duplicate with what is known: it ran to its end, or unknown. A home that has just started or has just become one refuses keys that it cannot know for twice the route's resend window, a new value of plain routes (60 s by default).

Ruled out by the property test: refusing for one window. An earlier home that learns of the change late runs the call late, and a resend inside the window then ran a second time.

Not covered: a change of homes that a partition hides from an old home for longer than the window.

--- a/crates/config/src/builder/part.rs
+++ b/crates/config/src/builder/part.rs
@@ -9,7 +9,7 @@
     DataCentreName, EndpointName, HostName, KeyDigest, ModelName, RouteName, TeamName, TierName,
 };
 
-use crate::part::{DEADLINE_DEFAULT, OUTPUT_DEFAULT_TOKENS};
+use crate::part::{DEADLINE_DEFAULT, OUTPUT_DEFAULT_TOKENS, RESEND_WINDOW_DEFAULT};
 
 /// Port of an agent's control service, unless another one is given.
 const CONTROL_PORT: u16 = 7_000;
@@ -150,6 +150,7 @@
         let service = Service::Plain {
             service,
             idempotent: false,
+            window: RESEND_WINDOW_DEFAULT,
         };
         Self::new(name, path, service, tier)
     }
@@ -204,6 +205,16 @@
         self
     }
 
+    /// The same route with the time in which a caller may send a call again under its idempotency
+    /// key, in whole milliseconds and at most an hour. It changes nothing on a model's route.
+    #[must_use]
+    pub fn with_resend_window(mut self, time: Duration) -> Self {
+        if let Service::Plain { window, .. } = &mut self.route.service {
+            *window = time;
+        }
+        self
+    }
+
     pub(super) fn name(&self) -> &RouteName {
         &self.route.name
     }
--- a/crates/config/src/builder/print.rs
+++ b/crates/config/src/builder/print.rs
@@ -56,9 +56,11 @@
         Service::Plain {
             service,
             idempotent,
+            window,
         } => {
             value(text, "service", service);
             value(text, "idempotent", idempotent);
+            value(text, "resend window", Span(*window));
         }
     }
     value(text, "tier", tier);
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -19,5 +19,8 @@
 
 pub use assemble::{assemble, check, check_alone};
 pub use document::{DOCUMENT_LIMIT_BYTES, Document, DocumentKind, document_names};
-pub use part::{DEADLINE_DEFAULT, DEADLINE_LIMIT, OUTPUT_DEFAULT_TOKENS, TOKENS_LIMIT};
+pub use part::{
+    DEADLINE_DEFAULT, DEADLINE_LIMIT, OUTPUT_DEFAULT_TOKENS, RESEND_WINDOW_DEFAULT,
+    RESEND_WINDOW_LIMIT, TOKENS_LIMIT,
+};
 pub use problem::{Problem, Problems};
--- a/crates/config/src/part.rs
+++ b/crates/config/src/part.rs
@@ -20,6 +20,12 @@
 /// Longest deadline of a route.
 pub const DEADLINE_LIMIT: Duration = Duration::from_secs(3_600);
 
+/// Time in which a call may be sent again under its idempotency key, if the route does not say.
+pub const RESEND_WINDOW_DEFAULT: Duration = Duration::from_secs(60);
+
+/// Longest such time. Keys are remembered as long.
+pub const RESEND_WINDOW_LIMIT: Duration = Duration::from_secs(3_600);
+
 /// Largest answer of a route that does not say, in tokens.
 pub const OUTPUT_DEFAULT_TOKENS: u32 = 1_024;
 
@@ -147,22 +153,42 @@
     Some(deadline)
 }
 
+fn resend_window(section: &mut Section) -> Option<Duration> {
+    let Span(window) = section.take_or("resend window", Span(RESEND_WINDOW_DEFAULT))?;
+    if window > RESEND_WINDOW_LIMIT {
+        let expected = format!("at most {}", Span(RESEND_WINDOW_LIMIT));
+        section.fault(
+            Some("resend window"),
+            Some(&Span(window).to_string()),
+            &expected,
+        );
+        return None;
+    }
+    Some(window)
+}
+
 fn service(section: &mut Section) -> Option<Service> {
     let repeatable = section.has("idempotent");
     let named = (section.has("model"), section.has("service"));
     let model: Option<ModelName> = section.take_optional("model");
     let plain: Option<ModelName> = section.take_optional("service");
     let Flag(idempotent) = section.take_or("idempotent", Flag(false))?;
+    let resent = section.has("resend window");
+    let window = resend_window(section)?;
     match (model, plain) {
         (Some(model), None) => {
             if repeatable {
                 section.fault(Some("idempotent"), None, "nothing; it is for a service");
             }
+            if resent {
+                section.fault(Some("resend window"), None, "nothing; it is for a service");
+            }
             Some(Service::Model(model))
         }
         (None, Some(service)) => Some(Service::Plain {
             service,
             idempotent,
+            window,
         }),
         (None, None) if named.0 != named.1 => None,
         _ => {
--- a/crates/core/src/agent/machine.rs
+++ b/crates/core/src/agent/machine.rs
@@ -20,6 +20,7 @@
 use super::slots::{LimitCause, Slots};
 use crate::fleet::{Endpoint, Fleet};
 use crate::id::{BootNonce, OfferId, RequestId};
+use crate::idempotency::KeyMemory;
 use crate::name::EndpointName;
 use crate::refusal::{NotRunReason, ReturnReason};
 use crate::request::Reservation;
@@ -53,6 +54,7 @@
     offers: Offers,
     running: HashMap<RequestId, Running>,
     history: History,
+    keys: KeyMemory,
     endpoint: Option<u64>,
     inherited: Inherited,
     estimator: Estimator,
@@ -82,6 +84,7 @@
             offers: Offers::new(boot),
             running: HashMap::new(),
             history: History::default(),
+            keys: KeyMemory::default(),
             endpoint: None,
             inherited: Inherited::default(),
             estimator: Estimator::default(),
@@ -107,7 +110,7 @@
         let mut actions = Vec::new();
         self.offers.drop_expired(now);
         match event {
-            Event::Configured(fleet) => self.configure(fleet),
+            Event::Configured(fleet) => self.configure(fleet, now),
             Event::Reserve(reservation) => self.reserve(reservation, now, &mut actions),
             Event::Withdraw(id) => self.withdraw(id, &mut actions),
             Event::Release(offer) => self.offers.void(offer),
@@ -150,7 +153,8 @@
         self.fleet.endpoints.get(&self.name)
     }
 
-    fn configure(&mut self, fleet: Arc<Fleet>) {
+    fn configure(&mut self, fleet: Arc<Fleet>, now: Timestamp) {
+        self.keys.configure(&fleet, now);
         self.fleet = fleet;
         let routes = &self.fleet.routes;
         self.estimator.retain(|route| routes.contains_key(route));
--- a/crates/core/src/agent/machine/reserving.rs
+++ b/crates/core/src/agent/machine/reserving.rs
@@ -8,6 +8,7 @@
 use crate::agent::policy::{Lateness, Order};
 use crate::agent::queue::{Admission, Waiting};
 use crate::id::{RequestId, ReservationId};
+use crate::idempotency::KeyUse;
 use crate::name::TeamName;
 use crate::refusal::ReturnReason;
 use crate::request::Reservation;
@@ -32,11 +33,34 @@
         if self.is_stale(id) {
             return self.give_back(id, ReturnReason::Withdrawn, actions);
         }
+        if let Err(reason) = self.check_key(&reservation, now) {
+            return self.give_back(id, reason, actions);
+        }
         if !self.is_repeated(id) {
             self.enqueue(reservation, now, actions);
         }
     }
 
+    /// Whether a call may run as far as its idempotency key is concerned.
+    pub(super) fn check_key(
+        &self,
+        reservation: &Reservation,
+        now: Timestamp,
+    ) -> Result<(), ReturnReason> {
+        let Some(key) = reservation.call else {
+            return Ok(());
+        };
+        let known = self
+            .keys
+            .check(&self.name, &self.fleet, &reservation.route, key, now);
+        known.map_err(|state| match state {
+            KeyUse::Running => ReturnReason::KeyRunning,
+            KeyUse::Complete => ReturnReason::KeyComplete,
+            KeyUse::Unknown => ReturnReason::KeyUnknown,
+            KeyUse::Elsewhere => ReturnReason::NotConfigured,
+        })
+    }
+
     pub(super) fn withdraw(&mut self, id: ReservationId, actions: &mut Vec<Action>) {
         if self.queue.remove(id).is_some() {
             self.demand.observe(0, 1);
--- a/crates/core/src/agent/machine/running.rs
+++ b/crates/core/src/agent/machine/running.rs
@@ -53,6 +53,12 @@
         if now >= pending.deadline {
             return Err(NotRunReason::Late);
         }
+        if self.check_key(&pending.reservation, now).is_err() {
+            return Err(NotRunReason::KeyUsed);
+        }
+        if let Some(key) = pending.reservation.call {
+            self.keys.begin(key, request, now);
+        }
         Ok(Running {
             offer,
             reservation: pending.reservation,
@@ -118,6 +124,9 @@
         if ran {
             self.history.record(request, run.offer.sequence, now);
         }
+        if let Some(key) = run.reservation.call {
+            self.keys.end(key, request, end, now);
+        }
         self.correct(&run, end);
         match end {
             RunEnd::Whole { output, .. } => self.learn(&run, output, now),
--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -13,6 +13,7 @@
 use crate::agent::RunStatus;
 use crate::fleet::{Fleet, Route, RouteAccess};
 use crate::id::{BootNonce, Generation, OfferId, RequestId, ReservationId};
+use crate::idempotency;
 use crate::name::{EndpointName, HostName, TeamName};
 use crate::refusal::{Execution, NotRunReason, Refusal, RefusalKind, ReturnReason};
 use crate::time::Timestamp;
@@ -203,6 +204,10 @@
     }
 
     fn unasked(&mut self, arrival: &Arrival, now: Timestamp) -> Vec<EndpointName> {
+        if let Some(key) = arrival.call {
+            let home = idempotency::home(&self.fleet, &arrival.route, key);
+            return home.into_iter().cloned().collect();
+        }
         let mut names =
             self.placement
                 .candidates(&self.fleet, &arrival.route, &arrival.prefixes, now);
@@ -385,7 +390,9 @@
     fn fail(&mut self, request: RequestId, execution: Execution, actions: &mut Vec<Action>) {
         let kind = match execution {
             Execution::Unknown => RefusalKind::OutcomeUnknown,
-            Execution::NotRun | Execution::InPart => RefusalKind::EndpointFailed,
+            Execution::NotRun | Execution::InPart | Execution::Complete => {
+                RefusalKind::EndpointFailed
+            }
         };
         self.requests.remove(&request);
         let refusal = Refusal::new(kind).with_execution(execution);
@@ -492,6 +499,12 @@
     let kind = match reason {
         Some(ReturnReason::Full | ReturnReason::Displaced) => RefusalKind::Overloaded,
         Some(ReturnReason::Late) => RefusalKind::DeadlineExceeded,
+        Some(ReturnReason::KeyRunning | ReturnReason::KeyUnknown) => {
+            return Refusal::new(RefusalKind::Duplicate).with_execution(Execution::Unknown);
+        }
+        Some(ReturnReason::KeyComplete) => {
+            return Refusal::new(RefusalKind::Duplicate).with_execution(Execution::Complete);
+        }
         Some(ReturnReason::Quarantined) => return Refusal::new(RefusalKind::Quarantined),
         Some(
             ReturnReason::Leaving
--- a/crates/core/src/entry/message.rs
+++ b/crates/core/src/entry/message.rs
@@ -5,6 +5,7 @@
 use crate::agent::RunStatus;
 use crate::fleet::Fleet;
 use crate::id::{KeyDigest, OfferId, RequestId, ReservationId};
+use crate::idempotency::CallKey;
 use crate::name::{EndpointName, RouteName};
 use crate::refusal::{NotRunReason, Refusal, ReturnReason};
 use crate::request::{BodyDigest, Cost, PrefixDigest, Reservation};
@@ -24,6 +25,8 @@
     pub prefixes: Vec<PrefixDigest>,
     /// Recognises the body.
     pub body: BodyDigest,
+    /// Digest of the caller's idempotency key, if the call is bound to the key's home.
+    pub call: Option<CallKey>,
 }
 
 /// How a dispatched request ended at its agent.
--- a/crates/core/src/entry/pending.rs
+++ b/crates/core/src/entry/pending.rs
@@ -69,6 +69,7 @@
             remaining: self.deadline.since(now),
             prefixes: self.arrival.prefixes.clone(),
             body: self.arrival.body,
+            call: self.arrival.call,
         }
     }
 
--- a/crates/core/src/fleet/part.rs
+++ b/crates/core/src/fleet/part.rs
@@ -149,6 +149,8 @@
         service: ModelName,
         /// Whether a call may be run again when its outcome is unknown.
         idempotent: bool,
+        /// Time in which a caller may send a call again under its idempotency key.
+        window: Duration,
     },
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod entry;
 pub mod fleet;
 pub mod id;
+pub mod idempotency;
 pub mod listing;
 pub mod name;
 pub mod pause;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -29,6 +29,8 @@
     NotRun,
     /// An endpoint ran a part of it.
     InPart,
+    /// An endpoint ran it to its end.
+    Complete,
     /// It may have run, be running or run yet.
     Unknown,
 }
@@ -71,7 +73,7 @@
     NoEndpoint,
     /// The same body has crashed endpoints.
     Quarantined,
-    /// A request with this idempotency key is running, or its outcome is not known.
+    /// A request with this idempotency key is running, has run, or its outcome is not known.
     Duplicate,
     /// The process is leaving or has no confirmed configuration.
     Unavailable,
@@ -201,6 +203,12 @@
     NotConfigured,
     /// The entry took the reservation back.
     Withdrawn,
+    /// A call with the same idempotency key is running.
+    KeyRunning,
+    /// A call with the same idempotency key ran to its end.
+    KeyComplete,
+    /// A call with the same idempotency key may have run.
+    KeyUnknown,
 }
 
 /// Why an agent did not run a body that was sent to it.
@@ -233,6 +241,8 @@
     EndpointFull,
     /// The body is quarantined.
     Quarantined,
+    /// A call with the same idempotency key was sent before.
+    KeyUsed,
     /// The message could not be read or is over its limit.
     Malformed,
 }
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{BootNonce, ReservationId};
+use crate::idempotency::CallKey;
 use crate::name::{HostName, RouteName, TeamName};
 
 /// Rank of urgency. Zero is the most urgent and is shed last.
@@ -86,4 +87,6 @@
     pub prefixes: Vec<PrefixDigest>,
     /// Recognises the body.
     pub body: BodyDigest,
+    /// Digest of the caller's idempotency key, if the call is bound to the key's home.
+    pub call: Option<CallKey>,
 }
--- a/crates/core/tests/core/network.rs
+++ b/crates/core/tests/core/network.rs
@@ -180,6 +180,7 @@
             cost,
             prefixes: Vec::new(),
             body: BodyDigest(request as u64),
+            call: None,
         };
         let entry = request as usize % ENTRIES;
         let event = entry::Event::Arrived(Box::new(arrival));
--- a/crates/core/tests/core/support.rs
+++ b/crates/core/tests/core/support.rs
@@ -132,5 +132,6 @@
         remaining: Duration::from_secs(20),
         prefixes: Vec::new(),
         body: BodyDigest(0),
+        call: None,
     }
 }
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use comfreyhaven_core::entry::Arrival;
 use comfreyhaven_core::fleet::{Fleet, Route, RouteAccess, Service};
+use comfreyhaven_core::idempotency::{self, CallKey};
 use comfreyhaven_core::refusal::{Refusal, RefusalKind};
 use comfreyhaven_core::request::{BodyDigest, PrefixDigest};
 use comfreyhaven_core::{Cost, KeyDigest, RequestId};
@@ -93,6 +94,7 @@
         .map_or("/", |target| target.as_str())
         .to_owned();
     let headers = passed(request.headers());
+    let repeated = request.headers().get("idempotency-key").cloned();
     let body = body(request.into_body()).await?;
     if key.is_some_and(|key| leaks(&key, &target, &headers, &body)) {
         return Err(Refusal::new(RefusalKind::Malformed));
@@ -107,6 +109,10 @@
     let team = team.map_or(comfreyhaven_core::entry::OPEN_TEAM, |team| {
         team.name.as_str()
     });
+    let homed = idempotency::is_homed(fleet, &route.name);
+    let call = repeated
+        .filter(|key| homed && !key.is_empty())
+        .map(|key| CallKey::new(team, &route.name, key.as_bytes()));
     let arrival = Arrival {
         id,
         key: digest,
@@ -114,6 +120,7 @@
         cost,
         prefixes,
         body: BodyDigest(hash(&(team, &target, &body))),
+        call,
     };
     let team = team.to_owned();
     Ok(Intake {
--- a/crates/harness/src/plan.rs
+++ b/crates/harness/src/plan.rs
@@ -228,6 +228,14 @@
         }
     }
 
+    /// Changes a value of a route's section. Takes effect when the routes are published.
+    pub fn set_route_value(&mut self, route: &str, name: &str, value: &str) {
+        for known in self.routes.iter_mut().filter(|known| known.name == route) {
+            known.lines.retain(|(line, _)| line != name);
+            known.lines.push((name.to_owned(), value.to_owned()));
+        }
+    }
+
     /// Puts a data centre in or out of service. Takes effect when the fleet is published.
     pub fn set_in_service(&mut self, centre: &str, state: bool) {
         for (_, known) in self.centres.iter_mut().filter(|(name, _)| name == centre) {
--- a/crates/suite/tests/suite/main.rs
+++ b/crates/suite/tests/suite/main.rs
@@ -9,4 +9,5 @@
 mod leaving;
 mod path;
 mod plans;
+mod resends;
 mod support;
