--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -4,13 +4,19 @@
 //! sends the body only under that offer, and goes back to reserving only on the agent's word that
 //! nothing ran.
 
+mod containment;
 mod ledger;
 mod machine;
 mod message;
 mod pending;
 mod placement;
+mod waits;
 
-pub use ledger::Ledger;
+pub use containment::{BodyState, QUARANTINE_TIME, SUSPECT_TIME, Verdict, Warning};
+pub use ledger::{
+    Ask, Charge, HANDOVER, HOLDERS_LIMIT, LOAN_LIFETIME, Ledger, Loan, LoanId, Return, ShareState,
+    Shortfall,
+};
 pub use machine::{Entry, EntryState, OPEN_TEAM};
 pub use message::{Action, Arrival, Ending, Event};
 pub use placement::Placement;
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -89,4 +89,6 @@
     pub body: BodyDigest,
     /// Digest of the caller's idempotency key, if the call is bound to the key's home.
     pub call: Option<CallKey>,
+    /// Whether it must run with nothing else at its endpoint.
+    pub alone: bool,
 }
--- a/crates/core/tests/core/support.rs
+++ b/crates/core/tests/core/support.rs
@@ -133,5 +133,6 @@
         prefixes: Vec::new(),
         body: BodyDigest(0),
         call: None,
+        alone: false,
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,8 @@
 mod intake;
 mod links;
 mod metrics;
+mod peers;
+mod pool;
 mod process;
 mod relay;
 
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -10,7 +10,7 @@
 use comfreyhaven_process::configuration::Configuration;
 use comfreyhaven_process::control::{self, ControlThread, Mailbox};
 use comfreyhaven_process::error::ProcessError;
-use comfreyhaven_process::peer::{self, NoLender};
+use comfreyhaven_process::peer;
 use comfreyhaven_process::platform::HttpConfiguration;
 use comfreyhaven_process::{configuration, server, shutdown};
 use prometheus::Registry;
@@ -22,6 +22,7 @@
 use crate::http::{self, Context};
 use crate::links::Links;
 use crate::metrics::Metrics;
+use crate::peers::{self, MailboxLender, Peers};
 
 /// How often a leaving entry looks whether it may exit.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
@@ -43,7 +44,8 @@
     let metrics = Metrics::new(&registry).map_err(std::io::Error::other)?;
     let boot = BootNonce::new(rand::random());
     let entry = Entry::new(settings.name.clone(), boot, rand::random());
-    let mut state = Control::new(entry, metrics);
+    let (word_sender, words) = mpsc::unbounded_channel();
+    let mut state = Control::new(entry, metrics, word_sender);
     let step = move |command, now| state.step(command, now);
     let (pauses, paused) = mpsc::unbounded_channel();
     let (thread, mailbox) = ControlThread::spawn(Clock::start(), Command::urgency, pauses, step)?;
@@ -70,7 +72,7 @@
     tasks.spawn(peer::listen(
         control_listener,
         configuration.clone(),
-        NoLender,
+        MailboxLender::new(mailbox.clone()),
         stop.clone(),
     ));
     let (dump, ready) = (mailbox.clone(), mailbox.clone());
@@ -84,6 +86,8 @@
         health,
     ));
 
+    let peers = Peers::new(settings.name.clone(), source, fleet.clone(), tasks.clone());
+    tasks.spawn(peers::run(words, peers, mailbox.clone(), stop.clone()));
     let links = Links::new(source, fleet.clone(), tasks.clone());
     let drivers = TaskTracker::new();
     let context = Context {
--- a/crates/suite/tests/suite/main.rs
+++ b/crates/suite/tests/suite/main.rs
@@ -1,12 +1,15 @@
 //! Integration tests with the real processes, one module for each subject.
 
 mod callers;
+mod chaos;
 mod configuration;
+mod containment;
 mod cuts;
 mod freezes;
 mod input;
 mod kills;
 mod leaving;
+mod overload;
 mod path;
 mod plans;
 mod resends;
