Tell a frozen agent from a long wait, and test what comes before a preface

Cause: a frozen agent keeps its connections and its host's kernel accepts new ones, so a request that was reserved at frozen agents alone waited there until its deadline. Seen failing: with three of four agents stopped, a request got no answer within its deadline of 30 s.

Change: of the reservations that wait on a control connection, one at a time pings the agent, a second after the last ping; when it gets no answer in 2 s, all that wait on the connection are taken elsewhere. That is at most one ping a second for each connection in use, whatever the queue's length.

Tests: frozen agents, prefaces of other versions and protocols, half-open and slow peers beside live traffic and a graceful exit, and an undeclared process on each control port.

--- a/crates/agent/src/reservations.rs
+++ b/crates/agent/src/reservations.rs
@@ -68,6 +68,8 @@
         let _ = self.mailbox.send(Command::Event(Event::Release(offer)));
     }
 
+    async fn ping(self, _: Context) {}
+
     async fn inquire(self, _: Context, request: RequestId, offer: OfferId) -> RunStatus {
         let (reply, answer) = oneshot::channel();
         let _ = self.mailbox.send(Command::Inquire {
--- a/crates/capacity/src/measure/connection.rs
+++ b/crates/capacity/src/measure/connection.rs
@@ -38,6 +38,8 @@
 
     async fn release(self, _: Context, _: OfferId) {}
 
+    async fn ping(self, _: Context) {}
+
     async fn inquire(self, _: Context, _: RequestId, _: OfferId) -> RunStatus {
         RunStatus::Unknown
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod driver;
 mod http;
 mod intake;
+mod link;
 mod links;
 mod metrics;
 mod peers;
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -10,10 +10,11 @@
 use comfreyhaven_core::{EndpointName, OfferId, RequestId, Reservation, ReservationId};
 use comfreyhaven_wire::preface::ServiceKind;
 use comfreyhaven_wire::service::{AgentControlClient, ReserveReply};
-use tarpc::client::{Config, RpcError};
+use tarpc::client::{Config, NewClient, RpcError};
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
+use crate::link::Link;
 use crate::pool::{Cell, LinkError, Pool, within};
 
 /// How long an agent may take to answer anything but a reservation.
@@ -26,7 +27,7 @@
 #[derive(Clone)]
 pub(crate) struct Links {
     fleet: watch::Receiver<Arc<Fleet>>,
-    pool: Pool<AgentControlClient>,
+    pool: Pool<Link>,
 }
 
 impl Links {
@@ -70,8 +71,15 @@
         reservation: Reservation,
     ) -> Result<ReserveReply, LinkError> {
         let limit = reservation.remaining + RETURN_GRACE;
-        let (cell, client) = self.client(endpoint).await?;
-        match client.reserve(within(limit), reservation).await {
+        let (cell, link) = self.client(endpoint).await?;
+        let answer = tokio::select! {
+            answer = link.client().reserve(within(limit), reservation) => answer,
+            () = link.silent() => {
+                self.pool.forget(&cell);
+                return Err(LinkError::Silent);
+            }
+        };
+        match answer {
             Err(RpcError::DeadlineExceeded) => Ok(ReserveReply::Returned(ReturnReason::Late)),
             answer => self.pool.check(&cell, answer),
         }
@@ -83,9 +91,9 @@
         endpoint: &EndpointName,
         id: ReservationId,
     ) -> Result<(), LinkError> {
-        let (cell, client) = self.client(endpoint).await?;
-        self.pool
-            .check(&cell, client.withdraw(within(CALL_TIMEOUT), id).await)
+        let (cell, link) = self.client(endpoint).await?;
+        let call = link.client().withdraw(within(CALL_TIMEOUT), id);
+        self.pool.check(&cell, call.await)
     }
 
     /// Declines an offer.
@@ -94,9 +102,9 @@
         endpoint: &EndpointName,
         offer: OfferId,
     ) -> Result<(), LinkError> {
-        let (cell, client) = self.client(endpoint).await?;
-        self.pool
-            .check(&cell, client.release(within(CALL_TIMEOUT), offer).await)
+        let (cell, link) = self.client(endpoint).await?;
+        let call = link.client().release(within(CALL_TIMEOUT), offer);
+        self.pool.check(&cell, call.await)
     }
 
     /// Asks what became of a request.
@@ -106,17 +114,12 @@
         request: RequestId,
         offer: OfferId,
     ) -> Result<RunStatus, LinkError> {
-        let (cell, client) = self.client(endpoint).await?;
-        self.pool.check(
-            &cell,
-            client.inquire(within(CALL_TIMEOUT), request, offer).await,
-        )
+        let (cell, link) = self.client(endpoint).await?;
+        let call = link.client().inquire(within(CALL_TIMEOUT), request, offer);
+        self.pool.check(&cell, call.await)
     }
 
-    async fn client(
-        &self,
-        endpoint: &EndpointName,
-    ) -> Result<(Cell<AgentControlClient>, AgentControlClient), LinkError> {
+    async fn client(&self, endpoint: &EndpointName) -> Result<(Cell<Link>, Link), LinkError> {
         let target = self
             .fleet
             .borrow()
@@ -124,7 +127,13 @@
             .get(endpoint)
             .map(|part| part.control);
         let target = target.ok_or(LinkError::Undeclared)?;
-        let make = |transport| AgentControlClient::new(Config::default(), transport);
+        let make = |transport| {
+            let connection = AgentControlClient::new(Config::default(), transport);
+            NewClient {
+                client: Link::new(connection.client),
+                dispatch: connection.dispatch,
+            }
+        };
         self.pool.get(target, make).await
     }
 }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -25,6 +25,9 @@
     /// It cannot be connected to.
     #[display("{_0}")]
     Dial(dial::DialError),
+    /// It accepts connections and answers nothing.
+    #[display("it is silent")]
+    Silent,
     /// The connection failed or there was no answer.
     #[display("{_0}")]
     Call(RpcError),
@@ -88,11 +91,16 @@
         answer: Result<T, RpcError>,
     ) -> Result<T, LinkError> {
         if answer.is_err() {
-            self.lock().retain(|_, known| !Arc::ptr_eq(known, cell));
+            self.forget(cell);
         }
         answer.map_err(LinkError::Call)
     }
 
+    /// Lets the next call open a new connection.
+    pub(crate) fn forget(&self, cell: &Cell<C>) {
+        self.lock().retain(|_, known| !Arc::ptr_eq(known, cell));
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Cell<C>>> {
         self.cells.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/suite/tests/suite/main.rs
+++ b/crates/suite/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod overload;
 mod path;
+mod peers;
 mod plans;
 mod resends;
 mod support;
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -33,6 +33,8 @@
     async fn withdraw(id: ReservationId);
     /// Gives an offered slot back.
     async fn release(offer: OfferId);
+    /// Answers at once, so that an entry can tell a long wait from a peer that is frozen.
+    async fn ping();
     /// Tells what became of a body that was sent. A request that never ran, never will.
     async fn inquire(request: RequestId, offer: OfferId) -> RunStatus;
 }
