--- a/crates/capacity/src/measure/entry.rs
+++ b/crates/capacity/src/measure/entry.rs
@@ -167,5 +167,6 @@
         },
         prefixes: (0..4).map(PrefixDigest).collect(),
         body: BodyDigest(1),
+        call: None,
     })
 }
--- a/crates/core/src/entry/machine/endings.rs
+++ b/crates/core/src/entry/machine/endings.rs
@@ -78,7 +78,9 @@
     fn fail(&mut self, request: RequestId, execution: Execution, actions: &mut Vec<Action>) {
         let kind = match execution {
             Execution::Unknown => RefusalKind::OutcomeUnknown,
-            Execution::NotRun | Execution::InPart => RefusalKind::EndpointFailed,
+            Execution::NotRun | Execution::InPart | Execution::Complete => {
+                RefusalKind::EndpointFailed
+            }
         };
         self.forget(request);
         let refusal = Refusal::new(kind).with_execution(execution);
@@ -103,7 +105,7 @@
         now: Timestamp,
         actions: &mut Vec<Action>,
     ) {
-        if reason != NotRunReason::OfferVoid {
+        if !matches!(reason, NotRunReason::OfferVoid | NotRunReason::KeyUsed) {
             self.placement.shun(endpoint, now + SHUN_TIME);
         }
         if let Some(pending) = self.requests.get_mut(&request) {
--- a/crates/core/src/entry/pending.rs
+++ b/crates/core/src/entry/pending.rs
@@ -114,6 +114,7 @@
             remaining: self.deadline.since(now),
             prefixes: self.arrival.prefixes.clone(),
             body: self.arrival.body,
+            call: self.arrival.call,
             alone: self.alone,
         }
     }
