--- a/crates/harness/src/deployment.rs
+++ b/crates/harness/src/deployment.rs
@@ -153,11 +153,12 @@
     ) -> Result<String, HarnessError> {
         Ok(format!(
             "[process]\ndata centre = {centre}\ncontrol = {}\nadmin = {}\n\
-             configuration service = {}\nhost list = {}\nlog = info\npeers = {}\n",
+             configuration service = {}\nhost list = {}\nlog = {}\npeers = {}\n",
             address(earlier, "control", ip)?,
             address(earlier, "admin", ip)?,
             self.configuration.port("listen")?,
             self.hosts.port("listen")?,
+            self.plan.log,
             names(&self.peers, ToString::to_string).join(", "),
         ))
     }
--- a/crates/harness/src/plan.rs
+++ b/crates/harness/src/plan.rs
@@ -155,6 +155,7 @@
     pub(crate) routes: Vec<RoutePlan>,
     pub(crate) teams: Vec<TeamPlan>,
     pub(crate) lag: u64,
+    pub(crate) log: String,
     pub(crate) relays: bool,
 }
 
@@ -166,10 +167,20 @@
         Self {
             tiers,
             lag: 500,
+            log: "info".to_owned(),
             ..Self::default()
         }
     }
 
+    /// The same deployment with another log filter in every process.
+    #[must_use]
+    pub fn with_log(self, filter: &str) -> Self {
+        Self {
+            log: filter.to_owned(),
+            ..self
+        }
+    }
+
     /// Adds a data centre that is in service.
     #[must_use]
     pub fn with_centre(mut self, name: &str) -> Self {
--- a/crates/suite/tests/suite/main.rs
+++ b/crates/suite/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod freezes;
 mod input;
 mod kills;
+mod logs;
 mod path;
 mod plans;
 mod support;
