--- a/crates/suite/tests/suite/main.rs
+++ b/crates/suite/tests/suite/main.rs
@@ -1,13 +1,16 @@
 //! Integration tests with the real processes, one module for each subject.
 
 mod callers;
+mod chaos;
 mod configuration;
+mod containment;
 mod cuts;
 mod freezes;
 mod input;
 mod kills;
+mod leaving;
 mod logs;
+mod overload;
 mod path;
 mod plans;
 mod support;
-mod wait;
