--- a/crates/suite/tests/suite/main.rs
+++ b/crates/suite/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod kills;
 mod leaving;
 mod logs;
+mod metrics;
 mod overload;
 mod path;
 mod plans;
--- /dev/null
+++ b/crates/suite/tests/suite/metrics.rs
@@ -0,0 +1,40 @@
+//! Metrics: their names, and the page that lists them.
+
+use comfreyhaven_harness::{Caller, Deployment, HarnessError};
+
+use crate::plans;
+
+const PAGE: &str = include_str!("../../../../docs/OPERATING.md");
+
+/// Names of the metrics that a process shows.
+async fn names(address: std::net::SocketAddr) -> Result<Vec<String>, HarnessError> {
+    let text = Caller::new(address).get("/metrics").await?.text;
+    let lines = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let names = lines.filter_map(|line| line.split(' ').next());
+    Ok(names.map(str::to_owned).collect())
+}
+
+#[tokio::test]
+async fn every_metric_is_on_the_operators_page() -> Result<(), HarnessError> {
+    let mut deployment = Deployment::start(plans::single()).await?;
+    let caller = deployment.caller(0, "key-kakheti")?;
+    assert_eq!(caller.chat("hive", "hello", 4, true).await?.status, 200);
+    let nobody = deployment.caller(0, "key-nobody")?;
+    assert_eq!(nobody.chat("hive", "hello", 4, true).await?.status, 401);
+    let addresses = [
+        deployment.entry(0).port("admin")?,
+        deployment.agent(0).port("admin")?,
+    ];
+    for address in addresses {
+        let names = names(address).await?;
+        assert!(!names.is_empty());
+        for name in names {
+            assert!(name.starts_with("comfreyhaven_"), "{name}");
+            assert!(
+                PAGE.contains(&format!("| `{name}` |")),
+                "{name} is not on the page"
+            );
+        }
+    }
+    Ok(())
+}
