--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -11,6 +11,9 @@
 use crate::section::Section;
 use crate::value::Address;
 
+/// What is logged, if the settings do not say. The call library logs every call at `info`.
+const LOG_DEFAULT: &str = "info,tarpc=warn";
+
 /// Names of the addresses where a process listens.
 const LISTENERS: [&str; 4] = ["control", "admin", "listen", "traffic"];
 
@@ -194,7 +197,7 @@
 }
 
 fn log(section: &mut Section) -> Option<String> {
-    let log = section.take_or("log", "info".to_owned())?;
+    let log = section.take_or("log", LOG_DEFAULT.to_owned())?;
     if env_filter::Builder::new().try_parse(&log).is_err() {
         let expected = "levels such as info, or info,comfreyhaven_core=trace";
         section.fault(Some("log"), Some(&log), expected);
