Measure entries that borrow, and count a loan for each request in their messages

Three hosts hold a share of a team, so that an entry at the target borrows for nearly every request.

--- a/crates/capacity/src/role/agent.rs
+++ b/crates/capacity/src/role/agent.rs
@@ -56,7 +56,7 @@
             links,
             "connection_memory (both sides) x 330",
         ),
-        memory(role, "a full queue", queue, "reservation_memory x 256"),
+        memory(role, "a full queue", queue, "reservation_memory x 1,024"),
         memory(
             role,
             "requests remembered",
--- a/crates/capacity/src/role/entry.rs
+++ b/crates/capacity/src/role/entry.rs
@@ -126,10 +126,12 @@
 }
 
 fn message_rows(findings: &Findings) -> Result<Vec<Row>, CapacityError> {
-    let requests = requests() * request_bytes(findings)?;
+    let requests = self::requests() * request_bytes(findings)?;
     let teams = following_bytes(teams_text(findings)?);
     let fleet = following_bytes(fleet_text(findings)?);
     let peers = exchange_bytes(findings)?;
+    // Few entries hold a share of a team, so that most requests come to one that borrows.
+    let borrowed = 2.0 * self::requests() * findings.value(Cost::BorrowBytes)?;
     let role = Role::Entry;
     let row = |what, value, from| Row::new(role, what, value, Unit::BytesPerSecond, from);
     Ok(vec![
@@ -155,20 +157,20 @@
         ),
         row(
             "control, changes in teams",
-            requests + peers + teams,
+            requests + peers + borrowed + teams,
             "the sum",
         )
         .with_budget(target::CONTROL_BYTES),
         row(
             "control, changes in the fleet",
-            requests + peers + fleet,
+            requests + peers + borrowed + fleet,
             "the sum",
         )
         .with_budget(target::CONTROL_BYTES),
         row(
             "control with TCP and IP headers, changes in teams",
-            requests + peers + headers() + teams,
-            "10 segments a request, 52 bytes each, more",
+            requests + peers + borrowed + headers() + teams,
+            "14 segments a request, 52 bytes each, more",
         )
         .with_budget(target::CONTROL_BYTES),
     ])
@@ -178,7 +180,8 @@
 /// acknowledgements of each other.
 fn headers() -> f64 {
     let calls = 2.0 * target::FANOUT - 1.0;
-    requests() * calls * 2.0 * target::HEADER_BYTES
+    // And a loan that is asked for, and one that is given.
+    requests() * (calls + 2.0) * 2.0 * target::HEADER_BYTES
 }
 
 /// Bytes of control messages for one request.
--- a/crates/capacity/src/target.rs
+++ b/crates/capacity/src/target.rs
@@ -56,7 +56,7 @@
 /// Seconds that an agent remembers a request.
 pub const HISTORY_S: f64 = 600.0;
 /// Reservations that wait at one agent at most.
-pub const QUEUE_LIMIT: f64 = 256.0;
+pub const QUEUE_LIMIT: f64 = 1_024.0;
 /// Requests that a typical engine bears just started.
 pub const COLD_REQUESTS: f64 = 4.0;
 /// Requests that a typical engine bears warm.
