--- a/crates/suite/tests/suite/main.rs
+++ b/crates/suite/tests/suite/main.rs
@@ -10,6 +10,8 @@
 mod input;
 mod kills;
 mod leaving;
+mod logs;
+mod metrics;
 mod overload;
 mod path;
 mod peers;
