--- a/crates/capacity/src/measure/agent.rs
+++ b/crates/capacity/src/measure/agent.rs
@@ -160,6 +160,7 @@
             .map(|block| PrefixDigest(u64::MAX - block))
             .collect(),
         body: BodyDigest(u64::MAX),
+        call: None,
         alone: false,
     }
 }
--- a/crates/core/examples/decisions/simulation.rs
+++ b/crates/core/examples/decisions/simulation.rs
@@ -348,6 +348,7 @@
             },
             remaining: deadline.since(self.now),
             prefixes: Vec::new(),
+            call: None,
             body: BodyDigest(0),
             alone: false,
         })
--- a/crates/core/examples/decisions/structure.rs
+++ b/crates/core/examples/decisions/structure.rs
@@ -32,6 +32,7 @@
         },
         remaining: Duration::from_secs(60),
         prefixes: Vec::new(),
+        call: None,
         body: BodyDigest(0),
         alone: false,
     };
--- a/crates/core/examples/rate/simulation.rs
+++ b/crates/core/examples/rate/simulation.rs
@@ -181,6 +181,7 @@
             cost,
             prefixes: Vec::new(),
             body: BodyDigest(0),
+            call: None,
         };
         self.handle(entry, Event::Arrived(Box::new(arrival)));
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,9 +5,11 @@
 
 mod caller;
 mod command;
+mod describe;
 mod driver;
 mod http;
 mod intake;
+mod link;
 mod links;
 mod metrics;
 mod peers;
