--- a/crates/core/examples/decisions/binding.rs
+++ b/crates/core/examples/decisions/binding.rs
@@ -4,7 +4,8 @@
 
 use crate::engine::{Spec, at};
 use crate::outcomes::Outcomes;
-use crate::simulation::{Binding, Leaving, Setup, Simulation};
+use crate::setup::{Binding, Leaving, Setup};
+use crate::simulation::Simulation;
 use crate::workload::{self, Kind, MIXED};
 
 pub const SEEDS: [u64; 3] = [11, 12, 13];
--- a/crates/core/examples/decisions/cold.rs
+++ b/crates/core/examples/decisions/cold.rs
@@ -5,7 +5,7 @@
 use crate::binding::{SECONDS, SEEDS, mean, repeat};
 use crate::engine::{Spec, at};
 use crate::outcomes::Outcomes;
-use crate::simulation::Setup;
+use crate::setup::Setup;
 use crate::workload::MIXED;
 
 fn row(name: &str, case: &str, setup: &Setup) {
--- a/crates/core/examples/decisions/fairness.rs
+++ b/crates/core/examples/decisions/fairness.rs
@@ -6,7 +6,7 @@
 use crate::engine::Spec;
 use crate::fleet::TEAMS;
 use crate::outcomes::Outcomes;
-use crate::simulation::Setup;
+use crate::setup::Setup;
 use crate::workload::{Kind, MIXED, ONE_TIER, QUESTIONS};
 
 /// Load of one modest team; five teams share the engines, so that a fifth is its fair share.
--- a/crates/core/examples/decisions/main.rs
+++ b/crates/core/examples/decisions/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod outcomes;
 mod overload;
+mod setup;
 mod simulation;
 mod structure;
 mod workload;
--- a/crates/core/examples/decisions/overload.rs
+++ b/crates/core/examples/decisions/overload.rs
@@ -5,7 +5,7 @@
 use crate::binding::{SECONDS, SEEDS, mean, repeat};
 use crate::engine::Spec;
 use crate::outcomes::Outcomes;
-use crate::simulation::Setup;
+use crate::setup::Setup;
 use crate::workload::{self, MIXED, ONE_TIER};
 
 const SHORT_TOKENS: u32 = 100;
