--- a/crates/core/src/entry/message.rs
+++ b/crates/core/src/entry/message.rs
@@ -7,6 +7,7 @@
 use crate::agent::RunStatus;
 use crate::fleet::Fleet;
 use crate::id::{KeyDigest, OfferId, RequestId, ReservationId};
+use crate::idempotency::CallKey;
 use crate::name::{EndpointName, HostName, RouteName};
 use crate::refusal::{NotRunReason, Refusal, ReturnReason};
 use crate::request::{BodyDigest, Cost, PrefixDigest, Reservation};
@@ -26,6 +27,8 @@
     pub prefixes: Vec<PrefixDigest>,
     /// Recognises the body.
     pub body: BodyDigest,
+    /// Digest of the caller's idempotency key, if the call is bound to the key's home.
+    pub call: Option<CallKey>,
 }
 
 /// How a dispatched request ended at its agent.
--- a/crates/core/tests/core/placement.rs
+++ b/crates/core/tests/core/placement.rs
@@ -87,3 +87,11 @@
         .map(|entry| reserved(&entry.handle(prompt(1, &[7]), START)));
     assert_eq!(places[0][0].0, places[1][0].0);
 }
+
+#[test]
+fn a_dispatched_prompt_is_looked_at_by_its_deadline_and_not_before() {
+    let mut entry = entry(3);
+    let (endpoint, id) = reserved(&entry.handle(prompt(1, &[1]), START)).remove(0);
+    offer(&mut entry, id, endpoint);
+    assert_eq!(entry.wake(), START + Duration::from_secs(20));
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod driver;
 mod http;
 mod intake;
+mod link;
 mod links;
 mod metrics;
 mod peers;
--- a/crates/harness/src/plan.rs
+++ b/crates/harness/src/plan.rs
@@ -155,6 +155,7 @@
     pub(crate) routes: Vec<RoutePlan>,
     pub(crate) teams: Vec<TeamPlan>,
     pub(crate) lag: u64,
+    pub(crate) log: String,
     pub(crate) relays: bool,
 }
 
@@ -166,10 +167,20 @@
         Self {
             tiers,
             lag: 500,
+            log: "info".to_owned(),
             ..Self::default()
         }
     }
 
+    /// The same deployment with another log filter in every process.
+    #[must_use]
+    pub fn with_log(self, filter: &str) -> Self {
+        Self {
+            log: filter.to_owned(),
+            ..self
+        }
+    }
+
     /// Adds a data centre that is in service.
     #[must_use]
     pub fn with_centre(mut self, name: &str) -> Self {
@@ -217,6 +228,13 @@
         }
     }
 
+    /// Adds a value to the section of a route. Takes effect when the routes are published.
+    pub fn set_route(&mut self, route: &str, name: &str, value: &str) {
+        for known in self.routes.iter_mut().filter(|known| known.name == route) {
+            known.lines.push((name.to_owned(), value.to_owned()));
+        }
+    }
+
     /// Changes the bearing of an endpoint. Takes effect when the fleet is published.
     pub fn set_bearing(&mut self, endpoint: &str, cold: u32, warm: u32) {
         for known in self
@@ -228,6 +246,14 @@
         }
     }
 
+    /// Changes a value of a route's section. Takes effect when the routes are published.
+    pub fn set_route_value(&mut self, route: &str, name: &str, value: &str) {
+        for known in self.routes.iter_mut().filter(|known| known.name == route) {
+            known.lines.retain(|(line, _)| line != name);
+            known.lines.push((name.to_owned(), value.to_owned()));
+        }
+    }
+
     /// Puts a data centre in or out of service. Takes effect when the fleet is published.
     pub fn set_in_service(&mut self, centre: &str, state: bool) {
         for (_, known) in self.centres.iter_mut().filter(|(name, _)| name == centre) {
