--- a/crates/core/src/agent/machine/reserving.rs
+++ b/crates/core/src/agent/machine/reserving.rs
@@ -8,6 +8,7 @@
 use crate::agent::policy::{Lateness, Order};
 use crate::agent::queue::{Admission, Waiting};
 use crate::id::{RequestId, ReservationId};
+use crate::idempotency::KeyUse;
 use crate::name::TeamName;
 use crate::refusal::ReturnReason;
 use crate::request::Reservation;
@@ -32,11 +33,34 @@
         if self.is_stale(id) {
             return self.give_back(id, ReturnReason::Withdrawn, actions);
         }
+        if let Err(reason) = self.check_key(&reservation, now) {
+            return self.give_back(id, reason, actions);
+        }
         if !self.is_repeated(id) {
             self.enqueue(reservation, now, actions);
         }
     }
 
+    /// Whether a call may run as far as its idempotency key is concerned.
+    pub(super) fn check_key(
+        &self,
+        reservation: &Reservation,
+        now: Timestamp,
+    ) -> Result<(), ReturnReason> {
+        let Some(key) = reservation.call else {
+            return Ok(());
+        };
+        let known = self
+            .keys
+            .check(&self.name, &self.fleet, &reservation.route, key, now);
+        known.map_err(|state| match state {
+            KeyUse::Running => ReturnReason::KeyRunning,
+            KeyUse::Complete => ReturnReason::KeyComplete,
+            KeyUse::Unknown => ReturnReason::KeyUnknown,
+            KeyUse::Elsewhere => ReturnReason::NotConfigured,
+        })
+    }
+
     pub(super) fn withdraw(&mut self, id: ReservationId, actions: &mut Vec<Action>) {
         if self.queue.remove(id).is_some() {
             self.demand.observe(0, 1);
@@ -45,7 +69,7 @@
         self.offers.withdraw(id);
     }
 
-    /// Drops what else waits or is offered for a request that runs.
+    /// Drops what waits or is offered for other attempts of a request.
     pub(super) fn drop_attempts(&mut self, request: RequestId, actions: &mut Vec<Action>) {
         self.offers.void_request(request);
         if let Some(attempt) = self.queue.attempt(request) {
@@ -84,12 +108,9 @@
 
     fn enqueue(&mut self, reservation: Reservation, now: Timestamp, actions: &mut Vec<Action>) {
         let id = reservation.id;
-        if let Some(attempt) = self.queue.attempt(id.request) {
-            let earlier = ReservationId { attempt, ..id };
-            self.withdraw(earlier, actions);
-        }
+        self.drop_attempts(id.request, actions);
         let waiting = self.expect(reservation, now);
-        let wait = self.expected_wait(&waiting.reservation);
+        let wait = self.expected_wait(&waiting);
         if now + wait >= waiting.latest_start() {
             return self.give_back(id, ReturnReason::Late, actions);
         }
@@ -129,11 +150,12 @@
 
     /// Time until a new reservation is expected to get a slot. Reservations ahead of it count only
     /// as often as those here used to be served here.
-    fn expected_wait(&self, reservation: &Reservation) -> Duration {
+    fn expected_wait(&self, waiting: &Waiting) -> Duration {
         let Some(slots) = &self.slots else {
             return Duration::ZERO;
         };
-        let ahead = self.queue.work_ahead(reservation.tier, &reservation.team);
+        let Reservation { tier, team, .. } = &waiting.reservation;
+        let ahead = self.queue.work_ahead(*tier, team, waiting.class);
         let served = self.demand.of(micros(ahead)).unwrap_or(0);
         Duration::from_micros(served / u64::from(slots.limit().max(1)))
     }
--- a/crates/core/src/entry/machine/binding.rs
+++ b/crates/core/src/entry/machine/binding.rs
@@ -7,8 +7,9 @@
 use super::super::placement::Placement;
 use super::Entry;
 use crate::id::{OfferId, RequestId, ReservationId};
+use crate::idempotency;
 use crate::name::EndpointName;
-use crate::refusal::{Refusal, RefusalKind, ReturnReason};
+use crate::refusal::{Execution, Refusal, RefusalKind, ReturnReason};
 use crate::time::Timestamp;
 
 /// Reservations that one request holds at once.
@@ -27,11 +28,16 @@
         };
         pending.alone = alone;
         let arrival = &pending.arrival;
-        let mut names =
-            self.placement
-                .candidates(&self.fleet, &arrival.route, &arrival.prefixes, now);
-        names.reverse();
-        pending.unasked = names;
+        pending.unasked = if let Some(key) = arrival.call {
+            let home = idempotency::home(&self.fleet, &arrival.route, key);
+            home.into_iter().cloned().collect()
+        } else {
+            let fleet = &self.fleet;
+            let names = self
+                .placement
+                .candidates(fleet, &arrival.route, &arrival.prefixes, now);
+            names.into_iter().rev().collect()
+        };
         pending.phase = Phase::Waiting;
         pending.reason = None;
         pending.displaced = false;
@@ -104,6 +110,11 @@
             return actions.push(release);
         };
         pending.waiting.remove(&endpoint);
+        if !Placement::is_eligible(&self.fleet, &endpoint) {
+            pending.note(ReturnReason::Leaving);
+            actions.push(release);
+            return self.place(request, now, actions);
+        }
         let wait = now.since(pending.bound);
         self.waits.note(&pending.arrival.route, wait);
         let others = std::mem::take(&mut pending.waiting);
@@ -112,7 +123,6 @@
         if self.stop(request, now, actions) {
             return actions.push(release);
         }
-        self.clear_timer(request);
         if let Some(pending) = self.requests.get_mut(&request) {
             self.undispatched.remove(&pending.rank());
             pending.phase = Phase::Dispatched {
@@ -175,6 +185,12 @@
     let kind = match reason {
         Some(ReturnReason::Full | ReturnReason::Displaced) => RefusalKind::Overloaded,
         Some(ReturnReason::Late) => RefusalKind::DeadlineExceeded,
+        Some(ReturnReason::KeyRunning | ReturnReason::KeyUnknown) => {
+            return Refusal::new(RefusalKind::Duplicate).with_execution(Execution::Unknown);
+        }
+        Some(ReturnReason::KeyComplete) => {
+            return Refusal::new(RefusalKind::Duplicate).with_execution(Execution::Complete);
+        }
         Some(ReturnReason::Quarantined) => return Refusal::new(RefusalKind::Quarantined),
         Some(
             ReturnReason::Leaving
--- a/crates/core/src/entry/machine/endings.rs
+++ b/crates/core/src/entry/machine/endings.rs
@@ -78,13 +78,24 @@
     fn fail(&mut self, request: RequestId, execution: Execution, actions: &mut Vec<Action>) {
         let kind = match execution {
             Execution::Unknown => RefusalKind::OutcomeUnknown,
-            Execution::NotRun | Execution::InPart => RefusalKind::EndpointFailed,
+            Execution::NotRun | Execution::InPart | Execution::Complete => {
+                RefusalKind::EndpointFailed
+            }
         };
         self.forget(request);
         let refusal = Refusal::new(kind).with_execution(execution);
         actions.push(Action::Refuse { request, refusal });
     }
 
+    /// Ends a dispatched request whose answer has not begun by its deadline. It may yet run, but its
+    /// answer would be worthless.
+    pub(super) fn give_up(&mut self, request: RequestId, actions: &mut Vec<Action>) {
+        self.forget(request);
+        let refusal = Refusal::new(RefusalKind::DeadlineExceeded);
+        let refusal = refusal.with_execution(Execution::Unknown);
+        actions.push(Action::Refuse { request, refusal });
+    }
+
     /// Binds a request again after the agent's word that nothing ran.
     fn not_run(
         &mut self,
@@ -94,7 +105,7 @@
         now: Timestamp,
         actions: &mut Vec<Action>,
     ) {
-        if reason != NotRunReason::OfferVoid {
+        if !matches!(reason, NotRunReason::OfferVoid | NotRunReason::KeyUsed) {
             self.placement.shun(endpoint, now + SHUN_TIME);
         }
         if let Some(pending) = self.requests.get_mut(&request) {
--- a/crates/core/tests/core/main.rs
+++ b/crates/core/tests/core/main.rs
@@ -1,9 +1,11 @@
 //! Property and replay tests of the decision core.
 
 mod agent_properties;
+mod bearing;
 mod containment;
 mod network;
 mod overload;
 mod queue_model;
+mod replay;
 mod support;
 mod system;
--- a/crates/core/tests/core/overload.rs
+++ b/crates/core/tests/core/overload.rs
@@ -54,6 +54,7 @@
         },
         prefixes: Vec::new(),
         body: BodyDigest(u64::try_from(request).unwrap()),
+        call: None,
     }))
 }
 
