Read the fleet document first, so that a start of the whole fleet stays under the service's rate

Cause: 940 processes that start in one instant asked for 2,646 calls in a second, over the limit of 2,000: each asked for the index and the fleet document before it knew how many readers there are.

Ruled out: spreading the first call over two seconds, which would delay every start.

Change: a process that starts reads the document that declares the fleet, and spaces what follows, the index included, by the number of readers.

--- a/crates/core/src/spread/machine.rs
+++ b/crates/core/src/spread/machine.rs
@@ -45,11 +45,20 @@
             faulty: Versions::new(),
             wanted: BTreeMap::new(),
             peers: Peers::new(own, seeds),
-            service: Service::new(),
+            service: Service::new(Vec::new()),
             hold: Some(Hold::start()),
         }
     }
 
+    /// The same spread, which reads the named document before it asks the service for anything
+    /// else. It should be the one that declares the processes, since that tells how many readers the
+    /// service has.
+    #[must_use]
+    pub fn with_first(mut self, name: &str) -> Self {
+        self.service = Service::new(vec![name.to_owned()]);
+        self
+    }
+
     /// Decides on one event.
     pub fn handle(&mut self, event: Event, now: Timestamp) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/core/src/spread/service.rs
+++ b/crates/core/src/spread/service.rs
@@ -58,11 +58,12 @@
 }
 
 impl Service {
-    pub(super) fn new() -> Self {
+    /// A service of which some values are read before its index is asked for.
+    pub(super) fn new(first: Vec<String>) -> Self {
         Self {
             known: Index::default(),
             target: Index::default(),
-            queue: VecDeque::new(),
+            queue: first.into(),
             phase: Phase::Until(Timestamp::ZERO),
             backoff: BACKOFF_MIN,
             freshness: Freshness::Old,
@@ -131,8 +132,9 @@
 
     /// Spaces the next read by the number of readers, which has just become known.
     pub(super) fn space(&mut self, pace: &mut Pace<'_>) {
-        if !self.queue.is_empty() && self.phase != Phase::Calling {
-            self.phase = Phase::Until(pace.now + pace.read_pause());
+        let reads = !self.queue.is_empty() || self.freshness == Freshness::Old;
+        if let (true, Phase::Until(time)) = (reads, self.phase) {
+            self.phase = Phase::Until(time.max(pace.now + pace.read_pause()));
         }
     }
 
@@ -145,7 +147,8 @@
     }
 
     fn go_on(&mut self, pace: &mut Pace<'_>) {
-        let pause = if !self.queue.is_empty() {
+        let indexed = self.freshness != Freshness::Old;
+        let pause = if !self.queue.is_empty() || !indexed {
             pace.read_pause()
         } else {
             self.known.revision = self.target.revision;
--- a/crates/core/src/spread/tests.rs
+++ b/crates/core/src/spread/tests.rs
@@ -76,13 +76,30 @@
         world.publish(&format!("teams-{shard:x}"), 1, "first");
     }
     assert!(world.settle(IN_FORCE_LIMIT).is_some());
-    world.run(Duration::from_secs(120));
+    world.run(Duration::from_secs(10));
     let start = world.now;
     for node in 0..REGION_PROCESSES {
         world.restart(node);
     }
     assert!(world.settle(Duration::from_secs(10)).is_some());
-    world.run(Duration::from_secs(60));
+    world.run(Duration::from_secs(30));
+    assert!(world.peak_calls(start) < SERVICE_RATE_LIMIT);
+}
+
+#[test]
+fn the_start_of_the_whole_fleet_stays_within_the_rate_of_the_service() {
+    let mut world = started(TARGET_PROCESSES, 10);
+    for shard in 1..16 {
+        world.publish(&format!("teams-{shard:x}"), 1, "first");
+    }
+    assert!(world.settle(IN_FORCE_LIMIT).is_some());
+    world.run(Duration::from_secs(30));
+    let start = world.now;
+    for node in 0..TARGET_PROCESSES {
+        world.restart(node);
+    }
+    assert!(world.settle(Duration::from_secs(60)).is_some());
+    world.run(Duration::from_secs(30));
     assert!(world.peak_calls(start) < SERVICE_RATE_LIMIT);
 }
 
--- a/crates/core/src/spread/tests/world.rs
+++ b/crates/core/src/spread/tests/world.rs
@@ -94,7 +94,8 @@
 
     pub(super) fn fresh(&mut self, node: usize, boot: u32) -> Node {
         Node {
-            spread: Spread::new(address(node), Vec::new(), self.random.random()),
+            spread: Spread::new(address(node), Vec::new(), self.random.random())
+                .with_first("fleet"),
             boot,
             store: Versions::new(),
             confirmed: false,
--- a/crates/process/src/configuration/follow.rs
+++ b/crates/process/src/configuration/follow.rs
@@ -17,6 +17,9 @@
 use crate::peer;
 use crate::platform::ConfigurationSource;
 
+/// The document that declares every process.
+const FIRST_DOCUMENT: &str = "fleet";
+
 /// How long the task sleeps when nothing is due.
 const IDLE_SLEEP: Duration = Duration::from_secs(3_600);
 
@@ -69,7 +72,7 @@
             own,
             clock: Clock::start(),
             source: Arc::new(source),
-            spread: Spread::new(own, seeds, rand::random()),
+            spread: Spread::new(own, seeds, rand::random()).with_first(FIRST_DOCUMENT),
             store: Store::default(),
             service: false,
             started: false,
