--- a/crates/core/src/agent/policy.rs
+++ b/crates/core/src/agent/policy.rs
@@ -16,7 +16,8 @@
 pub enum Growth {
     /// One more request for each completion, so that the limit doubles in each round.
     Multiplicative,
-    /// As [`Growth::Multiplicative`], after a number of completions at the cold limit.
+    /// One more request for half as many completions as the limit, after a number of completions at
+    /// the cold limit.
     #[default]
     Held,
     /// One more request for as many completions as the limit.
@@ -48,7 +49,8 @@
 pub enum Pacing {
     /// It does not.
     Fixed,
-    /// It falls by a part when tokens come too slowly, and rises by one for each round.
+    /// It falls by a part when tokens come too slowly, rises by one for each round, and is the cold
+    /// one again when first tokens leap.
     #[default]
     Adaptive,
 }
--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -202,7 +202,13 @@
                 let refusal = Refusal::new(RefusalKind::DeadlineExceeded).with_retry(retry);
                 self.refuse(request, refusal, now, actions);
             }
-            Phase::Waiting | Phase::Dispatched { .. } | Phase::Inquiring { .. } => {}
+            Phase::Dispatched { begun: false, .. } | Phase::Inquiring { .. }
+                if pending.deadline <= now =>
+            {
+                self.give_up(request, actions);
+            }
+            Phase::Waiting => self.widen(request, now, actions),
+            Phase::Dispatched { .. } | Phase::Inquiring { .. } => {}
         }
     }
 
