--- a/crates/cli/src/ops/diff.rs
+++ b/crates/cli/src/ops/diff.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Display;
+use std::time::Duration;
 
 use comfreyhaven_core::fleet::{
     DataCentre, DataCentreState, Endpoint, Fleet, Host, Route, Service, Team, TierSpec,
@@ -173,14 +174,17 @@
     const KIND: &'static str = "route";
     const REMOVED: &'static str = "its requests are refused";
     fn values(&self) -> Vec<(&'static str, String)> {
-        let (kind, idempotent) = match &self.service {
-            Service::Model(_) => ("model", false),
-            Service::Plain { idempotent, .. } => ("service", *idempotent),
+        let (kind, idempotent, window) = match &self.service {
+            Service::Model(_) => ("model", false, Duration::ZERO),
+            Service::Plain {
+                idempotent, window, ..
+            } => ("service", *idempotent, *window),
         };
         vec![
             ("path", self.path.clone()),
             ("leads to", format!("{kind} {}", self.service.name())),
             ("idempotent", idempotent.to_string()),
+            ("resend window", format!("{}ms", window.as_millis())),
             ("rank of tier", self.tier.to_string()),
             ("access", self.access.to_string()),
             ("deadline", format!("{}ms", self.deadline.as_millis())),
