--- a/crates/suite/tests/suite/main.rs
+++ b/crates/suite/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod leaving;
 mod logs;
 mod metrics;
+mod operators;
 mod overload;
 mod path;
 mod peers;
