--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -207,7 +207,8 @@
             {
                 self.give_up(request, actions);
             }
-            Phase::Waiting | Phase::Dispatched { .. } | Phase::Inquiring { .. } => {}
+            Phase::Waiting => self.widen(request, now, actions),
+            Phase::Dispatched { .. } | Phase::Inquiring { .. } => {}
         }
     }
 
