--- a/crates/trial/src/bench/account.rs
+++ b/crates/trial/src/bench/account.rs
@@ -159,6 +159,30 @@
     worst
 }
 
+/// The least part of its rate and burst that a team over its rate got, of requests sent from
+/// `start` for `length`. `None` if no team was over its rate.
+pub(super) fn rate_use(
+    outcomes: &[Outcome],
+    standings: &[Standing],
+    limits: Limits,
+    (start, length): (Duration, Duration),
+) -> Option<f64> {
+    let mut teams: HashMap<&str, (f64, bool)> = HashMap::new();
+    for (outcome, standing) in outcomes.iter().zip(standings) {
+        if (start..start + length).contains(&outcome.shot.at) {
+            let team = teams.entry(outcome.shot.record.team.as_str());
+            let (tokens, over) = team.or_default();
+            *tokens += spent(outcome);
+            *over |= *standing == Standing::Over;
+        }
+    }
+    let entitled = limits.burst as f64 + limits.rate as f64 * length.as_secs_f64();
+    let parts = teams.into_values().filter(|(_, over)| *over);
+    parts
+        .map(|(tokens, _)| tokens / entitled)
+        .min_by(f64::total_cmp)
+}
+
 /// Tokens that a request took, or may have taken.
 fn spent(outcome: &Outcome) -> f64 {
     match outcome.verdict {
--- a/crates/trial/src/bench/account/tests.rs
+++ b/crates/trial/src/bench/account/tests.rs
@@ -3,7 +3,7 @@
 use comfreyhaven_core::refusal::RefusalKind;
 use hyper::Method;
 
-use super::{Spend, Standing, excess, standings, worst_window};
+use super::{Spend, Standing, excess, rate_use, standings, worst_window};
 use crate::fleet::{Deployed, Limits};
 use crate::load::{Outcome, Shot, Verdict};
 use crate::trace::{Ask, Record};
@@ -72,3 +72,19 @@
     let whole = [0, 0, 2_000].map(|at| outcome(at, Verdict::Whole));
     assert!(excess(&whole, LIMITS).abs() < 1e-9);
 }
+
+#[test]
+fn rate_use_is_the_part_of_rate_and_burst_that_a_team_over_its_rate_got() {
+    let refused = Verdict::Refused(RefusalKind::RateExceeded);
+    let window = (Duration::ZERO, Duration::from_secs(2));
+    let load = [
+        outcome(0, Verdict::Whole),
+        outcome(0, Verdict::Whole),
+        outcome(0, refused),
+    ];
+    let used = rate_use(&load, &standings(&load, LIMITS), LIMITS, window);
+    assert_eq!(used, Some(0.5));
+    let within = &load[..1];
+    let used = rate_use(within, &standings(within, LIMITS), LIMITS, window);
+    assert_eq!(used, None);
+}
--- a/crates/trial/src/bench/judge.rs
+++ b/crates/trial/src/bench/judge.rs
@@ -94,6 +94,11 @@
         (Measure::Sent, number(sent)),
     ]);
     values.extend(runs(trial));
+    let standings = account::standings(trial.outcomes, trial.limits);
+    let window = (WARM_TIME, LOAD_TIME);
+    if let Some(used) = account::rate_use(trial.outcomes, &standings, trial.limits, window) {
+        values.insert(Measure::RateUse, 100.0 * used);
+    }
     if trial.scenario.is_fault() {
         let goodput = goodput(offered.iter().filter(during));
         values.insert(Measure::GoodputFault, goodput);
--- a/crates/trial/src/bench/measure.rs
+++ b/crates/trial/src/bench/measure.rs
@@ -29,6 +29,8 @@
     RefusedWithin,
     /// Requests of the top tier within the team's rate that were refused for want of capacity.
     ShedHigh,
+    /// Least that a team over its rate got, in percent of rate and burst.
+    RateUse,
     /// Most that a team got over rate and burst in any window, in percent of the burst.
     RateExcess,
     /// Requests that endpoints ran more than once.
@@ -67,6 +69,7 @@
                 | Self::WastedPrefill
                 | Self::WrongfulRefusals
                 | Self::RefusedWithin
+                | Self::RateUse
                 | Self::RateExcess
         )
     }
