--- a/crates/capacity/src/role/entry.rs
+++ b/crates/capacity/src/role/entry.rs
@@ -155,6 +155,11 @@
             peers,
             "exchange_bytes x 2 x (idle_exchanges + change_exchanges x 530 / 86,400 s)",
         ),
+        row(
+            "borrowing, asked and lent",
+            borrowed,
+            "borrow_bytes x 2 x 2.4/s, a loan for each request",
+        ),
         row(
             "control, changes in teams",
             requests + peers + borrowed + teams,
--- a/crates/core/tests/core/main.rs
+++ b/crates/core/tests/core/main.rs
@@ -5,6 +5,7 @@
 mod containment;
 mod network;
 mod overload;
+mod placement;
 mod queue_model;
 mod replay;
 mod support;
