Give each deployment loopback addresses of its own

Seen: the test with seeded faults failed now and then, with an agent that ended before it listened. Likely cause: all deployments shared the agents' addresses, so while one was being replaced, a process of another could take its port. The agent's log went with the deployment, so this was not seen, only reasoned; the failure came only while deployments ran side by side.

Change: a network of addresses for each deployment, and an error that shows the end of the log, so that another cause would name itself. Two tests wait until the engine has their request, since one cancelled before that is never counted.

--- a/crates/harness/src/child.rs
+++ b/crates/harness/src/child.rs
@@ -15,6 +15,9 @@
 /// How long a program may take to announce its ports.
 const START_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Lines of a log that an error shows.
+const TAIL_LINES: usize = 5;
+
 /// A child process. Dropping it kills the process.
 #[derive(Debug)]
 pub struct Child {
@@ -43,7 +46,7 @@
             .spawn()?;
         let ended = || HarnessError::Ended {
             program: program.to_owned(),
-            log: log.display().to_string(),
+            log: tail(log),
         };
         let output = process.stdout.take().ok_or_else(ended)?;
         let mut lines = BufReader::new(output).lines();
@@ -124,3 +127,10 @@
         std::io::Error::new(std::io::ErrorKind::NotFound, hint).into()
     })
 }
+
+/// The end of a log, which goes with its deployment.
+fn tail(log: &Path) -> String {
+    let text = std::fs::read_to_string(log).unwrap_or_default();
+    let lines: Vec<_> = text.lines().collect();
+    lines[lines.len().saturating_sub(TAIL_LINES)..].join("\n")
+}
--- a/crates/harness/src/deployment.rs
+++ b/crates/harness/src/deployment.rs
@@ -11,6 +11,7 @@
 use crate::call::{Caller, Reply};
 use crate::child::Child;
 use crate::error::HarnessError;
+use crate::network::Network;
 use crate::plan::{EndpointPlan, Plan};
 use crate::render::{self, Addresses};
 
@@ -23,6 +24,7 @@
 #[derive(Debug)]
 pub struct Deployment {
     plan: Plan,
+    network: Network,
     directory: TempDir,
     configuration: Child,
     hosts: Child,
@@ -58,6 +60,7 @@
         let hosts = Child::start("standin-hosts", &lag, 1, &log("hosts")).await?;
         let mut deployment = Self {
             plan,
+            network: Network::next(),
             directory,
             configuration,
             hosts,
@@ -114,7 +117,7 @@
         earlier: Option<&Child>,
     ) -> Result<Child, HarnessError> {
         let plan = &self.plan.endpoints[index];
-        let ip = format!("127.0.2.{}", index + 1);
+        let ip = self.network.agent(index).to_string();
         let endpoint = match self.doors.get(index) {
             Some(door) => door.address(),
             None => self.endpoints[index].port("listen")?,
@@ -136,7 +139,7 @@
         earlier: Option<&Child>,
     ) -> Result<Child, HarnessError> {
         let plan = &self.plan.entries[index];
-        let ip = format!("127.0.1.{}", index + 1);
+        let ip = self.network.entry(index).to_string();
         let listen = address(earlier, "listen", &ip)?;
         let own = format!("[entry]\nname = {}\nlisten = {listen}\n", plan.name);
         let text = self.process_section(&plan.centre, earlier, &ip)? + &own;
--- a/crates/harness/src/error.rs
+++ b/crates/harness/src/error.rs
@@ -16,12 +16,15 @@
     #[display("{_0}")]
     Call(CallError),
     /// A program ended before it listened.
-    #[display("{program} ended before it listened; its log is {log}")]
+    #[display(
+        "{program} ended before it listened; its log ends:
+{log}"
+    )]
     #[from(ignore)]
     Ended {
         /// The program.
         program: String,
-        /// Its log file.
+        /// The end of its log.
         log: String,
     },
     /// A program did not announce a port.
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -8,6 +8,7 @@
 mod child;
 mod deployment;
 mod error;
+mod network;
 mod plan;
 mod render;
 
--- a/crates/suite/tests/suite/kills.rs
+++ b/crates/suite/tests/suite/kills.rs
@@ -53,7 +53,7 @@
 async fn a_crashed_engine_s_caller_is_told_that_it_ran_in_part() -> Result<(), HarnessError> {
     let deployment = Deployment::start(plans::single()).await?;
     let call = chat(&deployment, 0, "will be cut", 20_000)?;
-    until_running(&deployment, 0, 1).await?;
+    until(|| async { Ok(seen(&deployment, 0).await? == 1) }).await?;
     until(|| async { Ok(deployment.entry_state(0).await?["dispatched"] == 1) }).await?;
     deployment.crash_endpoint(0).await?;
     let text = cut_off(outcome(call).await)?;
@@ -66,7 +66,7 @@
 async fn an_entry_that_dies_leaves_nothing_running() -> Result<(), HarnessError> {
     let mut deployment = Deployment::start(plans::single()).await?;
     let call = chat(&deployment, 0, "its owner dies", 20_000)?;
-    until_running(&deployment, 0, 1).await?;
+    until(|| async { Ok(seen(&deployment, 0).await? == 1) }).await?;
     deployment.entry(0).kill().await?;
     assert!(outcome(call).await.is_err());
     until_running(&deployment, 0, 0).await?;
