Wait until a process has stopped before a test goes on

Cause: a_woken_entry_runs_nothing_under_a_key_withdrawn_meanwhile failed in 5 of 9 runs of the suite, three at a time. The logs show the request served, or waiting for tokens, before the pause: STOP takes effect on every thread only some time after kill returns, so the entry still took the request while the key held.

Ruled out: the pause guard and the confirmation; in each log the request was decided on before the process was paused or refused without running.

Change: the harness waits until every thread of the process is stopped.

--- a/crates/harness/src/child.rs
+++ b/crates/harness/src/child.rs
@@ -15,6 +15,9 @@
 /// How long a program may take to announce its ports.
 const START_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time between looks whether a process has stopped.
+const STOP_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Lines of a log that an error shows.
 const TAIL_LINES: usize = 5;
 
@@ -83,14 +86,18 @@
         self.process.id()
     }
 
-    /// Sends a signal, such as `TERM`, `STOP` or `CONT`.
+    /// Sends a signal, such as `TERM`, `STOP` or `CONT`. After `STOP` it waits until every thread has
+    /// stopped, which on a busy machine is some time after the signal.
     ///
     /// # Errors
-    /// Returns the error of the `kill` program.
+    /// Returns the error of the `kill` program or of reading the threads' states.
     pub async fn signal(&self, name: &str) -> Result<(), HarnessError> {
         let Some(id) = self.id() else { return Ok(()) };
         let arguments = [format!("-{name}"), id.to_string()];
         Command::new("kill").args(arguments).status().await?;
+        while name == "STOP" && !is_stopped(id)? {
+            tokio::time::sleep(STOP_INTERVAL).await;
+        }
         Ok(())
     }
 
@@ -134,3 +141,19 @@
     let lines: Vec<_> = text.lines().collect();
     lines[lines.len().saturating_sub(TAIL_LINES)..].join("\n")
 }
+
+/// Whether every thread of a process is stopped or gone, by the state after the name in
+/// `/proc/ID/task/THREAD/stat`, as proc(5) has it.
+fn is_stopped(id: u32) -> std::io::Result<bool> {
+    for thread in std::fs::read_dir(format!("/proc/{id}/task"))? {
+        let stat = std::fs::read_to_string(thread?.path().join("stat")).unwrap_or_default();
+        let state = stat
+            .rsplit(") ")
+            .next()
+            .and_then(|rest| rest.chars().next());
+        if state.is_some_and(|state| state != 'T') {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
