Measure a start as the processes do it, the fleet document first

The capacity program spread the start of 940 processes over readers that it did not know yet, while processes read the fleet document first since the start's calls were cut.

--- a/crates/capacity/src/measure/change/world.rs
+++ b/crates/capacity/src/measure/change/world.rs
@@ -79,7 +79,8 @@
             world.store(&name, 1);
         }
         for node in 0..size {
-            let spread = Spread::new(address(node), Vec::new(), world.random.random());
+            let spread =
+                Spread::new(address(node), Vec::new(), world.random.random()).with_first("fleet");
             world.nodes.push(Node {
                 spread,
                 watch: None,
