Name the team on each log line that is about a request

Three lines named the request alone: refusals before a request has its owner, reservations that cannot be placed, and endpoints that cannot be reached. A key is looked up once, before the request is read, so that its team is known for the line; a dash stands where there is none.

--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -70,7 +70,7 @@
         let request = self.request(head, body).ok_or(NotRunReason::Malformed)?;
         let connection = dial::http(self.source, self.target).await;
         let connection = connection.map_err(|error| {
-            log::warn!(request:% = head.request; "endpoint {}: {error}", self.target);
+            log::warn!(request:% = head.request, team:% = head.team; "endpoint {}: {error}", self.target);
             NotRunReason::EndpointDown
         })?;
         Ok(Run {
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -111,7 +111,7 @@
     fn reserve(&mut self, endpoint: EndpointName, reservation: Reservation) {
         let (links, mailbox) = (self.links.clone(), self.mailbox.clone());
         self.reservations.spawn(async move {
-            let id = reservation.id;
+            let (id, team) = (reservation.id, reservation.team.clone());
             let event = match links.reserve(&endpoint, reservation).await {
                 Ok(ReserveReply::Offered { offer, .. }) => Event::Offered {
                     id,
@@ -124,7 +124,7 @@
                     reason,
                 },
                 Err(error) => {
-                    log::info!(request:% = id.request; "{endpoint}: {error}");
+                    log::info!(request:% = id.request, team:% = team; "{endpoint}: {error}");
                     Event::Unreachable { id, endpoint }
                 }
             };
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -19,7 +19,7 @@
 use crate::caller::Caller;
 use crate::command::Command;
 use crate::driver::Driver;
-use crate::intake;
+use crate::intake::{self, Credentials};
 use crate::links::Links;
 
 /// Callers' connections at once.
@@ -64,10 +64,12 @@
 async fn answer(id: RequestId, request: Request<Incoming>, context: Context) -> Answer {
     let name = id.to_string();
     let fleet = Arc::clone(&context.fleet.borrow());
-    let intake = match intake::read(id, request, &fleet).await {
+    let credentials = Credentials::new(request.headers(), &fleet);
+    let intake = match intake::read(id, request, &fleet, &credentials).await {
         Ok(intake) => intake,
         Err(refusal) => {
-            log::info!(request = name.as_str(); "refused: {refusal}");
+            let team = credentials.logged_team();
+            log::info!(request = name.as_str(), team = team; "refused: {refusal}");
             return answer::refusal(&name, &refusal);
         }
     };
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -3,8 +3,8 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use bytes::Bytes;
-use comfreyhaven_core::entry::Arrival;
-use comfreyhaven_core::fleet::{Fleet, Route, RouteAccess, Service};
+use comfreyhaven_core::entry::{Arrival, OPEN_TEAM};
+use comfreyhaven_core::fleet::{Fleet, Route, RouteAccess, Service, Team};
 use comfreyhaven_core::idempotency::{self, CallKey};
 use comfreyhaven_core::refusal::{Refusal, RefusalKind};
 use comfreyhaven_core::request::{BodyDigest, PrefixDigest};
@@ -66,11 +66,40 @@
     content: String,
 }
 
+/// The key that came with a request, and the team that it belongs to.
+#[derive(Debug)]
+pub(crate) struct Credentials<'a> {
+    key: Option<String>,
+    digest: Option<KeyDigest>,
+    team: Option<&'a Team>,
+}
+
+impl<'a> Credentials<'a> {
+    /// Looks the key of a request up.
+    pub(crate) fn new(headers: &HeaderMap, fleet: &'a Fleet) -> Self {
+        let key = key(headers);
+        let digest = key.as_deref().map(KeyDigest::of_key);
+        let team = digest.as_ref().and_then(|digest| fleet.team_of_key(digest));
+        Self { key, digest, team }
+    }
+
+    /// The name of the key's team for a log line, or a dash.
+    pub(crate) fn logged_team(&self) -> &'a str {
+        self.team.map_or("-", |team| team.name.as_str())
+    }
+
+    /// The name of the team that the request runs for.
+    fn team_name(&self) -> &'a str {
+        self.team.map_or(OPEN_TEAM, |team| team.name.as_str())
+    }
+}
+
 /// Reads a request. The key is checked before the body is read.
 pub(crate) async fn read(
     id: RequestId,
     request: Request<Incoming>,
     fleet: &Fleet,
+    credentials: &Credentials<'_>,
 ) -> Result<Intake, Refusal> {
     let path = request.uri().path().to_owned();
     let known = fleet
@@ -80,9 +109,7 @@
     if !known {
         return Err(Refusal::new(RefusalKind::NoRoute));
     }
-    let key = key(request.headers());
-    let digest = key.as_deref().map(KeyDigest::of_key);
-    let team = digest.as_ref().and_then(|digest| fleet.team_of_key(digest));
+    let team = credentials.team;
     let open = |route: &Route| route.access == RouteAccess::Open && path.starts_with(&route.path);
     if team.is_none() && !fleet.routes.values().any(open) {
         return Err(Refusal::new(RefusalKind::Unauthenticated));
@@ -96,7 +123,8 @@
     let headers = passed(request.headers());
     let repeated = request.headers().get("idempotency-key").cloned();
     let body = body(request.into_body()).await?;
-    if key.is_some_and(|key| leaks(&key, &target, &headers, &body)) {
+    let key = credentials.key.as_deref();
+    if key.is_some_and(|key| leaks(key, &target, &headers, &body)) {
         return Err(Refusal::new(RefusalKind::Malformed));
     }
     let (route, cost, prefixes) = match_route(fleet, &path, &method, &body)?;
@@ -106,16 +134,14 @@
     if !fleet.may_use(team, route) {
         return Err(Refusal::new(RefusalKind::Forbidden));
     }
-    let team = team.map_or(comfreyhaven_core::entry::OPEN_TEAM, |team| {
-        team.name.as_str()
-    });
+    let team = credentials.team_name();
     let homed = idempotency::is_homed(fleet, &route.name);
     let call = repeated
         .filter(|key| homed && !key.is_empty())
         .map(|key| CallKey::new(team, &route.name, key.as_bytes()));
     let arrival = Arrival {
         id,
-        key: digest,
+        key: credentials.digest,
         route: route.name.clone(),
         cost,
         prefixes,
