Let one piece of code serve where the same stood twice

The address argument of status and explain, the offer that a containment test makes, and the assertion that a cold limit is held stood twice each.

--- /dev/null
+++ b/crates/cli/src/addresses.rs
@@ -0,0 +1,21 @@
+//! Operators' ports given on the command line.
+
+use std::net::SocketAddr;
+
+use clap::{Arg, ArgAction, ArgMatches, value_parser};
+
+/// The argument that takes one or more addresses.
+pub(crate) fn arg(help: &'static str) -> Arg {
+    Arg::new("address")
+        .value_name("ADDRESS")
+        .help(help)
+        .required(true)
+        .action(ArgAction::Append)
+        .value_parser(value_parser!(SocketAddr))
+}
+
+/// The addresses that were given.
+pub(crate) fn of(matches: &ArgMatches) -> Vec<SocketAddr> {
+    let addresses = matches.get_many::<SocketAddr>("address");
+    addresses.into_iter().flatten().copied().collect()
+}
--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -1,11 +1,11 @@
 //! `comfreyhaven explain`.
 
-use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use comfreyhaven_core::RequestId;
 
+use crate::addresses;
 use crate::error::CliError;
 use crate::ops::ask;
 use crate::output::{self, Output};
@@ -21,21 +21,15 @@
                 .required(true)
                 .value_parser(value_parser!(RequestId)),
         )
-        .arg(
-            Arg::new("address")
-                .value_name("ADDRESS")
-                .help("Operators' port of an entry, such as 10.0.1.1:7002")
-                .required(true)
-                .action(ArgAction::Append)
-                .value_parser(value_parser!(SocketAddr)),
-        )
+        .arg(addresses::arg(
+            "Operators' port of an entry, such as 10.0.1.1:7002",
+        ))
         .arg(Output::arg())
 }
 
 /// Asks each entry and prints what the ones that know the request say.
 pub(super) fn exec(matches: &ArgMatches) -> Result<ExitCode, CliError> {
-    let addresses = matches.get_many::<SocketAddr>("address");
-    let addresses: Vec<_> = addresses.into_iter().flatten().copied().collect();
+    let addresses = addresses::of(matches);
     let Some(&request) = matches.get_one::<RequestId>("request") else {
         return Ok(ExitCode::SUCCESS);
     };
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -1,10 +1,10 @@
 //! `comfreyhaven status`.
 
-use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{ArgMatches, Command};
 
+use crate::addresses;
 use crate::error::CliError;
 use crate::ops::status;
 use crate::output::{self, Output};
@@ -13,21 +13,15 @@
 pub(super) fn cli() -> Command {
     Command::new("status")
         .about("Show processes in one table: configuration, work and endpoints")
-        .arg(
-            Arg::new("address")
-                .value_name("ADDRESS")
-                .help("Operators' port of a process, such as 10.0.1.1:7002")
-                .required(true)
-                .action(ArgAction::Append)
-                .value_parser(value_parser!(SocketAddr)),
-        )
+        .arg(addresses::arg(
+            "Operators' port of a process, such as 10.0.1.1:7002",
+        ))
         .arg(Output::arg())
 }
 
 /// Asks all processes at once. The exit code is 1 if one cannot be asked.
 pub(super) fn exec(matches: &ArgMatches) -> Result<ExitCode, CliError> {
-    let addresses = matches.get_many::<SocketAddr>("address");
-    let addresses: Vec<_> = addresses.into_iter().flatten().copied().collect();
+    let addresses = addresses::of(matches);
     let lines = status::status(&addresses)?;
     match Output::of(matches) {
         Output::Json => output::json(&lines)?,
--- a/crates/core/tests/core/bearing.rs
+++ b/crates/core/tests/core/bearing.rs
@@ -21,6 +21,18 @@
 }
 
 impl Bench {
+    /// Asserts that the limit is cold for `count` completions and rises after one more.
+    fn assert_held(&mut self, count: u32) {
+        for _ in 0..count {
+            assert_eq!(self.limit(), u64::from(COLD));
+            self.reserve_small();
+            self.complete(10, 10);
+        }
+        self.reserve_small();
+        self.complete(10, 10);
+        assert!(self.limit() > u64::from(COLD));
+    }
+
     /// An agent whose endpoint says that it runs `running` requests.
     fn new(running: u32) -> Self {
         let mut bench = Self {
@@ -145,14 +157,7 @@
 #[test]
 fn a_cold_endpoint_gets_its_cold_bearing_until_it_has_completed_some() {
     let mut bench = Bench::new(0);
-    for _ in 0..HOLD {
-        assert_eq!(bench.limit(), u64::from(COLD));
-        bench.reserve_small();
-        bench.complete(10, 10);
-    }
-    bench.reserve_small();
-    bench.complete(10, 10);
-    assert!(bench.limit() > u64::from(COLD));
+    bench.assert_held(HOLD);
 }
 
 #[test]
@@ -169,14 +174,7 @@
         end: RunEnd::Broken,
     });
     bench.probe(1, 0);
-    for _ in 0..2 * HOLD {
-        assert_eq!(bench.limit(), u64::from(COLD));
-        bench.reserve_small();
-        bench.complete(10, 10);
-    }
-    bench.reserve_small();
-    bench.complete(10, 10);
-    assert!(bench.limit() > u64::from(COLD));
+    bench.assert_held(2 * HOLD);
 }
 
 #[test]
--- a/crates/core/tests/core/containment.rs
+++ b/crates/core/tests/core/containment.rs
@@ -26,14 +26,8 @@
     Event::Arrived(first)
 }
 
-/// Sends a request and lets it end at the first agent that it is reserved at.
-fn run(
-    entry: &mut Entry,
-    request: u128,
-    body: u128,
-    ending: Ending,
-    now: Timestamp,
-) -> Vec<Action> {
+/// Offers a slot to a request, so that its body is sent.
+fn dispatch(entry: &mut Entry, request: u128, body: u128, now: Timestamp) {
     let placed = reserved(&entry.handle(again(request, body), now));
     let (endpoint, id) = placed[0].clone();
     let offer = OfferId {
@@ -48,6 +42,17 @@
         },
         now,
     );
+}
+
+/// Sends a request and lets it end at the first agent that it is reserved at.
+fn run(
+    entry: &mut Entry,
+    request: u128,
+    body: u128,
+    ending: Ending,
+    now: Timestamp,
+) -> Vec<Action> {
+    dispatch(entry, request, body, now);
     let request = RequestId::new(request);
     entry.handle(Event::Ended { request, ending }, now)
 }
@@ -123,20 +128,7 @@
 fn a_body_that_runs_twice_in_one_crash_is_not_refused() {
     let mut entry = entry(3);
     for request in [1, 2] {
-        let placed = reserved(&entry.handle(again(request, 1), START));
-        let (endpoint, id) = placed[0].clone();
-        let offer = OfferId {
-            boot: BootNonce::new(1),
-            sequence: u64::try_from(request).unwrap(),
-        };
-        entry.handle(
-            Event::Offered {
-                id,
-                endpoint,
-                offer,
-            },
-            START,
-        );
+        dispatch(&mut entry, request, 1, START);
     }
     for request in [1, 2].map(RequestId::new) {
         let ending = Ending::Failed;
