Count a team's rate over the window that it is promised for

A small team's single long prompt was larger than its whole burst. Ruled out: lost reports between entries (no drop logged).

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -73,8 +73,8 @@
     pub loads: Vec<EndpointLoad>,
     /// Its requests by service.
     pub services: Vec<ServiceLoad>,
-    /// Units that it let in, by digest of the team, since it started.
-    pub spent: Vec<(u64, u64)>,
+    /// Units that it let in and did not give back, by digest of the team, since it started.
+    pub spent: Vec<(u64, i64)>,
     /// Crashes that it has seen, by request.
     pub crashes: Vec<(BodyDigest, u32)>,
     /// Entries that it knows.
@@ -89,7 +89,7 @@
     boot: u64,
     sent: u64,
     heard: Timestamp,
-    spent: HashMap<u64, u64>,
+    spent: HashMap<u64, i64>,
     services: Vec<ServiceLoad>,
     leaving: bool,
 }
@@ -98,7 +98,7 @@
 #[derive(Debug, Default)]
 pub struct News {
     /// Units that the reporter let in since its report before, by digest of the team.
-    pub spent: Vec<(u64, u64)>,
+    pub spent: Vec<(u64, i64)>,
     /// Whether the reporter was not known, or started anew.
     pub started: bool,
 }
@@ -123,11 +123,11 @@
             started: same.is_none(),
             ..News::default()
         };
-        let spent: HashMap<u64, u64> = report.spent.iter().copied().collect();
+        let spent: HashMap<u64, i64> = report.spent.iter().copied().collect();
         if let Some(member) = same {
             for (team, total) in &report.spent {
                 let before = member.spent.get(team).copied().unwrap_or(0);
-                if before < *total {
+                if before != *total {
                     news.spent.push((*team, total - before));
                 }
             }
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -130,6 +130,8 @@
 /// Bounds that every entry keeps together with all others.
 #[derive(Debug, Clone)]
 pub struct Bounds {
+    /// Window of teams' rates.
+    pub quota: Duration,
     /// Window of the budget of repeats.
     pub window: Duration,
     /// Repeats for each request of a window.
@@ -156,7 +158,7 @@
     lines: BTreeMap<Arc<str>, Line>,
     budgets: HashMap<Arc<str>, Budget>,
     allowances: HashMap<u64, Allowance>,
-    spent: HashMap<u64, u64>,
+    spent: HashMap<u64, i64>,
     suspects: Suspects,
     members: Members,
     currency: Currency,
@@ -225,10 +227,11 @@
         }
         for team in &plan.teams {
             let (rate, burst) = (team.rate, team.burst);
-            let bucket = self.allowances.entry(super::book::digest(&team.name));
-            bucket
-                .and_modify(|bucket| bucket.configure(rate, burst, now))
-                .or_insert_with(|| Allowance::new(rate, burst, now));
+            let window = self.bounds.quota;
+            let allowance = self.allowances.entry(super::book::digest(&team.name));
+            allowance
+                .and_modify(|allowance| allowance.configure(rate, burst))
+                .or_insert_with(|| Allowance::new(rate, burst, window, now));
         }
         self.plan = plan;
         true
@@ -289,21 +292,20 @@
     pub fn charge(&mut self, team: &PlanTeam, units: u64, now: Timestamp) -> Result<(), Excess> {
         let part = self.members.heard_part(now);
         let digest = super::book::digest(&team.name);
-        let (rate, burst) = (team.rate, team.burst);
-        let bucket = self
-            .allowances
-            .entry(digest)
-            .or_insert_with(|| Allowance::new(rate, burst, now));
-        bucket.take(units, part, now)?;
-        *self.spent.entry(digest).or_default() += units;
+        if let Some(allowance) = self.allowances.get_mut(&digest) {
+            allowance.take(units, part, now)?;
+            *self.spent.entry(digest).or_default() += i64::try_from(units).unwrap_or(i64::MAX / 4);
+        }
         Ok(())
     }
 
     /// Gives back the units of a request that did not run.
-    pub fn refund(&mut self, team: &PlanTeam, units: u64) {
-        // Peers have been told already, or will be: their buckets stay lower than they could be.
-        if let Some(bucket) = self.allowances.get_mut(&super::book::digest(&team.name)) {
-            bucket.give(units);
+    pub fn refund(&mut self, team: &PlanTeam, units: u64, now: Timestamp) {
+        let digest = super::book::digest(&team.name);
+        let units = i64::try_from(units).unwrap_or(i64::MAX / 4);
+        if let Some(allowance) = self.allowances.get_mut(&digest) {
+            allowance.note(-units, now);
+            *self.spent.entry(digest).or_default() -= units;
         }
     }
 
--- a/crates/core/src/direct/scheduler/sharing.rs
+++ b/crates/core/src/direct/scheduler/sharing.rs
@@ -73,8 +73,8 @@
             return Heard::default();
         };
         for (team, units) in &news.spent {
-            if let Some(bucket) = self.allowances.get_mut(team) {
-                bucket.debit(*units);
+            if let Some(allowance) = self.allowances.get_mut(team) {
+                allowance.note(*units, now);
             }
         }
         let newer = report.version > self.currency.version();
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -368,7 +368,7 @@
     fn refund(&self) {
         if let Some(team) = &self.intake.head.team {
             let units = self.intake.head.units();
-            self.context.scheduler.borrow_mut().refund(team, units);
+            self.context.scheduler.borrow_mut().refund(team, units, clock::now());
         }
     }
 }
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -157,6 +157,7 @@
             section: "bounds",
         };
         let bounds = Bounds {
+            quota: Duration::from_secs_f64(limits.number("rate window s")?),
             window: Duration::from_secs_f64(limits.number("repeat window s")?),
             ratio: limits.number("repeat ratio")?,
             slack: limits.number("repeat slack")?,
