Keep a team's window also over a kill of every entry

Change: beside the window a bucket, deeper than the burst by part of the operators' margin and nearly empty after a restart; the first start of all is told apart by the settings.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -19,7 +19,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use allowance::{Allowance, Excess};
+pub use allowance::{Allowance, Excess, Terms};
 pub use book::{Book, Candidate, Load, Run, digest};
 pub use budget::Budget;
 pub use currency::Currency;
--- a/crates/core/src/direct/allowance.rs
+++ b/crates/core/src/direct/allowance.rs
@@ -3,6 +3,10 @@
 //! Each entry counts what the whole team used in the last window: what it lets in itself and what its
 //! peers say they let in. A window holds the rate over its length and the burst. The part of a peer
 //! that has fallen silent is left to it, since it may still run.
+//!
+//! When every entry is killed at once nobody remembers the window. A bucket therefore keeps a team from
+//! taking the whole window in its first second, and begins nearly empty: what was taken before the
+//! kill and what is taken after it together stay within the margin that the operators leave.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -14,6 +18,12 @@
 /// Steps in which a window is counted.
 const STEPS: u32 = 40;
 
+/// Part of the margin by which a bucket is deeper than the burst.
+const DEPTH_PART: f64 = 0.65;
+
+/// Part of the margin that a bucket holds at the start of a process.
+const START_PART: f64 = 0.25;
+
 /// A request is over its team's rate and burst.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[display("over the team's rate; enough is there in {refill:?}")]
@@ -27,28 +37,55 @@
 pub struct Allowance {
     rate: u64,
     burst: u64,
-    window: Duration,
+    terms: Terms,
     steps: VecDeque<(Timestamp, i64)>,
     used: i64,
+    level: f64,
+    filled: Timestamp,
+}
+
+/// How rates are counted.
+#[derive(Debug, Clone, Copy)]
+pub struct Terms {
+    /// Length of the window.
+    pub window: Duration,
+    /// Part of a window's units by which the fleet may exceed it while it cannot know better.
+    pub margin: f64,
+    /// Whether nothing can have been used before this process started.
+    pub first: bool,
 }
 
 impl Allowance {
-    /// The allowance of a team that is first seen at `now`. Others may have used its rate before:
-    /// the window begins as if they had.
+    /// The allowance of a team that is first seen at `now`.
     #[must_use]
-    pub fn new(rate: u64, burst: u64, window: Duration, now: Timestamp) -> Self {
-        let span = window / STEPS;
-        let units = (rate as f64 * span.as_secs_f64()) as i64;
-        let begin = now.as_micros().saturating_sub(window.as_micros() as u64);
-        let begin = Timestamp::from_micros(begin);
-        let steps: VecDeque<_> = (1..=STEPS).map(|step| (begin + span * step, units)).collect();
-        Self {
+    pub fn new(rate: u64, burst: u64, terms: Terms, now: Timestamp) -> Self {
+        let mut allowance = Self {
             rate,
             burst,
-            window,
-            used: units * steps.len() as i64,
-            steps,
-        }
+            terms,
+            steps: VecDeque::new(),
+            used: 0,
+            level: 0.0,
+            filled: now,
+        };
+        allowance.level = if terms.first {
+            allowance.depth()
+        } else {
+            allowance.margin() * START_PART
+        };
+        allowance
+    }
+
+    fn whole(&self) -> f64 {
+        self.rate as f64 * self.terms.window.as_secs_f64() + self.burst as f64
+    }
+
+    fn margin(&self) -> f64 {
+        self.whole() * self.terms.margin
+    }
+
+    fn depth(&self) -> f64 {
+        self.burst as f64 + self.margin() * DEPTH_PART
     }
 
     /// Takes another rate and burst.
@@ -57,13 +94,18 @@
     }
 
     fn limit(&self, part: f64) -> i64 {
-        let whole = self.rate as f64 * self.window.as_secs_f64() + self.burst as f64;
-        (whole * part) as i64
+        (self.whole() * part) as i64
+    }
+
+    fn fill(&mut self, part: f64, now: Timestamp) {
+        let gained = now.since(self.filled).as_secs_f64() * self.rate as f64 * part;
+        self.filled = self.filled.max(now);
+        self.level = (self.level + gained).min(self.depth());
     }
 
     fn trim(&mut self, now: Timestamp) {
         while let Some(&(begin, units)) = self.steps.front()
-            && begin + self.window <= now
+            && begin + self.terms.window <= now
         {
             self.used -= units;
             self.steps.pop_front();
@@ -72,7 +114,7 @@
 
     fn add(&mut self, units: i64, now: Timestamp) {
         self.used += units;
-        let span = self.window / STEPS;
+        let span = self.terms.window / STEPS;
         match self.steps.back_mut() {
             Some((begin, sum)) if now < *begin + span => *sum += units,
             _ => self.steps.push_back((now, units)),
@@ -92,11 +134,15 @@
         // A request that is larger than a whole window may run in an empty one.
         let need = units.min(self.limit(part));
         let over = self.used + need - self.limit(part);
-        if over > 0 {
+        self.fill(part, now);
+        let lack = need as f64 - self.level;
+        if over > 0 || lack > 0.0 && self.level < self.depth() {
+            let filled = Duration::from_secs_f64((lack / self.rate as f64).clamp(0.0, 60.0));
             return Err(Excess {
-                refill: self.refill(over, now),
+                refill: self.refill(over, now).max(filled),
             });
         }
+        self.level -= units as f64;
         self.add(units, now);
         Ok(())
     }
@@ -104,18 +150,22 @@
     /// When `over` units will have left the window.
     fn refill(&self, over: i64, now: Timestamp) -> Duration {
         let mut left = over;
+        if over <= 0 {
+            return Duration::ZERO;
+        }
         for (begin, units) in &self.steps {
             left -= units;
             if left <= 0 {
-                return (*begin + self.window).since(now);
+                return (*begin + self.terms.window).since(now);
             }
         }
-        self.window
+        self.terms.window
     }
 
     /// Counts what a peer let in, or gave back, and what this entry gives back.
     pub fn note(&mut self, units: i64, now: Timestamp) {
         self.trim(now);
         self.add(units, now);
+        self.level -= units as f64;
     }
 }
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -14,7 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 use strum::IntoStaticStr;
 
-use super::allowance::{Allowance, Excess};
+use super::allowance::{Allowance, Excess, Terms};
 use super::book::{Book, Run};
 use super::budget::Budget;
 use super::currency::Currency;
@@ -132,8 +132,8 @@
 /// Bounds that every entry keeps together with all others.
 #[derive(Debug, Clone)]
 pub struct Bounds {
-    /// Window of teams' rates.
-    pub quota: Duration,
+    /// How teams' rates are counted.
+    pub rates: Terms,
     /// Window of the budget of repeats.
     pub window: Duration,
     /// Repeats for each request of a window.
@@ -229,11 +229,11 @@
         }
         for team in &plan.teams {
             let (rate, burst) = (team.rate, team.burst);
-            let window = self.bounds.quota;
+            let terms = self.bounds.rates;
             let allowance = self.allowances.entry(super::book::digest(&team.name));
             allowance
                 .and_modify(|allowance| allowance.configure(rate, burst))
-                .or_insert_with(|| Allowance::new(rate, burst, window, now));
+                .or_insert_with(|| Allowance::new(rate, burst, terms, now));
         }
         self.plan = plan;
         true
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -153,6 +153,9 @@
         if scheduler.configure(Arc::from(plan), now) {
             scheduler.confirm(version, asked);
             log::info!(version = version; "configuration in force");
+            for team in &scheduler.plan().teams {
+                log::info!(team:% = team.name, rate = team.rate, burst = team.burst; "limit of a team");
+            }
         }
     }
 
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -128,6 +128,7 @@
         let charged = context.scheduler.borrow_mut().charge(team, units, now);
         if let Err(excess) = charged {
             let retry = excess.refill.min(head.deadline / 3);
+            log::info!(request:? = head.id, team:% = team.name, units = units; "{excess}");
             return refuse(context, &parts, RefusalKind::RateExceeded, Some(retry));
         }
     }
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -5,7 +5,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use comfreyhaven_core::direct::Bounds;
+use comfreyhaven_core::direct::{Bounds, Terms};
 use derive_more::{Display, Error};
 use ini::Ini;
 
@@ -157,7 +157,11 @@
             section: "bounds",
         };
         let bounds = Bounds {
-            quota: Duration::from_secs_f64(limits.number("rate window s")?),
+            rates: Terms {
+                window: Duration::from_secs_f64(limits.number("rate window s")?),
+                margin: limits.number("rate margin")?,
+                first: entry.value("first start", "true or false")?,
+            },
             window: Duration::from_secs_f64(limits.number("repeat window s")?),
             ratio: limits.number("repeat ratio")?,
             slack: limits.number("repeat slack")?,
