Keep long answers away from endpoints that would not finish them in time

Change: the time between events is learnt for each endpoint; with the caller's guess of the length it prices an endpoint on which the answer would outlast its deadline.

--- a/crates/core/src/direct/book.rs
+++ b/crates/core/src/direct/book.rs
@@ -32,6 +32,12 @@
 /// Time to read a prompt, in milliseconds a token, before anything is learnt.
 const TOKEN_MS: f64 = 0.008;
 
+/// Time between two events of an answer, in milliseconds, before anything is learnt.
+const EVENT_MS: f64 = 25.0;
+
+/// Answers with fewer events tell nothing of the time between two.
+const EVENTS_MIN: u32 = 4;
+
 /// Recognises a name in reports between entries of one version.
 #[must_use]
 pub fn digest(name: &str) -> u64 {
@@ -64,6 +70,8 @@
     lapsed: bool,
     /// Time to a first byte as a multiple of what a usual endpoint takes.
     speed: f64,
+    /// Time between two events of one answer, in milliseconds.
+    event: f64,
     failures: f64,
     strikes: u32,
     suspect: Timestamp,
@@ -121,6 +129,12 @@
         self.speed * unit_time(self.load().pending + tokens)
     }
 
+    /// Time in which an answer of `events` events comes, in milliseconds.
+    #[must_use]
+    pub fn streaming(&self, events: f64) -> f64 {
+        self.event * events
+    }
+
     /// Time for which reading what is pending and `tokens` more holds other answers up, in
     /// milliseconds.
     #[must_use]
@@ -189,6 +203,7 @@
             cold,
             lapsed: false,
             speed: self.usual_speed(&listing.service),
+            event: EVENT_MS,
             failures: 0.0,
             strikes: 0,
             suspect: Timestamp::ZERO,
@@ -346,6 +361,16 @@
         }
     }
 
+    /// Notes how long an answer's events took.
+    pub fn stream(&mut self, id: &str, events: u32, span: Duration) {
+        if events >= EVENTS_MIN
+            && let Some(known) = self.endpoints.get_mut(id)
+        {
+            let seen = span.as_secs_f64() * 1_000.0 / f64::from(events - 1);
+            known.event += SPEED_GAIN * (seen - known.event);
+        }
+    }
+
     /// Notes a whole answer.
     pub fn succeed(&mut self, id: &str) {
         if let Some(known) = self.endpoints.get_mut(id) {
--- a/crates/core/src/direct/plan.rs
+++ b/crates/core/src/direct/plan.rs
@@ -89,6 +89,8 @@
     pub warmup: Duration,
     /// Connections that one endpoint bears.
     pub connections: u32,
+    /// Tokens that one event of a streamed answer holds.
+    pub stride: f64,
 }
 
 /// What a team's rate counts.
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -48,6 +48,8 @@
     pub rank: u8,
     /// Tokens of its prompt.
     pub prompt: u64,
+    /// Tokens that its answer is guessed to have.
+    pub length: u64,
     /// Whether its answer is a stream.
     pub streaming: bool,
     /// When it came.
@@ -442,6 +444,11 @@
         self.book.begin(run, now);
     }
 
+    /// Notes how long an answer's events took, from the first to the last.
+    pub fn stream(&mut self, run: &Run, events: u32, span: Duration) {
+        self.book.stream(&run.endpoint, events, span);
+    }
+
     /// Notes that a request is over at its endpoint.
     pub fn end(&mut self, run: &Run, ending: Ending, now: Timestamp) {
         self.book.end(run);
--- a/crates/core/src/direct/scheduler/placing.rs
+++ b/crates/core/src/direct/scheduler/placing.rs
@@ -35,6 +35,12 @@
 /// Factor on the expected time by which it may prove wrong.
 const DOUBT: f64 = 1.25;
 
+/// Factor on the expected length of an answer by which it may prove longer.
+const LENGTH_DOUBT: f64 = 1.5;
+
+/// Price of a millisecond by which an answer would outlast its deadline, in milliseconds.
+const OVERTIME_PRICE: f64 = 0.5;
+
 /// Part of what a cold endpoint bears that is used.
 const COLD_CAUTION: f64 = 0.8;
 
@@ -121,6 +127,7 @@
     fn best(&mut self, ask: &Ask, now: Timestamp) -> Option<(crate::direct::EndpointId, f64)> {
         let service = self.plan.services.get(&ask.service);
         let bearing = service.map_or(0.0, |service| service.cold);
+        let stride = service.map_or(1.0, |service| service.stride.max(1.0));
         let cold = bearing * self.bounds.overage + self.bounds.extra;
         let cold = part(
             cold * COLD_CAUTION,
@@ -135,7 +142,7 @@
                 continue;
             }
             let (is_cold, suspect) = (known.is_cold(now), known.is_suspect(now));
-            let (expected, price) = self.price(known, ask);
+            let (expected, price) = self.price(known, ask, stride, now);
             if bearing > 0.0 && is_cold && self.book.get_mut(&id)?.recent(now) >= cold {
                 continue;
             }
@@ -149,13 +156,18 @@
     }
 
     /// The expected time to a request's first byte at an endpoint, and the same with prices.
-    fn price(&self, known: &Candidate, ask: &Ask) -> (f64, f64) {
+    fn price(&self, known: &Candidate, ask: &Ask, stride: f64, now: Timestamp) -> (f64, f64) {
         let expected = known.first_byte(ask.prompt) * DOUBT;
         let filled = f64::from(known.load().running) / f64::from(Self::places(known, ask.streaming));
         let mut price = expected + FILL_MS * filled + FAILURE_MS * known.failures();
         if known.listing().centre != self.centre {
             price += REMOTE_MS;
         }
+        if ask.streaming {
+            let whole = expected + known.streaming(ask.length as f64 / stride) * LENGTH_DOUBT;
+            let left = ask.deadline.since(now).as_secs_f64() * 1_000.0;
+            price += OVERTIME_PRICE * (whole - left).max(0.0);
+        }
         if let Some(pause) = ask.pause {
             let allowed = pause.as_secs_f64() * 1_000.0 * READING_PART;
             price += 2.0 * (known.reading(ask.prompt) - allowed).max(0.0);
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -39,6 +39,11 @@
         self.context.scheduler.borrow_mut().begin(&mut self.run, now);
     }
 
+    /// Notes how long the answer's events took.
+    pub fn stream(&self, events: u32, span: Duration) {
+        self.context.scheduler.borrow_mut().stream(&self.run, events, span);
+    }
+
     /// Gives the place back.
     pub fn end(mut self, ending: Ending) {
         self.finish(ending);
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -11,6 +11,8 @@
     pub deadline: HeaderName,
     /// Tokens of the prompt and most tokens of the answer, with a comma between.
     pub cost: HeaderName,
+    /// The caller's guess of the tokens of the answer.
+    pub length: HeaderName,
     /// Names the team for which a request runs.
     pub team: HeaderName,
     /// Names the endpoint that is meant; any other rejects the request.
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -207,6 +207,7 @@
             standing: head.standing(),
             rank: head.route.rank,
             prompt: head.cost.map_or(0, |cost| u64::from(cost.prompt)),
+            length: head.length,
             streaming: head.route.streaming,
             arrived: self.intake.arrived,
             objective: self.objective,
--- a/crates/direct/src/drive/stream.rs
+++ b/crates/direct/src/drive/stream.rs
@@ -199,6 +199,8 @@
     );
     drive.context.metrics.sends.with_label_values(&["answered"]).inc();
     drive.count(StatusCode::OK, "endpoint");
+    let span = clock::now().since(drive.intake.arrived).saturating_sub(began);
+    source.hold.stream(pauses.events, span);
     source.hold.end(Ending::Whole);
     drive.finish(source.lease);
 }
--- a/crates/direct/src/intake.rs
+++ b/crates/direct/src/intake.rs
@@ -40,6 +40,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) team: Option<Arc<PlanTeam>>,
     pub(crate) cost: Option<Cost>,
+    /// Tokens that the answer is guessed to have.
+    pub(crate) length: u64,
     pub(crate) deadline: Duration,
     /// Headers that the endpoint sees, without those that are set for each send.
     pub(crate) headers: HeaderMap,
@@ -106,7 +108,11 @@
         Some(value) => Some(cost(value).ok_or(RefusalKind::Malformed)?),
         None => None,
     };
+    let most = cost.map_or(0, |cost| u64::from(cost.output));
+    let hint = parts.headers.get(&dialect.length);
+    let hint = hint.and_then(|value| value.to_str().ok()?.trim().parse::<u64>().ok());
     Ok(Head {
+        length: hint.unwrap_or(most).min(most),
         id: id.clone(),
         route: Arc::clone(route),
         team: team.cloned(),
