Let a new holder of a team's share wait for loans out of a larger part

Ruled out: refunds (none in the last second), rounding of parts, a holder that had not heard of the change. Change: the answer that lets a new holder begin names the time until the last loan beyond the lender's part is over.

--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -265,10 +265,17 @@
             tokens: grant.tokens,
             left: grant.left,
             holders: self.holders.fingerprint(),
-            settling: self.opened.then(|| self.settled.since(now)),
+            settling: self.opened.then(|| self.settling(now)),
         }
     }
 
+    /// Time until a new holder may begin: every process knows of the hosts that this set left out,
+    /// and no loan is out that the parts of this set do not hold.
+    fn settling(&self, now: Timestamp) -> Duration {
+        let overhangs = self.shares.values().map(|account| account.share.overhang(now));
+        overhangs.fold(self.settled.since(now), Duration::max)
+    }
+
     /// Takes the answer to an ask, or its failure.
     pub fn lent(&mut self, ask: &Ask, loan: Option<Loan>, now: Timestamp) {
         if let Some(loan) = &loan {
--- a/crates/core/src/entry/ledger/lending.rs
+++ b/crates/core/src/entry/ledger/lending.rs
@@ -58,6 +58,15 @@
         self.loans.iter().filter(kept).map(|lent| lent.parts).sum()
     }
 
+    /// Until when the last loan may be out, or nothing if none is.
+    pub(super) fn last(&self) -> Option<Timestamp> {
+        let kept = |lent: &Lent| match lent.room {
+            Room::Kept(expiry) => Some(expiry),
+            Room::Released(_) => None,
+        };
+        self.loans.iter().filter_map(kept).max()
+    }
+
     /// Whether loans may be out at `now`.
     pub(super) fn is_idle(&self, now: Timestamp) -> bool {
         let out = |lent: &Lent| matches!(lent.room, Room::Kept(expiry) if now < expiry);
--- a/crates/core/src/entry/ledger/tests.rs
+++ b/crates/core/src/entry/ledger/tests.rs
@@ -210,6 +210,27 @@
     assert_eq!(ledger.lend(&ask(1, Vec::new()), None, filled).tokens, 1);
 }
 
+/// A holder whose part shrank may have lent more than it now holds. A new holder that began at once
+/// would add its own part to that loan.
+#[test]
+fn a_new_holder_waits_for_loans_of_a_larger_part() {
+    let now = seconds(100);
+    let mut ledger = opened(0, &[0], Timestamp::ZERO);
+    let ask = Ask {
+        team: Some(team()),
+        need: BURST,
+        most: BURST,
+        ..Ask::question(host(1))
+    };
+    assert_eq!(ledger.lend(&ask, None, now).tokens, BURST);
+    ledger.configure(&fleet(&[0, 4], 2), now);
+    let question = Ask::question(host(4));
+    let settling = ledger.lend(&question, None, now).settling;
+    assert!(settling.is_some_and(|settling| settling >= LOAN_LIFETIME));
+    let later = now + LOAN_LIFETIME * 2;
+    assert_eq!(ledger.lend(&question, None, later).settling, Some(Duration::ZERO));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(256))]
 
