--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -9,6 +9,7 @@
 mod book;
 mod budget;
 mod currency;
+mod curve;
 mod members;
 mod pace;
 mod plan;
@@ -23,6 +24,7 @@
 pub use book::{Book, Candidate, Load, Run, digest};
 pub use budget::Budget;
 pub use currency::Currency;
+pub use curve::Curve;
 pub use members::{Echo, EndpointLoad, Members, Report, ServiceLoad};
 pub use pace::{Pace, part};
 pub use plan::{
--- a/crates/core/src/direct/book.rs
+++ b/crates/core/src/direct/book.rs
@@ -6,20 +6,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::curve::Curve;
 use super::members::EndpointLoad;
 use super::pace::Pace;
 use super::plan::{EndpointId, Listing};
 use crate::time::Timestamp;
 
-/// Part of a new measurement in a learnt speed.
-const SPEED_GAIN: f64 = 0.15;
+/// Tokens of a prompt by which endpoints are compared.
+const TYPICAL_TOKENS: f64 = 2_000.0;
+
+/// Part of a new measurement in a learnt time between events.
+const EVENT_GAIN: f64 = 0.15;
 
 /// Part of a new outcome in a learnt share of failures.
 const FAILURE_GAIN: f64 = 0.12;
 
-/// Bounds of a learnt speed, so that one odd measurement shuts no endpoint out.
-const SPEED_RANGE: (f64, f64) = (0.2, 12.0);
-
 /// First pause after an endpoint could not be reached or broke off.
 const SUSPECT_MIN: Duration = Duration::from_millis(300);
 
@@ -68,8 +69,8 @@
     cold: Timestamp,
     /// When the entry lapsed from the list while the list could not be trusted.
     lapsed: bool,
-    /// Time to a first byte as a multiple of what a usual endpoint takes.
-    speed: f64,
+    /// Time to a first byte.
+    curve: Curve,
     /// Time between two events of one answer, in milliseconds.
     event: f64,
     failures: f64,
@@ -99,10 +100,10 @@
         self.own
     }
 
-    /// The learnt time to a first byte, as a multiple of the usual.
+    /// The learnt time to a first byte.
     #[must_use]
-    pub const fn speed(&self) -> f64 {
-        self.speed
+    pub const fn curve(&self) -> &Curve {
+        &self.curve
     }
 
     /// The share of requests that failed there of late.
@@ -126,7 +127,7 @@
     /// Time in which a prompt of `tokens` would have its first byte there, in milliseconds.
     #[must_use]
     pub fn first_byte(&self, tokens: u64) -> f64 {
-        self.speed * unit_time(self.load().pending + tokens)
+        self.curve.at((self.load().pending + tokens) as f64)
     }
 
     /// Time in which an answer of `events` events comes, in milliseconds.
@@ -135,11 +136,17 @@
         self.event * events
     }
 
+    /// Time in which a prompt of `tokens` would have its first byte there if nothing else ran.
+    #[must_use]
+    pub fn idle_byte(&self, tokens: u64) -> f64 {
+        self.curve.at(tokens as f64)
+    }
+
     /// Time for which reading what is pending and `tokens` more holds other answers up, in
     /// milliseconds.
     #[must_use]
     pub fn reading(&self, tokens: u64) -> f64 {
-        self.speed * TOKEN_MS * (self.load().pending + tokens) as f64
+        self.curve.slope() * (self.load().pending + tokens) as f64
     }
 
     /// Requests that this entry sent there in the last second.
@@ -148,10 +155,6 @@
     }
 }
 
-fn unit_time(tokens: u64) -> f64 {
-    FIRST_MS + TOKEN_MS * tokens as f64
-}
-
 /// A request that was sent to an endpoint.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -202,7 +205,7 @@
             sends: Pace::default(),
             cold,
             lapsed: false,
-            speed: self.usual_speed(&listing.service),
+            curve: self.usual(&listing.service),
             event: EVENT_MS,
             failures: 0.0,
             strikes: 0,
@@ -219,11 +222,12 @@
         self.endpoints.insert(id, candidate);
     }
 
-    /// The median speed of a service's endpoints, from which a new one starts.
-    fn usual_speed(&self, service: &str) -> f64 {
-        let mut speeds: Vec<f64> = self.of(service).map(Candidate::speed).collect();
-        speeds.sort_by(f64::total_cmp);
-        speeds.get(speeds.len() / 2).copied().unwrap_or(1.0)
+    /// The median of a service's endpoints, from which a new one starts.
+    fn usual(&self, service: &str) -> Curve {
+        let mut curves: Vec<Curve> = self.of(service).map(|known| known.curve).collect();
+        curves.sort_by(|one, other| one.at(TYPICAL_TOKENS).total_cmp(&other.at(TYPICAL_TOKENS)));
+        let median = curves.get(curves.len() / 2).map(Curve::prior);
+        median.unwrap_or_else(|| Curve::new(FIRST_MS, TOKEN_MS))
     }
 
     /// Removes an endpoint.
@@ -346,9 +350,8 @@
             return;
         };
         known.own.pending = known.own.pending.saturating_sub(run.prompt);
-        let seen = now.since(run.sent).as_secs_f64() * 1_000.0 / unit_time(run.ahead);
-        let seen = seen.clamp(SPEED_RANGE.0, SPEED_RANGE.1);
-        known.speed += SPEED_GAIN * (seen - known.speed);
+        let seen = now.since(run.sent).as_secs_f64() * 1_000.0;
+        known.curve.learn(run.ahead, seen);
     }
 
     /// Notes that a request is over there.
@@ -367,7 +370,7 @@
             && let Some(known) = self.endpoints.get_mut(id)
         {
             let seen = span.as_secs_f64() * 1_000.0 / f64::from(events - 1);
-            known.event += SPEED_GAIN * (seen - known.event);
+            known.event += EVENT_GAIN * (seen - known.event);
         }
     }
 
--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -45,6 +45,8 @@
     pub running: u16,
     /// Requests that wait for an endpoint and could still be on time.
     pub waiting: u16,
+    /// Those of the highest rank among them.
+    pub urgent: u16,
 }
 
 /// The last report of the addressee that the reporter has seen.
@@ -201,13 +203,17 @@
         })
     }
 
-    /// Running and waiting requests of one service at all members that can be heard.
+    /// Running, waiting and urgent waiting requests of one service at all members that can be heard.
     #[must_use]
-    pub fn demand(&self, service: u64, now: Timestamp) -> (u32, u32) {
+    pub fn demand(&self, service: u64, now: Timestamp) -> (u32, u32, u32) {
         let heard = self.members.values().filter(|m| now < m.heard + SILENCE_LIMIT);
         let loads = heard.flat_map(|member| &member.services).filter(|load| load.service == service);
-        loads.fold((0, 0), |(running, waiting), load| {
-            (running + u32::from(load.running), waiting + u32::from(load.waiting))
+        loads.fold((0, 0, 0), |(running, waiting, urgent), load| {
+            (
+                running + u32::from(load.running),
+                waiting + u32::from(load.waiting),
+                urgent + u32::from(load.urgent),
+            )
         })
     }
 
--- a/crates/core/src/direct/scheduler/placing.rs
+++ b/crates/core/src/direct/scheduler/placing.rs
@@ -51,7 +51,7 @@
         if !ask.streaming {
             return left <= 0.0;
         }
-        let idle = |known: &Candidate| known.first_byte(0);
+        let idle = |known: &Candidate| known.idle_byte(ask.prompt);
         let best = self.book.of(&ask.service).map(idle).min_by(f64::total_cmp);
         left < best.unwrap_or(0.0)
     }
@@ -78,7 +78,7 @@
         if !self.has_room(ask, late, now) {
             return None;
         }
-        let (id, expected) = self.best(ask, now)?;
+        let (id, expected) = self.best(ask, late, now)?;
         let listing = self.book.get(&id)?.listing().clone();
         let run = self.book.send(&id, ask.prompt, now)?;
         Some(Outcome::Placed(Box::new(Placement {
@@ -112,10 +112,14 @@
 
     /// Whether this entry has not more than its part of the places while others wait.
     fn is_fair(&self, ask: &Ask, places: u32, now: Timestamp) -> bool {
-        let (running, waiting) = self.members.demand(digest(&ask.service), now);
+        let (running, waiting, urgent) = self.members.demand(digest(&ask.service), now);
         if waiting == 0 {
             return true;
         }
+        // A place that is free here goes to the peer whose urgent request waits for it.
+        if urgent > 0 && ask.rank > 0 {
+            return false;
+        }
         let own_running: u32 = self.book.of(&ask.service).map(|known| known.own().running).sum();
         let own_waiting = self.lines.get(&ask.service).map_or(0, |line| line.hopeful());
         let own = f64::from(own_running) + own_waiting as f64 + 1.0;
@@ -124,7 +128,7 @@
     }
 
     /// The endpoint with the least expected time, and that time.
-    fn best(&mut self, ask: &Ask, now: Timestamp) -> Option<(crate::direct::EndpointId, f64)> {
+    fn best(&mut self, ask: &Ask, late: bool, now: Timestamp) -> Option<(crate::direct::EndpointId, f64)> {
         let service = self.plan.services.get(&ask.service);
         let bearing = service.map_or(0.0, |service| service.cold);
         let stride = service.map_or(1.0, |service| service.stride.max(1.0));
@@ -134,6 +138,7 @@
             self.members.count(),
             self.members.place(self.own),
         );
+        let left = ask.objective.since(now).as_secs_f64() * 1_000.0;
         let mut found: Option<(crate::direct::EndpointId, f64, f64)> = None;
         let ids: Vec<_> = self.book.of(&ask.service).map(|known| known.listing().id.clone()).collect();
         for id in ids {
@@ -143,6 +148,9 @@
             }
             let (is_cold, suspect) = (known.is_cold(now), known.is_suspect(now));
             let (expected, price) = self.price(known, ask, stride, now);
+            if !late && ask.streaming && expected > left {
+                continue;
+            }
             if bearing > 0.0 && is_cold && self.book.get_mut(&id)?.recent(now) >= cold {
                 continue;
             }
--- a/crates/core/src/direct/scheduler/sharing.rs
+++ b/crates/core/src/direct/scheduler/sharing.rs
@@ -35,11 +35,14 @@
     pub fn report(&self, now: Timestamp) -> Report {
         let services = self.plan.services.keys().map(|service| {
             let running: u32 = self.book.of(service).map(|known| known.own().running).sum();
-            let waiting = self.lines.get(service).map_or(0, |line| line.hopeful());
+            let line = self.lines.get(service);
+            let waiting = line.map_or(0, |line| line.hopeful());
+            let urgent = line.map_or(0, |line| line.urgent());
             ServiceLoad {
                 service: digest(service),
                 running: u16::try_from(running).unwrap_or(u16::MAX),
                 waiting: u16::try_from(waiting).unwrap_or(u16::MAX),
+                urgent: u16::try_from(urgent).unwrap_or(u16::MAX),
             }
         });
         let age = self.currency.age(now).map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
--- a/crates/core/src/direct/waiting.rs
+++ b/crates/core/src/direct/waiting.rs
@@ -91,6 +91,11 @@
         self.asks.keys().filter(|place| !place.late).count()
     }
 
+    /// Those of the highest rank among them.
+    pub(super) fn urgent(&self) -> usize {
+        self.asks.keys().filter(|place| !place.late && place.rank == 0).count()
+    }
+
     /// Requests that would be served before one at `place`.
     pub(super) fn ahead(&self, place: &Place) -> usize {
         self.asks.range(..*place).count()
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -214,7 +214,8 @@
                 running:% = known.load().running,
                 own:% = known.own().running,
                 pending:% = known.load().pending,
-                speed:% = (known.speed() * 100.0).round() / 100.0,
+                first:% = known.curve().at(0.0).round(),
+                slope:% = (known.curve().slope() * 1e5).round() / 1e5,
                 failures:% = (known.failures() * 100.0).round() / 100.0,
                 cold:% = known.is_cold(now),
                 suspect:% = known.is_suspect(now);
