Let short work go with the highest rank, late short work too

Returned ones were refused within 3 ms because 1.6 s of waiting no longer fitted before their deadline, though their answers take 0.15 s; first ones stood behind requests that hold a place ten times as long.

--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -373,7 +373,7 @@
         {
             return Some(placed);
         }
-        if late && now + LATE_PATIENCE >= ask.deadline {
+        if late && self.patience(&ask) <= now {
             return Some(self.turn(&ask, Reason::Overloaded, now));
         }
         let service = Arc::clone(&ask.service);
@@ -422,13 +422,20 @@
     /// What becomes of a request that still waits: one whose time is over is turned away.
     fn overdue(&mut self, place: &Place, ask: &Ask, now: Timestamp) -> Option<Outcome> {
         let over = if place.is_late() {
-            ask.arrived + LATE_PATIENCE <= now
+            self.patience(ask) <= now
         } else {
             self.is_late(ask, now)
         };
         over.then(|| self.turn(ask, Reason::Overloaded, now))
     }
 
+    /// Until when a request that is late anyway may wait: its answer still has to come.
+    fn patience(&self, ask: &Ask) -> Timestamp {
+        let need = ask.hold() * 2;
+        let left = ask.deadline.since(ask.arrived).saturating_sub(need);
+        ask.arrived + LATE_PATIENCE.min(left)
+    }
+
     fn turn(&mut self, ask: &Ask, reason: Reason, now: Timestamp) -> Outcome {
         let span = RETURN_RANGE.1 - RETURN_RANGE.0;
         let drawn = RETURN_RANGE.0 + span.mul_f64(self.random.random());
--- a/crates/core/src/direct/scheduler/placing.rs
+++ b/crates/core/src/direct/scheduler/placing.rs
@@ -99,10 +99,10 @@
         if free == 0 {
             return false;
         }
-        let kept = if late {
-            LATE_RESERVE
-        } else {
-            RESERVE * f64::from(ask.rank.min(2))
+        let kept = match (ask.is_short(), late) {
+            (true, _) => 0.0,
+            (false, true) => LATE_RESERVE,
+            (false, false) => RESERVE * f64::from(ask.rank.min(2)),
         };
         if f64::from(free) <= kept * f64::from(all) {
             return false;
@@ -117,7 +117,7 @@
             return true;
         }
         // A place that is free here goes to the peer whose urgent request waits for it.
-        if urgent > 0 && ask.rank > 0 {
+        if urgent > 0 && ask.rank > 0 && !ask.is_short() {
             return false;
         }
         let own_running: u32 = self.book.of(&ask.service).map(|known| known.own().running).sum();
--- a/crates/core/src/direct/waiting.rs
+++ b/crates/core/src/direct/waiting.rs
@@ -2,7 +2,8 @@
 //!
 //! Requests that can still be on time go before those that cannot, urgent teams before others, then urgent
 //! routes, then earlier ones before later ones. Routes below the highest rank share one line, so that short work
-//! is not kept behind long work of a rank between.
+//! is not kept behind long work of a rank between; short work goes with the highest rank, since it
+//! hardly keeps anything waiting.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -17,39 +18,69 @@
 /// Time that a token of an answer is expected to take a place for.
 const TOKEN_TIME: Duration = Duration::from_micros(4_200);
 
+/// Time that a token of a prompt is expected to take a place for.
+const PROMPT_TIME: Duration = Duration::from_micros(10);
+
+/// A request that holds a place for less is short.
+const SHORT_TIME: Duration = Duration::from_millis(350);
+
 /// Part of the expected time of a request by which its turn comes later.
 const LENGTH_PART: f64 = 0.5;
 
 /// One request of so many keeps its turn whatever its length, so that long ones are not starved.
 const LOTTERY: u64 = 3;
 
-/// How much later a long request's turn comes: what a place can do meanwhile is worth more.
-fn penalty(ask: &Ask) -> Duration {
-    if ask.ticket.0.is_multiple_of(LOTTERY) {
-        return Duration::ZERO;
+impl Ask {
+    /// How long the request is expected to hold a place.
+    #[must_use]
+    pub fn hold(&self) -> Duration {
+        let tokens = |count: u64| u32::try_from(count).unwrap_or(u32::MAX);
+        let answer = TOKEN_TIME.saturating_mul(tokens(self.length));
+        answer.saturating_add(PROMPT_TIME.saturating_mul(tokens(self.prompt)))
+    }
+
+    /// Whether the request holds a place for so short a time that it hardly keeps others waiting.
+    #[must_use]
+    pub fn is_short(&self) -> bool {
+        self.hold() < SHORT_TIME
+    }
+
+    /// How much later a long request's turn comes: what a place can do meanwhile is worth more.
+    fn penalty(&self) -> Duration {
+        if self.ticket.0.is_multiple_of(LOTTERY) {
+            return Duration::ZERO;
+        }
+        self.hold().mul_f64(LENGTH_PART)
     }
-    let tokens = u32::try_from(ask.length).unwrap_or(u32::MAX);
-    TOKEN_TIME.saturating_mul(tokens).mul_f64(LENGTH_PART)
 }
 
 /// Place of a request in the line. The least is served first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Place {
-    late: bool,
+    /// Whether it comes after all that can still be on time.
+    last: bool,
     standing: u8,
     rank: u8,
     turn: Timestamp,
     ticket: Ticket,
+    late: bool,
 }
 
 impl Place {
     pub(super) fn new(ask: &Ask, late: bool) -> Self {
+        let short = ask.is_short();
+        let rank = match (short, late) {
+            (true, false) => 0,
+            (true, true) => SHARED_RANK,
+            (false, _) => ask.rank.min(SHARED_RANK),
+        };
         Self {
-            late,
+            last: late && !short,
             standing: ask.standing,
-            rank: ask.rank.min(SHARED_RANK),
-            turn: ask.arrived + penalty(ask),
+            rank,
+            turn: ask.arrived + ask.penalty(),
             ticket: ask.ticket,
+            late,
         }
     }
 
