--- a/crates/core/src/direct/allowance.rs
+++ b/crates/core/src/direct/allowance.rs
@@ -4,6 +4,8 @@
 //! peers say they let in. A window holds the rate over its length and the burst. The part of a peer
 //! that has fallen silent is left to it, since it may still run.
 //!
+//! Near its limit a team's less urgent requests leave room for its urgent ones and for small ones.
+//!
 //! When every entry is killed at once nobody remembers the window. A bucket therefore keeps a team from
 //! taking the whole window in its first second, and begins nearly empty: what was taken before the
 //! kill and what is taken after it together stay within the margin that the operators leave.
@@ -24,6 +26,12 @@
 /// Part of the margin that a bucket holds at the start of a process.
 const START_PART: f64 = 0.25;
 
+/// Part of a team's limit that is kept for its more urgent requests, for each rank below the highest.
+const RANK_RESERVE: f64 = 0.08;
+
+/// Part of a window's units below which a request is let in like an urgent one.
+const SMALL_PART: f64 = 0.001;
+
 /// A request is over its team's rate and burst.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[display("over the team's rate; enough is there in {refill:?}")]
@@ -121,11 +129,17 @@
         }
     }
 
-    /// Takes `units`. `part` is the part of the rate that entries which can be heard may use.
+    /// Takes `units` for a request of some rank. `part` is the part of the rate that entries which can be heard may use.
     ///
     /// # Errors
     /// Returns an [`Excess`] if the window has no room.
-    pub fn take(&mut self, units: u64, part: f64, now: Timestamp) -> Result<(), Excess> {
+    pub fn take(
+        &mut self,
+        units: u64,
+        rank: u8,
+        part: f64,
+        now: Timestamp,
+    ) -> Result<(), Excess> {
         if self.rate == 0 {
             return Ok(());
         }
@@ -133,9 +147,11 @@
         let units = i64::try_from(units).unwrap_or(i64::MAX / 4);
         // A request that is larger than a whole window may run in an empty one.
         let need = units.min(self.limit(part));
-        let over = self.used + need - self.limit(part);
+        let small = (units as f64) < self.whole() * SMALL_PART;
+        let kept = if small { 0.0 } else { RANK_RESERVE * f64::from(rank.min(2)) };
+        let over = self.used + need - self.limit(part * (1.0 - kept));
         self.fill(part, now);
-        let lack = need as f64 - self.level;
+        let lack = need as f64 + self.depth() * kept - self.level;
         if over > 0 || lack > 0.0 && self.level < self.depth() {
             let filled = Duration::from_secs_f64((lack / self.rate as f64).clamp(0.0, 60.0));
             return Err(Excess {
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -293,11 +293,17 @@
     ///
     /// # Errors
     /// Returns an [`Excess`] if the team is over its rate and burst.
-    pub fn charge(&mut self, team: &PlanTeam, units: u64, now: Timestamp) -> Result<(), Excess> {
+    pub fn charge(
+        &mut self,
+        team: &PlanTeam,
+        units: u64,
+        rank: u8,
+        now: Timestamp,
+    ) -> Result<(), Excess> {
         let part = self.members.heard_part(now);
         let digest = super::book::digest(&team.name);
         if let Some(allowance) = self.allowances.get_mut(&digest) {
-            allowance.take(units, part, now)?;
+            allowance.take(units, rank, part, now)?;
             *self.spent.entry(digest).or_default() += i64::try_from(units).unwrap_or(i64::MAX / 4);
         }
         Ok(())
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -125,7 +125,7 @@
     context.scheduler.borrow_mut().count(&service, now);
     if let Some(team) = &head.team {
         let units = head.units();
-        let charged = context.scheduler.borrow_mut().charge(team, units, now);
+        let charged = context.scheduler.borrow_mut().charge(team, units, head.route.rank, now);
         if let Err(excess) = charged {
             let retry = excess.refill.min(head.deadline / 3);
             log::info!(request:? = head.id, team:% = team.name, units = units; "{excess}");
