Tell peers of requests that crash endpoints; read seeds again on SIGHUP

A request that crashes endpoints was counted by each entry alone, so that many entries together would have sent it too often.

--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -202,6 +202,11 @@
         }
     }
 
+    /// Takes other seeds.
+    pub fn reseed(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
     /// The configuration in force.
     #[must_use]
     pub fn plan(&self) -> &Arc<Plan> {
--- a/crates/core/src/direct/scheduler/placing.rs
+++ b/crates/core/src/direct/scheduler/placing.rs
@@ -36,7 +36,7 @@
 const DOUBT: f64 = 1.25;
 
 /// Factor on the expected length of an answer by which it may prove longer.
-const LENGTH_DOUBT: f64 = 1.5;
+const LENGTH_DOUBT: f64 = 2.5;
 
 /// Price of a millisecond by which an answer would outlast its deadline, in milliseconds.
 const OVERTIME_PRICE: f64 = 0.5;
--- a/crates/core/src/direct/scheduler/sharing.rs
+++ b/crates/core/src/direct/scheduler/sharing.rs
@@ -55,7 +55,7 @@
             loads: self.book.loads(),
             services: services.filter(|load| load.running > 0 || load.waiting > 0).collect(),
             spent: self.spent.iter().map(|(team, units)| (*team, *units)).collect(),
-            crashes: Vec::new(),
+            crashes: self.suspects.told(now),
             peers: self.members.addresses(),
             leaving: self.leaving,
         }
@@ -80,6 +80,7 @@
                 allowance.note(*units, now);
             }
         }
+        self.suspects.hear(from, &report.crashes, now);
         let newer = report.version > self.currency.version();
         if let (Some(age), Some(echo)) = (report.age, report.echo)
             && echo.boot == self.boot
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -31,6 +31,9 @@
 /// Header and idle limits before a configuration names others.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 
+/// Smallest buffer that the HTTP library takes, in bytes.
+const BUFFER_MIN_BYTES: usize = 8 * 1024;
+
 /// Header limit before a configuration names another, in bytes.
 const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
 
@@ -76,7 +79,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
-        .max_buf_size(header.max(8 * 1024) * 2)
+        .max_buf_size(header.max(BUFFER_MIN_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let ended = tokio::select! {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -2,12 +2,13 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use comfreyhaven_core::direct::{Bounds, Scheduler};
+use comfreyhaven_core::direct::Scheduler;
 use derive_more::{Display, Error};
 use http_body_util::Full;
 use hyper::service::service_fn;
@@ -20,10 +21,11 @@
 use tokio_util::task::TaskTracker;
 
 use crate::clock;
-use crate::context::{Context, Times};
+use crate::context::Context;
 use crate::dialect::Dialect;
 use crate::follow::Follower;
 use crate::metrics::Metrics;
+use crate::settings::Settings;
 use crate::store::{Section, Store};
 use crate::{front, gossip, peer};
 
@@ -89,12 +91,17 @@
 /// # Errors
 /// Returns a [`StartError`] if an address is taken or the process cannot be set up.
 pub async fn run<S: Store + 'static>(
-    places: Places,
-    bounds: Bounds,
-    times: Times,
+    settings: Settings,
+    path: &Path,
     dialect: Dialect,
     store: S,
 ) -> Result<(), StartError> {
+    let Settings {
+        places,
+        bounds,
+        times,
+        ..
+    } = settings;
     let front = bind(places.front).await?;
     let ready = bind(places.ready).await?;
     let peers = bind(places.peer).await?;
@@ -130,7 +137,7 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = reload.recv() => log::info!("settings reloaded: nothing in force depends on them"),
+            _ = reload.recv() => reread(path, &context),
         }
     }
     log::info!("leaving on SIGTERM");
@@ -138,6 +145,17 @@
     Ok(())
 }
 
+/// Takes the seeds of a settings file that may have changed; whatever else stands there needs a restart.
+fn reread(path: &Path, context: &Context) {
+    match Settings::load(path) {
+        Ok(settings) => {
+            log::info!(seeds:? = settings.places.seeds; "settings read again");
+            context.scheduler.borrow_mut().reseed(settings.places.seeds);
+        }
+        Err(error) => log::error!("the settings stay as they were: {error}"),
+    }
+}
+
 /// Takes nothing new after a while, finishes what is under way, and joins every task.
 async fn leave(context: &Context, tasks: &TaskTracker, stop: CancellationToken, finish: CancellationToken) {
     let begun = clock::now();
