Test the decisions of direct entries, alone and over simulated endpoints

Found by them and mended: a run of an endpoint's earlier start was counted to the one born again under its name.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -17,9 +17,6 @@
 mod suspects;
 mod waiting;
 
-#[cfg(test)]
-mod tests;
-
 pub use allowance::{Allowance, Excess, Terms};
 pub use book::{Book, Candidate, Load, Run, digest};
 pub use budget::Budget;
--- a/crates/core/src/direct/allowance.rs
+++ b/crates/core/src/direct/allowance.rs
@@ -133,13 +133,7 @@
     ///
     /// # Errors
     /// Returns an [`Excess`] if the window has no room.
-    pub fn take(
-        &mut self,
-        units: u64,
-        rank: u8,
-        part: f64,
-        now: Timestamp,
-    ) -> Result<(), Excess> {
+    pub fn take(&mut self, units: u64, rank: u8, part: f64, now: Timestamp) -> Result<(), Excess> {
         if self.rate == 0 {
             return Ok(());
         }
@@ -148,7 +142,11 @@
         // A request that is larger than a whole window may run in an empty one.
         let need = units.min(self.limit(part));
         let small = (units as f64) < self.whole() * SMALL_PART;
-        let kept = if small { 0.0 } else { RANK_RESERVE * f64::from(rank.min(2)) };
+        let kept = if small {
+            0.0
+        } else {
+            RANK_RESERVE * f64::from(rank.min(2))
+        };
         let over = self.used + need - self.limit(part * (1.0 - kept));
         self.fill(part, now);
         let lack = need as f64 + self.depth() * kept - self.level;
--- a/crates/core/src/direct/book.rs
+++ b/crates/core/src/direct/book.rs
@@ -60,6 +60,8 @@
 #[derive(Debug)]
 pub struct Candidate {
     listing: Listing,
+    /// Tells the starts under one name apart.
+    start: u64,
     digest: u64,
     /// What this entry runs there.
     own: Load,
@@ -164,6 +166,8 @@
     pub sent: Timestamp,
     /// Tokens of its prompt.
     pub prompt: u64,
+    /// The endpoint's start that it was sent to.
+    start: u64,
     /// What was pending there, with its own prompt.
     ahead: u64,
     begun: bool,
@@ -176,6 +180,7 @@
     services: HashMap<Arc<str>, Vec<EndpointId>>,
     digests: HashMap<u64, EndpointId>,
     reports: HashMap<SocketAddr, Vec<EndpointLoad>>,
+    starts: u64,
 }
 
 impl Book {
@@ -190,7 +195,11 @@
             if listing.sequence < known.listing.sequence {
                 return;
             }
-            known.cold = if listing.cold.is_zero() { known.cold } else { known.cold.max(cold) };
+            known.cold = if listing.cold.is_zero() {
+                known.cold
+            } else {
+                known.cold.max(cold)
+            };
             known.lapsed = false;
             known.listing = listing;
             return;
@@ -198,8 +207,10 @@
         self.remove(&listing.id);
         let id = Arc::clone(&listing.id);
         let digest = digest(&id);
+        self.starts += 1;
         let mut candidate = Candidate {
             digest,
+            start: self.starts,
             own: Load::default(),
             foreign: Load::default(),
             sends: Pace::default(),
@@ -212,12 +223,20 @@
             suspect: Timestamp::ZERO,
             listing,
         };
-        for load in self.reports.values().flatten().filter(|load| load.endpoint == digest) {
+        for load in self
+            .reports
+            .values()
+            .flatten()
+            .filter(|load| load.endpoint == digest)
+        {
             candidate.foreign.running += u32::from(load.running);
             candidate.foreign.pending += u64::from(load.pending);
         }
         let service = Arc::clone(&candidate.listing.service);
-        self.services.entry(service).or_default().push(Arc::clone(&id));
+        self.services
+            .entry(service)
+            .or_default()
+            .push(Arc::clone(&id));
         self.digests.insert(digest, Arc::clone(&id));
         self.endpoints.insert(id, candidate);
     }
@@ -270,7 +289,11 @@
             cold: known.cold.since(now),
             ..known.listing.clone()
         };
-        self.endpoints.values().filter(|known| !known.lapsed).map(current).collect()
+        self.endpoints
+            .values()
+            .filter(|known| !known.lapsed)
+            .map(current)
+            .collect()
     }
 
     /// One endpoint.
@@ -317,7 +340,10 @@
     /// What this entry runs, for a report.
     #[must_use]
     pub fn loads(&self) -> Vec<EndpointLoad> {
-        let busy = self.endpoints.values().filter(|known| known.own.running > 0);
+        let busy = self
+            .endpoints
+            .values()
+            .filter(|known| known.own.running > 0);
         let load = |known: &Candidate| EndpointLoad {
             endpoint: known.digest,
             running: u16::try_from(known.own.running).unwrap_or(u16::MAX),
@@ -336,17 +362,24 @@
             endpoint: Arc::clone(&known.listing.id),
             sent: now,
             prompt,
+            start: known.start,
             ahead: known.load().pending,
             begun: false,
         })
     }
 
+    /// The endpoint of a run, if it is still the start that the run was sent to.
+    fn of_run(&mut self, run: &Run) -> Option<&mut Candidate> {
+        let known = self.endpoints.get_mut(&run.endpoint)?;
+        (known.start == run.start).then_some(known)
+    }
+
     /// Notes the first byte of an answer and learns the endpoint's speed.
     pub fn begin(&mut self, run: &mut Run, now: Timestamp) {
         if std::mem::replace(&mut run.begun, true) {
             return;
         }
-        let Some(known) = self.endpoints.get_mut(&run.endpoint) else {
+        let Some(known) = self.of_run(run) else {
             return;
         };
         known.own.pending = known.own.pending.saturating_sub(run.prompt);
@@ -356,7 +389,7 @@
 
     /// Notes that a request is over there.
     pub fn end(&mut self, run: &Run) {
-        if let Some(known) = self.endpoints.get_mut(&run.endpoint) {
+        if let Some(known) = self.of_run(run) {
             known.own.running = known.own.running.saturating_sub(1);
             if !run.begun {
                 known.own.pending = known.own.pending.saturating_sub(run.prompt);
@@ -365,9 +398,9 @@
     }
 
     /// Notes how long an answer's events took.
-    pub fn stream(&mut self, id: &str, events: u32, span: Duration) {
+    pub fn stream(&mut self, run: &Run, events: u32, span: Duration) {
         if events >= EVENTS_MIN
-            && let Some(known) = self.endpoints.get_mut(id)
+            && let Some(known) = self.of_run(run)
         {
             let seen = span.as_secs_f64() * 1_000.0 / f64::from(events - 1);
             known.event += EVENT_GAIN * (seen - known.event);
@@ -375,23 +408,23 @@
     }
 
     /// Notes a whole answer.
-    pub fn succeed(&mut self, id: &str) {
-        if let Some(known) = self.endpoints.get_mut(id) {
+    pub fn succeed(&mut self, run: &Run) {
+        if let Some(known) = self.of_run(run) {
             known.strikes = 0;
             known.failures -= FAILURE_GAIN * known.failures;
         }
     }
 
     /// Notes an answer that tells of a failure of the endpoint.
-    pub fn fail(&mut self, id: &str) {
-        if let Some(known) = self.endpoints.get_mut(id) {
+    pub fn fail(&mut self, run: &Run) {
+        if let Some(known) = self.of_run(run) {
             known.failures += FAILURE_GAIN * (1.0 - known.failures);
         }
     }
 
     /// Keeps new requests away for a while, longer each time: it could not be reached, or broke off.
-    pub fn suspect(&mut self, id: &str, now: Timestamp) {
-        if let Some(known) = self.endpoints.get_mut(id) {
+    pub fn suspect(&mut self, run: &Run, now: Timestamp) {
+        if let Some(known) = self.of_run(run) {
             if known.is_suspect(now) {
                 return;
             }
--- a/crates/core/src/direct/budget.rs
+++ b/crates/core/src/direct/budget.rs
@@ -51,7 +51,11 @@
         {
             self.steps.pop_front();
         }
-        if self.steps.back().is_none_or(|step| step.begin + span <= now) {
+        if self
+            .steps
+            .back()
+            .is_none_or(|step| step.begin + span <= now)
+        {
             self.steps.push_back(Step {
                 begin: now,
                 requests: 0,
--- a/crates/core/src/direct/curve.rs
+++ b/crates/core/src/direct/curve.rs
@@ -60,7 +60,13 @@
     pub fn learn(&mut self, tokens: u64, millis: f64) {
         let tokens = tokens as f64;
         let millis = millis.min(self.at(tokens) * OUTLIER);
-        for moment in [&mut self.weight, &mut self.x, &mut self.y, &mut self.xx, &mut self.xy] {
+        for moment in [
+            &mut self.weight,
+            &mut self.x,
+            &mut self.y,
+            &mut self.xx,
+            &mut self.xy,
+        ] {
             *moment *= MEMORY;
         }
         self.count(tokens, millis, 1.0);
--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -163,7 +163,12 @@
             };
             member.heard + memory <= now
         };
-        let gone: Vec<_> = self.members.iter().filter(|(_, m)| over(m)).map(|(a, _)| *a).collect();
+        let gone: Vec<_> = self
+            .members
+            .iter()
+            .filter(|(_, m)| over(m))
+            .map(|(a, _)| *a)
+            .collect();
         self.members.retain(|_, member| !over(member));
         gone
     }
@@ -171,7 +176,10 @@
     /// Members that have been silent for a while.
     pub fn silent(&self, now: Timestamp) -> impl Iterator<Item = SocketAddr> + '_ {
         let silent = move |member: &Member| member.heard + SILENCE_LIMIT <= now;
-        self.members.iter().filter(move |(_, m)| silent(m)).map(|(address, _)| *address)
+        self.members
+            .iter()
+            .filter(move |(_, m)| silent(m))
+            .map(|(address, _)| *address)
     }
 
     /// How many entries there are, with this one and the silent ones.
@@ -206,8 +214,13 @@
     /// Running, waiting and urgent waiting requests of one service at all members that can be heard.
     #[must_use]
     pub fn demand(&self, service: u64, now: Timestamp) -> (u32, u32, u32) {
-        let heard = self.members.values().filter(|m| now < m.heard + SILENCE_LIMIT);
-        let loads = heard.flat_map(|member| &member.services).filter(|load| load.service == service);
+        let heard = self
+            .members
+            .values()
+            .filter(|m| now < m.heard + SILENCE_LIMIT);
+        let loads = heard
+            .flat_map(|member| &member.services)
+            .filter(|load| load.service == service);
         loads.fold((0, 0, 0), |(running, waiting, urgent), load| {
             (
                 running + u32::from(load.running),
@@ -220,7 +233,13 @@
     /// Addresses that reports go to: members, those that others know, and the seeds.
     #[must_use]
     pub fn targets(&self, own: SocketAddr, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
-        let mut targets: Vec<_> = self.members.keys().chain(self.rumours.keys()).chain(seeds).copied().collect();
+        let mut targets: Vec<_> = self
+            .members
+            .keys()
+            .chain(self.rumours.keys())
+            .chain(seeds)
+            .copied()
+            .collect();
         targets.sort();
         targets.dedup();
         targets.retain(|target| *target != own);
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -26,7 +26,8 @@
 
 /// Range of the time after which a request that was turned away may come back; drawn at random, so
 /// that a crowd does not return as one.
-const RETURN_RANGE: (Duration, Duration) = (Duration::from_millis(900), Duration::from_millis(3_400));
+const RETURN_RANGE: (Duration, Duration) =
+    (Duration::from_millis(900), Duration::from_millis(3_400));
 
 /// How long a request that can no longer be on time may wait for a place.
 const LATE_PATIENCE: Duration = Duration::from_millis(1_600);
@@ -402,16 +403,28 @@
     /// Places what can be placed and turns away what has waited too long.
     pub fn settle(&mut self, now: Timestamp) -> Vec<(Ticket, Outcome)> {
         let mut outcomes = Vec::new();
-        let services: Vec<_> = self.lines.iter().filter(|(_, line)| !line.is_empty()).map(|(s, _)| Arc::clone(s)).collect();
+        let services: Vec<_> = self
+            .lines
+            .iter()
+            .filter(|(_, line)| !line.is_empty())
+            .map(|(s, _)| Arc::clone(s))
+            .collect();
         for service in services {
             let waiting: Vec<(Place, Ask)> = match self.lines.get(&service) {
-                Some(line) => line.iter().map(|(place, ask)| (*place, ask.clone())).collect(),
+                Some(line) => line
+                    .iter()
+                    .map(|(place, ask)| (*place, ask.clone()))
+                    .collect(),
                 None => continue,
             };
             let mut full = false;
             for (place, ask) in waiting {
                 let late = place.is_late();
-                let outcome = if full { None } else { self.place(&ask, late, now) };
+                let outcome = if full {
+                    None
+                } else {
+                    self.place(&ask, late, now)
+                };
                 let outcome = match outcome {
                     Some(outcome) => Some(outcome),
                     None => {
@@ -464,18 +477,18 @@
 
     /// Notes how long an answer's events took, from the first to the last.
     pub fn stream(&mut self, run: &Run, events: u32, span: Duration) {
-        self.book.stream(&run.endpoint, events, span);
+        self.book.stream(run, events, span);
     }
 
     /// Notes that a request is over at its endpoint.
     pub fn end(&mut self, run: &Run, ending: Ending, now: Timestamp) {
         self.book.end(run);
         match ending {
-            Ending::Whole => self.book.succeed(&run.endpoint),
-            Ending::Failed | Ending::Rejected => self.book.fail(&run.endpoint),
+            Ending::Whole => self.book.succeed(run),
+            Ending::Failed | Ending::Rejected => self.book.fail(run),
             Ending::Broken => {
-                self.book.fail(&run.endpoint);
-                self.book.suspect(&run.endpoint, now);
+                self.book.fail(run);
+                self.book.suspect(run, now);
             }
             Ending::Cancelled => {}
         }
@@ -491,7 +504,12 @@
     pub fn totals(&self) -> Totals {
         Totals {
             waiting: self.lines.values().map(|line| line.iter().count()).sum(),
-            running: self.book.loads().iter().map(|load| usize::from(load.running)).sum(),
+            running: self
+                .book
+                .loads()
+                .iter()
+                .map(|load| usize::from(load.running))
+                .sum(),
             endpoints: self.book.ids().len(),
             members: self.members.count(),
         }
--- a/crates/core/src/direct/scheduler/placing.rs
+++ b/crates/core/src/direct/scheduler/placing.rs
@@ -58,7 +58,10 @@
 
     /// Whether no endpoint of the service may be used at all.
     pub(super) fn is_empty(&self, ask: &Ask) -> bool {
-        !self.book.of(&ask.service).any(|known| self.is_open(known, ask))
+        !self
+            .book
+            .of(&ask.service)
+            .any(|known| self.is_open(known, ask))
     }
 
     fn is_open(&self, known: &Candidate, ask: &Ask) -> bool {
@@ -91,7 +94,11 @@
     /// Whether the places that are free are not kept for others.
     fn has_room(&self, ask: &Ask, late: bool, now: Timestamp) -> bool {
         let (mut free, mut all) = (0, 0);
-        for known in self.book.of(&ask.service).filter(|known| self.is_open(known, ask)) {
+        for known in self
+            .book
+            .of(&ask.service)
+            .filter(|known| self.is_open(known, ask))
+        {
             let places = Self::places(known, ask.streaming);
             all += places;
             free += places.saturating_sub(known.load().running);
@@ -120,15 +127,27 @@
         if urgent > 0 && ask.rank > 0 && !ask.is_short() {
             return false;
         }
-        let own_running: u32 = self.book.of(&ask.service).map(|known| known.own().running).sum();
-        let own_waiting = self.lines.get(&ask.service).map_or(0, |line| line.hopeful());
+        let own_running: u32 = self
+            .book
+            .of(&ask.service)
+            .map(|known| known.own().running)
+            .sum();
+        let own_waiting = self
+            .lines
+            .get(&ask.service)
+            .map_or(0, |line| line.hopeful());
         let own = f64::from(own_running) + own_waiting as f64 + 1.0;
         let total = own + f64::from(running + waiting);
         f64::from(own_running) < f64::from(places) * own / total + 1.0
     }
 
     /// The endpoint with the least expected time, and that time.
-    fn best(&mut self, ask: &Ask, late: bool, now: Timestamp) -> Option<(crate::direct::EndpointId, f64)> {
+    fn best(
+        &mut self,
+        ask: &Ask,
+        late: bool,
+        now: Timestamp,
+    ) -> Option<(crate::direct::EndpointId, f64)> {
         let service = self.plan.services.get(&ask.service);
         let bearing = service.map_or(0.0, |service| service.cold);
         let stride = service.map_or(1.0, |service| service.stride.max(1.0));
@@ -140,10 +159,16 @@
         );
         let left = ask.objective.since(now).as_secs_f64() * 1_000.0;
         let mut found: Option<(crate::direct::EndpointId, f64, f64)> = None;
-        let ids: Vec<_> = self.book.of(&ask.service).map(|known| known.listing().id.clone()).collect();
+        let ids: Vec<_> = self
+            .book
+            .of(&ask.service)
+            .map(|known| known.listing().id.clone())
+            .collect();
         for id in ids {
             let known = self.book.get(&id)?;
-            if !self.is_open(known, ask) || known.load().running >= Self::places(known, ask.streaming) {
+            if !self.is_open(known, ask)
+                || known.load().running >= Self::places(known, ask.streaming)
+            {
                 continue;
             }
             let (is_cold, suspect) = (known.is_cold(now), known.is_suspect(now));
@@ -155,7 +180,11 @@
                 continue;
             }
             let price = price * self.random.random_range(0.92..1.08);
-            let price = if suspect { price + FAILURE_MS * 4.0 } else { price };
+            let price = if suspect {
+                price + FAILURE_MS * 4.0
+            } else {
+                price
+            };
             if found.as_ref().is_none_or(|(_, _, least)| price < *least) {
                 found = Some((id, expected, price));
             }
@@ -166,7 +195,8 @@
     /// The expected time to a request's first byte at an endpoint, and the same with prices.
     fn price(&self, known: &Candidate, ask: &Ask, stride: f64, now: Timestamp) -> (f64, f64) {
         let expected = known.first_byte(ask.prompt) * DOUBT;
-        let filled = f64::from(known.load().running) / f64::from(Self::places(known, ask.streaming));
+        let filled =
+            f64::from(known.load().running) / f64::from(Self::places(known, ask.streaming));
         let mut price = expected + FILL_MS * filled + FAILURE_MS * known.failures();
         if known.listing().centre != self.centre {
             price += REMOTE_MS;
--- a/crates/core/src/direct/scheduler/sharing.rs
+++ b/crates/core/src/direct/scheduler/sharing.rs
@@ -45,7 +45,10 @@
                 urgent: u16::try_from(urgent).unwrap_or(u16::MAX),
             }
         });
-        let age = self.currency.age(now).map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
+        let age = self
+            .currency
+            .age(now)
+            .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
         Report {
             boot: self.boot,
             sent: now.as_micros(),
@@ -53,8 +56,14 @@
             version: self.currency.version(),
             age,
             loads: self.book.loads(),
-            services: services.filter(|load| load.running > 0 || load.waiting > 0).collect(),
-            spent: self.spent.iter().map(|(team, units)| (*team, *units)).collect(),
+            services: services
+                .filter(|load| load.running > 0 || load.waiting > 0)
+                .collect(),
+            spent: self
+                .spent
+                .iter()
+                .map(|(team, units)| (*team, *units))
+                .collect(),
             crashes: self.suspects.told(now),
             peers: self.members.addresses(),
             leaving: self.leaving,
@@ -86,7 +95,8 @@
             && echo.boot == self.boot
         {
             let age = Duration::from_millis(age.into());
-            self.currency.hear(report.version, age, Timestamp::from_micros(echo.sent));
+            self.currency
+                .hear(report.version, age, Timestamp::from_micros(echo.sent));
         }
         self.book.report(from, report.loads);
         Heard {
--- a/crates/core/src/direct/suspects.rs
+++ b/crates/core/src/direct/suspects.rs
@@ -46,7 +46,10 @@
         if self.own.len() >= SUSPECTS_LIMIT {
             self.own.retain(|_, crashes| now < crashes.last + MEMORY);
         }
-        let crashes = self.own.entry(digest).or_insert(Crashes { count: 0, last: now });
+        let crashes = self.own.entry(digest).or_insert(Crashes {
+            count: 0,
+            last: now,
+        });
         if crashes.last + MEMORY <= now {
             crashes.count = 0;
         }
@@ -60,18 +63,26 @@
     /// Takes what a peer counted.
     pub fn hear(&mut self, peer: SocketAddr, told: &[(BodyDigest, u32)], now: Timestamp) {
         if self.foreign.len() >= SUSPECTS_LIMIT {
-            self.foreign.retain(|_, crashes| now < crashes.last + MEMORY);
+            self.foreign
+                .retain(|_, crashes| now < crashes.last + MEMORY);
         }
         for &(digest, count) in told {
-            self.foreign.insert((digest, peer), Crashes { count, last: now });
+            self.foreign
+                .insert((digest, peer), Crashes { count, last: now });
         }
     }
 
     /// What peers are to be told.
     #[must_use]
     pub fn told(&self, now: Timestamp) -> Vec<(BodyDigest, u32)> {
-        let fresh = self.own.iter().filter(|(_, crashes)| now < crashes.last + TELL_TIME);
-        fresh.map(|(digest, crashes)| (*digest, crashes.count)).take(TOLD_LIMIT).collect()
+        let fresh = self
+            .own
+            .iter()
+            .filter(|(_, crashes)| now < crashes.last + TELL_TIME);
+        fresh
+            .map(|(digest, crashes)| (*digest, crashes.count))
+            .take(TOLD_LIMIT)
+            .collect()
     }
 
     /// Notes that a request ran to its end.
@@ -81,11 +92,18 @@
 
     fn count(&self, digest: BodyDigest, now: Timestamp) -> u32 {
         let live = |crashes: &&Crashes| now < crashes.last + MEMORY;
-        let own = self.own.get(&digest).filter(live).map_or(0, |crashes| crashes.count);
+        let own = self
+            .own
+            .get(&digest)
+            .filter(live)
+            .map_or(0, |crashes| crashes.count);
         if self.foreign.is_empty() {
             return own;
         }
-        let foreign = self.foreign.iter().filter(|((other, _), _)| *other == digest);
+        let foreign = self
+            .foreign
+            .iter()
+            .filter(|((other, _), _)| *other == digest);
         let foreign = foreign.map(|(_, crashes)| crashes).filter(live);
         own + foreign.map(|crashes| crashes.count).sum::<u32>()
     }
--- a/crates/core/src/direct/tests.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Tests of the decisions of direct entries.
--- a/crates/core/src/direct/waiting.rs
+++ b/crates/core/src/direct/waiting.rs
@@ -124,7 +124,10 @@
 
     /// Those of the highest rank among them.
     pub(super) fn urgent(&self) -> usize {
-        self.asks.keys().filter(|place| !place.late && place.rank == 0).count()
+        self.asks
+            .keys()
+            .filter(|place| !place.late && place.rank == 0)
+            .count()
     }
 
     /// Requests that would be served before one at `place`.
--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -272,7 +272,10 @@
     /// Time until a new holder may begin: every process knows of the hosts that this set left out,
     /// and no loan is out that the parts of this set do not hold.
     fn settling(&self, now: Timestamp) -> Duration {
-        let overhangs = self.shares.values().map(|account| account.share.overhang(now));
+        let overhangs = self
+            .shares
+            .values()
+            .map(|account| account.share.overhang(now));
         overhangs.fold(self.settled.since(now), Duration::max)
     }
 
--- a/crates/core/src/entry/ledger/share.rs
+++ b/crates/core/src/entry/ledger/share.rs
@@ -170,7 +170,10 @@
     /// How long loans may be out beyond the capacity. They were given out of a larger part, so that
     /// whoever takes the rest of that part has to wait for them.
     pub(super) fn overhang(&self, now: Timestamp) -> Duration {
-        let last = self.lending.last().filter(|_| self.lending.room() > self.capacity());
+        let last = self
+            .lending
+            .last()
+            .filter(|_| self.lending.room() > self.capacity());
         last.map_or(Duration::ZERO, |last| last.since(now))
     }
 
--- a/crates/core/src/entry/ledger/tests.rs
+++ b/crates/core/src/entry/ledger/tests.rs
@@ -228,7 +228,10 @@
     let settling = ledger.lend(&question, None, now).settling;
     assert!(settling.is_some_and(|settling| settling >= LOAN_LIFETIME));
     let later = now + LOAN_LIFETIME * 2;
-    assert_eq!(ledger.lend(&question, None, later).settling, Some(Duration::ZERO));
+    assert_eq!(
+        ledger.lend(&question, None, later).settling,
+        Some(Duration::ZERO)
+    );
 }
 
 proptest! {
--- /dev/null
+++ b/crates/core/tests/core/direct/allowance.rs
@@ -0,0 +1,115 @@
+//! Load: one team sends many times its usual through every entry, also across a kill of all of them.
+
+use std::time::Duration;
+
+use comfreyhaven_core::Timestamp;
+use comfreyhaven_core::direct::Allowance;
+
+use super::{at, terms};
+
+const RATE: u64 = 1_000;
+const UNITS: u64 = 50;
+
+/// Takes all that is given, every ten milliseconds, and notes when.
+fn drain(allowance: &mut Allowance, from: u64, to: u64, spent: &mut Vec<(u64, u64)>) {
+    for millis in (from..to).step_by(10) {
+        while allowance.take(UNITS, 0, 1.0, at(millis)).is_ok() {
+            spent.push((millis, UNITS));
+        }
+    }
+}
+
+/// The most that any window of eight seconds holds.
+fn worst(spent: &[(u64, u64)]) -> u64 {
+    let window = |(begin, _): &(u64, u64)| {
+        let inside = spent
+            .iter()
+            .filter(|(at, _)| (*begin..begin + 8_000).contains(at));
+        inside.map(|(_, units)| units).sum()
+    };
+    spent.iter().map(window).max().unwrap_or(0)
+}
+
+#[test]
+fn no_window_holds_more_than_rate_and_burst() {
+    let mut allowance = Allowance::new(RATE, RATE, terms(true), at(0));
+    let mut spent = Vec::new();
+    drain(&mut allowance, 0, 30_000, &mut spent);
+    assert!(worst(&spent) <= 9 * RATE);
+    let total: u64 = spent.iter().map(|(_, units)| units).sum();
+    assert!(total >= 29 * RATE, "the rate is not used: {total}");
+}
+
+/// A drawn day: every entry was killed while a team took its whole window in its first seconds, and
+/// nobody remembered it. 41 in 100 more than a window ran.
+#[test]
+fn a_kill_of_every_entry_stays_within_the_margin() {
+    for kill in [1_500, 3_000, 5_000, 7_000] {
+        let mut spent = Vec::new();
+        let mut before = Allowance::new(RATE, RATE, terms(true), at(0));
+        drain(&mut before, 0, kill, &mut spent);
+        let start = kill + 400;
+        let mut after = Allowance::new(RATE, RATE, terms(false), at(start));
+        drain(&mut after, start, start + 10_000, &mut spent);
+        let allowed = 9 * RATE * 5 / 4;
+        assert!(
+            worst(&spent) <= allowed,
+            "killed at {kill}: {}",
+            worst(&spent)
+        );
+    }
+}
+
+#[test]
+fn what_a_peer_let_in_counts() {
+    let mut allowance = Allowance::new(RATE, RATE, terms(true), at(0));
+    allowance.note(9 * RATE as i64, at(10));
+    assert!(allowance.take(UNITS, 0, 1.0, at(20)).is_err());
+    allowance.note(-(RATE as i64), at(30));
+    assert!(
+        allowance.take(UNITS, 0, 1.0, at(40)).is_err(),
+        "the bucket is far below empty"
+    );
+}
+
+#[test]
+fn a_refusal_says_when_there_is_room() {
+    let mut allowance = Allowance::new(RATE, RATE, terms(true), at(0));
+    let mut spent = Vec::new();
+    drain(&mut allowance, 0, 4_000, &mut spent);
+    let excess = allowance
+        .take(500, 0, 1.0, at(4_000))
+        .expect_err("over the rate");
+    let back: Timestamp = at(4_000) + excess.refill + Duration::from_millis(300);
+    assert!(
+        allowance.take(500, 0, 1.0, back).is_ok(),
+        "not there after {:?}",
+        excess.refill
+    );
+}
+
+#[test]
+fn near_the_limit_urgent_and_small_requests_go_first() {
+    let mut allowance = Allowance::new(RATE, RATE, terms(true), at(0));
+    while allowance.take(UNITS, 2, 1.0, at(0)).is_ok() {}
+    assert!(allowance.take(UNITS, 0, 1.0, at(0)).is_ok());
+    assert!(allowance.take(5, 2, 1.0, at(0)).is_ok());
+}
+
+#[test]
+fn a_silent_peer_keeps_its_part() {
+    let mut allowance = Allowance::new(RATE, RATE, terms(true), at(0));
+    let mut units = 0;
+    for millis in (0..8_000).step_by(10) {
+        while allowance.take(UNITS, 0, 0.5, at(millis)).is_ok() {
+            units += UNITS;
+        }
+    }
+    assert!(units <= 9 * RATE / 2, "{units}");
+}
+
+#[test]
+fn no_limit_is_none() {
+    let mut allowance = Allowance::new(0, 0, terms(false), at(0));
+    assert!(allowance.take(u64::MAX, 2, 1.0, at(0)).is_ok());
+}
--- a/crates/core/tests/core/main.rs
+++ b/crates/core/tests/core/main.rs
@@ -3,6 +3,7 @@
 mod agent_properties;
 mod bearing;
 mod containment;
+mod direct;
 mod network;
 mod overload;
 mod placement;
--- a/crates/direct/src/answer.rs
+++ b/crates/direct/src/answer.rs
@@ -66,5 +66,7 @@
 
 /// Tells the caller that its connection ends with this answer.
 pub(crate) fn close(response: &mut Response<AnswerBody>) {
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+        .headers_mut()
+        .insert(CONNECTION, HeaderValue::from_static("close"));
 }
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -9,9 +9,7 @@
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{
-    Ask, Ending, Outcome, Placement, Run, Scheduler, Ticket, Turned,
-};
+use comfreyhaven_core::direct::{Ask, Ending, Outcome, Placement, Run, Scheduler, Ticket, Turned};
 use tokio::sync::oneshot;
 use tokio_util::task::TaskTracker;
 
@@ -36,12 +34,18 @@
     /// Notes the first byte of the answer.
     pub fn begin(&mut self) {
         let now = clock::now();
-        self.context.scheduler.borrow_mut().begin(&mut self.run, now);
+        self.context
+            .scheduler
+            .borrow_mut()
+            .begin(&mut self.run, now);
     }
 
     /// Notes how long the answer's events took.
     pub fn stream(&self, events: u32, span: Duration) {
-        self.context.scheduler.borrow_mut().stream(&self.run, events, span);
+        self.context
+            .scheduler
+            .borrow_mut()
+            .stream(&self.run, events, span);
     }
 
     /// Gives the place back.
@@ -52,7 +56,10 @@
     fn finish(&mut self, ending: Ending) {
         if !std::mem::replace(&mut self.over, true) {
             let now = clock::now();
-            self.context.scheduler.borrow_mut().end(&self.run, ending, now);
+            self.context
+                .scheduler
+                .borrow_mut()
+                .end(&self.run, ending, now);
             self.context.settle();
         }
     }
@@ -196,7 +203,9 @@
         self.metrics.waiting.set(gauge(totals.waiting));
         self.metrics.members.set(gauge(totals.members));
         if let Some(age) = scheduler.currency().age(clock::now()) {
-            self.metrics.age.set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+            self.metrics
+                .age
+                .set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
         }
     }
 
@@ -205,7 +214,9 @@
         let scheduler = self.scheduler.borrow();
         let now = clock::now();
         for id in scheduler.book().ids() {
-            let Some(known) = scheduler.book().get(&id) else { continue };
+            let Some(known) = scheduler.book().get(&id) else {
+                continue;
+            };
             log::debug!(
                 endpoint:% = id,
                 service:% = known.listing().service,
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{Ask, EndpointId, Ending, Listing, Placement};
+use comfreyhaven_core::direct::{Ask, Ending, EndpointId, Listing, Placement};
 use comfreyhaven_core::refusal::RefusalKind;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
@@ -278,12 +278,23 @@
     }
 
     fn note(&self, outcome: &str, listing: &Listing) {
-        self.context.metrics.sends.with_label_values(&[outcome]).inc();
+        self.context
+            .metrics
+            .sends
+            .with_label_values(&[outcome])
+            .inc();
         log::info!(request:? = self.intake.head.id, endpoint:% = listing.id, send:% = self.sends; "{outcome}");
     }
 
     fn broken(&self, error: &SendError, listing: &Listing, hold: Hold) -> Fault {
-        self.note(if error.is_unsent() { "unsent" } else { "broken" }, listing);
+        self.note(
+            if error.is_unsent() {
+                "unsent"
+            } else {
+                "broken"
+            },
+            listing,
+        );
         log::info!(request:? = self.intake.head.id, endpoint:% = listing.id; "no answer: {error}");
         hold.end(Ending::Broken);
         self.context.upstream.close(&listing.id);
@@ -300,7 +311,11 @@
     fn rejected(&self, reply: Reply, hold: Hold, listing: &Listing) -> Fault {
         self.note("rejected", listing);
         let other = reply.response.status() == StatusCode::MISDIRECTED_REQUEST;
-        hold.end(if other { Ending::Broken } else { Ending::Rejected });
+        hold.end(if other {
+            Ending::Broken
+        } else {
+            Ending::Rejected
+        });
         if other {
             self.context.upstream.close(&listing.id);
         } else {
@@ -349,7 +364,9 @@
     /// Keeps the connection of a whole answer.
     fn finish(&self, lease: Lease) {
         let upstream = self.context.upstream.clone();
-        self.context.tasks.spawn_local(async move { upstream.keep(lease).await });
+        self.context
+            .tasks
+            .spawn_local(async move { upstream.keep(lease).await });
         let mut scheduler = self.context.scheduler.borrow_mut();
         scheduler.suspects_mut().clear(self.intake.digest);
     }
@@ -379,7 +396,10 @@
     fn refuse(&self, kind: RefusalKind, retry: Option<Duration>) -> Response<AnswerBody> {
         let text: &'static str = kind.into();
         log::info!(request:? = self.intake.head.id, cause = text, sends:% = self.sends; "refused");
-        if self.runs == 0 && kind != RefusalKind::OutcomeUnknown && kind != RefusalKind::DeadlineExceeded {
+        if self.runs == 0
+            && kind != RefusalKind::OutcomeUnknown
+            && kind != RefusalKind::DeadlineExceeded
+        {
             self.refund();
         }
         let response = answer::refused(kind, retry);
@@ -391,7 +411,10 @@
     fn refund(&self) {
         if let Some(team) = &self.intake.head.team {
             let units = self.intake.head.units();
-            self.context.scheduler.borrow_mut().refund(team, units, clock::now());
+            self.context
+                .scheduler
+                .borrow_mut()
+                .refund(team, units, clock::now());
         }
     }
 }
@@ -406,7 +429,14 @@
 /// Headers of an endpoint's answer that the caller sees.
 fn passed_back(headers: &HeaderMap) -> HeaderMap {
     let mut passed = headers.clone();
-    for name in ["connection", "keep-alive", "proxy-connection", "upgrade", "trailer", "te"] {
+    for name in [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "upgrade",
+        "trailer",
+        "te",
+    ] {
         passed.remove(name);
     }
     passed.remove(CONTENT_LENGTH);
--- a/crates/direct/src/drive/stream.rs
+++ b/crates/direct/src/drive/stream.rs
@@ -155,7 +155,9 @@
         match next {
             Next::Event(event) => {
                 // A resumed stream may begin with events that the caller has.
-                let known = event.id.is_some_and(|id| last.is_some_and(|last| id <= last));
+                let known = event
+                    .id
+                    .is_some_and(|id| last.is_some_and(|last| id <= last));
                 last = event.id.or(last);
                 pauses.note();
                 if !known && sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
@@ -197,9 +199,16 @@
         prompt:% = drive.intake.head.cost.map_or(0, |cost| cost.prompt);
         "stream complete"
     );
-    drive.context.metrics.sends.with_label_values(&["answered"]).inc();
+    drive
+        .context
+        .metrics
+        .sends
+        .with_label_values(&["answered"])
+        .inc();
     drive.count(StatusCode::OK, "endpoint");
-    let span = clock::now().since(drive.intake.arrived).saturating_sub(began);
+    let span = clock::now()
+        .since(drive.intake.arrived)
+        .saturating_sub(began);
     source.hold.stream(pauses.events, span);
     source.hold.end(Ending::Whole);
     drive.finish(source.lease);
@@ -215,13 +224,19 @@
     drive.runs += 1;
     if last.is_none() {
         let mut scheduler = drive.context.scheduler.borrow_mut();
-        scheduler.suspects_mut().note(drive.intake.digest, clock::now());
+        scheduler
+            .suspects_mut()
+            .note(drive.intake.digest, clock::now());
     }
     let route = drive.intake.head.route.clone();
     while route.repeat.is_allowed() && drive.runs < route.attempts {
         let now = clock::now();
         if drive.limit <= now + Duration::from_millis(100)
-            || !drive.context.scheduler.borrow_mut().repeat(&drive.service, now)
+            || !drive
+                .context
+                .scheduler
+                .borrow_mut()
+                .repeat(&drive.service, now)
         {
             return None;
         }
@@ -239,7 +254,11 @@
             Ok(reply) => {
                 let rejected = matches!(drive.kind(&reply.response), Kind::Rejected);
                 drive.runs += u32::from(!rejected);
-                hold.end(if rejected { Ending::Rejected } else { Ending::Failed });
+                hold.end(if rejected {
+                    Ending::Rejected
+                } else {
+                    Ending::Failed
+                });
             }
             Err(error) => {
                 drive.runs += u32::from(!error.is_unsent());
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -95,6 +95,8 @@
 
 fn number(event: &[u8]) -> Option<u64> {
     let lines = event.split(|&byte| byte == b'\n');
-    let value = lines.into_iter().find_map(|line| line.strip_prefix(b"id:"))?;
+    let value = lines
+        .into_iter()
+        .find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -97,7 +97,8 @@
 
     /// Whether entries that are missing may have lapsed while the store was away.
     fn is_doubtful(&self, now: Timestamp) -> bool {
-        self.recovered.is_some_and(|since| now < since + self.context.times.lapse)
+        self.recovered
+            .is_some_and(|since| now < since + self.context.times.lapse)
     }
 
     fn drop_lapsed(&mut self) {
@@ -126,7 +127,10 @@
                 Change::Gone(id) => self.gone(&id, now),
                 Change::Closed(centre, state) => {
                     log::info!(centre:% = centre, closed = state; "data centre");
-                    self.context.scheduler.borrow_mut().close(&centre, state, now);
+                    self.context
+                        .scheduler
+                        .borrow_mut()
+                        .close(&centre, state, now);
                     closed.insert(centre);
                 }
                 Change::Unreadable { key, fault } => {
@@ -147,7 +151,12 @@
         self.context.settle();
     }
 
-    fn configure(&self, plan: Box<comfreyhaven_core::direct::Plan>, asked: Timestamp, now: Timestamp) {
+    fn configure(
+        &self,
+        plan: Box<comfreyhaven_core::direct::Plan>,
+        asked: Timestamp,
+        now: Timestamp,
+    ) {
         let version = plan.version;
         let mut scheduler = self.context.scheduler.borrow_mut();
         if scheduler.configure(Arc::from(plan), now) {
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -65,7 +65,11 @@
     let plan = context.scheduler.borrow().plan().clone();
     let known = plan.version > 0;
     let idle = if known { plan.idle } else { DEFAULT_IDLE };
-    let header = if known { plan.header } else { DEFAULT_HEADER_BYTES };
+    let header = if known {
+        plan.header
+    } else {
+        DEFAULT_HEADER_BYTES
+    };
     let service = service_fn(move |request| {
         let context = Rc::clone(&context);
         async move {
@@ -118,7 +122,12 @@
         parts.uri,
         fold(&body)
     )));
-    if context.scheduler.borrow().suspects().is_refused(digest, now) {
+    if context
+        .scheduler
+        .borrow()
+        .suspects()
+        .is_refused(digest, now)
+    {
         return refuse(context, &parts, RefusalKind::NoEndpoint, None);
     }
     let picked = context.scheduler.borrow_mut().pick(&head.route.split);
@@ -128,7 +137,10 @@
     context.scheduler.borrow_mut().count(&service, now);
     if let Some(team) = &head.team {
         let units = head.units();
-        let charged = context.scheduler.borrow_mut().charge(team, units, head.route.rank, now);
+        let charged = context
+            .scheduler
+            .borrow_mut()
+            .charge(team, units, head.route.rank, now);
         if let Err(excess) = charged {
             let retry = excess.refill.min(head.deadline / 3);
             log::info!(request:? = head.id, team:% = team.name, units = units; "{excess}");
@@ -158,7 +170,9 @@
     let retry = retry.or(unavailable.then_some(UNAVAILABLE_PAUSE));
     let mut response = answer::refused(kind, retry);
     let answers = &context.metrics.answers;
-    answers.with_label_values(&[response.status().as_str(), text]).inc();
+    answers
+        .with_label_values(&[response.status().as_str(), text])
+        .inc();
     if matches!(kind, RefusalKind::Malformed | RefusalKind::TooLarge) {
         answer::close(&mut response);
     }
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -81,7 +81,10 @@
 
 fn hear(context: &Rc<Context>, from: SocketAddr, report: Report) {
     let version = report.version;
-    let heard = context.scheduler.borrow_mut().hear(from, report, clock::now());
+    let heard = context
+        .scheduler
+        .borrow_mut()
+        .hear(from, report, clock::now());
     if heard.started {
         log::info!(peer:% = from, version = version; "peer heard");
     }
--- a/crates/direct/src/intake.rs
+++ b/crates/direct/src/intake.rs
@@ -84,7 +84,13 @@
     if plan.version == 0 {
         return Err(RefusalKind::Unavailable);
     }
-    let missing = |kind| if current { kind } else { RefusalKind::Unavailable };
+    let missing = |kind| {
+        if current {
+            kind
+        } else {
+            RefusalKind::Unavailable
+        }
+    };
     let host = host(parts).ok_or(RefusalKind::Malformed)?;
     let route = plan
         .route(&host, parts.uri.path())
@@ -136,7 +142,10 @@
 }
 
 fn host(parts: &Parts) -> Option<String> {
-    let named = parts.headers.get(HOST).and_then(|value| value.to_str().ok());
+    let named = parts
+        .headers
+        .get(HOST)
+        .and_then(|value| value.to_str().ok());
     let text = parts.uri.authority().map(|a| a.as_str()).or(named)?;
     let host = match text.rsplit_once(':') {
         Some((host, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => host,
@@ -172,7 +181,8 @@
 
 fn millis(value: &HeaderValue) -> Option<Duration> {
     let millis: f64 = value.to_str().ok()?.trim().parse().ok()?;
-    (millis.is_finite() && millis >= 0.0).then(|| Duration::from_secs_f64(millis.min(1e9) / 1_000.0))
+    (millis.is_finite() && millis >= 0.0)
+        .then(|| Duration::from_secs_f64(millis.min(1e9) / 1_000.0))
 }
 
 fn cost(value: &HeaderValue) -> Option<Cost> {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,8 +1,6 @@
 //! Counters and histograms of a direct entry.
 
-use prometheus::{
-    Error, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry,
-};
+use prometheus::{Error, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
 
 /// Bounds of the histograms, in seconds.
 const BUCKETS: [f64; 14] = [
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -125,11 +125,19 @@
     }
     let (socket, shared) = (Rc::clone(&datagrams), Rc::clone(&context));
     tasks.spawn_local(gossip::tell(socket, shared, finish.clone()));
-    tasks.spawn_local(gossip::listen(datagrams, Rc::clone(&context), finish.clone()));
+    tasks.spawn_local(gossip::listen(
+        datagrams,
+        Rc::clone(&context),
+        finish.clone(),
+    ));
     tasks.spawn_local(peer::serve(peers, Rc::clone(&context), finish.clone()));
     tasks.spawn_local(probes(ready, Rc::clone(&context), finish.clone()));
     if let Some(address) = places.metrics {
-        tasks.spawn_local(probes(bind(address).await?, Rc::clone(&context), finish.clone()));
+        tasks.spawn_local(probes(
+            bind(address).await?,
+            Rc::clone(&context),
+            finish.clone(),
+        ));
     }
     tasks.spawn_local(tick(Rc::clone(&context), finish.clone()));
     tasks.spawn_local(front::serve(front, Rc::clone(&context), stop.clone()));
@@ -157,7 +165,12 @@
 }
 
 /// Takes nothing new after a while, finishes what is under way, and joins every task.
-async fn leave(context: &Context, tasks: &TaskTracker, stop: CancellationToken, finish: CancellationToken) {
+async fn leave(
+    context: &Context,
+    tasks: &TaskTracker,
+    stop: CancellationToken,
+    finish: CancellationToken,
+) {
     let begun = clock::now();
     let grace = context.times.grace.mul_f64(GRACE_PART);
     context.leave();
@@ -169,7 +182,10 @@
     finish.cancel();
     tasks.close();
     let rest = grace.saturating_sub(clock::now().since(begun));
-    if tokio::time::timeout(rest.max(TICK * 5), tasks.wait()).await.is_err() {
+    if tokio::time::timeout(rest.max(TICK * 5), tasks.wait())
+        .await
+        .is_err()
+    {
         log::warn!("leaving with work under way: the grace period is over");
     }
     log::info!("left");
@@ -188,7 +204,9 @@
         }
         if count.is_multiple_of(TRIM_TICKS) {
             let listed: Vec<_> = context.scheduler.borrow().book().ids();
-            context.upstream.trim(|id| listed.iter().any(|other| **other == *id));
+            context
+                .upstream
+                .trim(|id| listed.iter().any(|other| **other == *id));
             context.measure();
             if count.is_multiple_of(TRIM_TICKS * 4) {
                 context.describe();
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -71,11 +71,13 @@
 impl Reader<'_> {
     fn text(&self, name: &'static str, expected: &'static str) -> Result<&str, SettingsError> {
         let value = self.file.get_from(Some(self.section), name).map(str::trim);
-        value.filter(|value| !value.is_empty()).ok_or(SettingsError::Missing {
-            section: self.section,
-            name,
-            expected,
-        })
+        value
+            .filter(|value| !value.is_empty())
+            .ok_or(SettingsError::Missing {
+                section: self.section,
+                name,
+                expected,
+            })
     }
 
     fn value<T: FromStr>(
@@ -84,15 +86,11 @@
         expected: &'static str,
     ) -> Result<T, SettingsError> {
         let text = self.text(name, expected)?;
-        text.parse().map_err(|_| self.malformed(name, text, expected))
+        text.parse()
+            .map_err(|_| self.malformed(name, text, expected))
     }
 
-    fn malformed(
-        &self,
-        name: &'static str,
-        value: &str,
-        expected: &'static str,
-    ) -> SettingsError {
+    fn malformed(&self, name: &'static str, value: &str, expected: &'static str) -> SettingsError {
         SettingsError::Malformed {
             section: self.section,
             name,
@@ -126,7 +124,8 @@
     /// # Errors
     /// Returns a [`SettingsError`] that names the first value that cannot be used.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let file = Ini::load_from_str(text).map_err(|e| SettingsError::File(ini::Error::Parse(e)))?;
+        let file =
+            Ini::load_from_str(text).map_err(|e| SettingsError::File(ini::Error::Parse(e)))?;
         Self::read(&file)
     }
 
@@ -138,7 +137,10 @@
         };
         let address: IpAddr = entry.value("address", "the address of this host")?;
         let ports = entry.text("ports", "two ports, as in 7600-7615")?;
-        let first = ports.split('-').next().and_then(|port| port.trim().parse().ok());
+        let first = ports
+            .split('-')
+            .next()
+            .and_then(|port| port.trim().parse().ok());
         let first: u16 =
             first.ok_or_else(|| entry.malformed("ports", ports, "two ports, as in 7600-7615"))?;
         let peer = SocketAddr::new(address, first);
@@ -148,10 +150,15 @@
             peer,
             metrics: None,
             seeds: seeds(&entry, first)?,
-            centre: entry.text("data centre", "the name of a data centre")?.into(),
+            centre: entry
+                .text("data centre", "the name of a data centre")?
+                .into(),
         };
         let store = entry.value("store", SOCKET)?;
-        let log = entry.text("log", "a log filter, as in info").unwrap_or("info").to_owned();
+        let log = entry
+            .text("log", "a log filter, as in info")
+            .unwrap_or("info")
+            .to_owned();
         let limits = Reader {
             file,
             section: "bounds",
@@ -191,7 +198,10 @@
         return Ok(Vec::new());
     };
     let parse = |part: &str| {
-        let seed: SocketAddr = part.trim().parse().map_err(|_| entry.malformed("seeds", part, EXPECTED))?;
+        let seed: SocketAddr = part
+            .trim()
+            .parse()
+            .map_err(|_| entry.malformed("seeds", part, EXPECTED))?;
         Ok(SocketAddr::new(seed.ip(), port))
     };
     text.split(',').map(parse).collect()
