--- a/crates/core/tests/core/direct/members.rs
+++ b/crates/core/tests/core/direct/members.rs
@@ -18,9 +18,10 @@
         for from in 0..4 {
             let report = entries[from].report(at(round * 50));
             let targets = entries[from].targets();
-            for to in 0..4 {
+            let now = at(round * 50 + 1);
+            for (to, entry) in entries.iter_mut().enumerate() {
                 if to != from && targets.contains(&address(to as u8 + 1)) {
-                    entries[to].hear(address(from as u8 + 1), report.clone(), at(round * 50 + 1));
+                    entry.hear(address(from as u8 + 1), report.clone(), now);
                 }
             }
         }
--- a/crates/core/tests/core/direct/world.rs
+++ b/crates/core/tests/core/direct/world.rs
@@ -211,7 +211,13 @@
         if self.policy == Policy::Naive {
             let busy = |engine: &usize| self.own[entry].get(engine).copied().unwrap_or(0);
             let engine = (0..self.engines.len()).min_by_key(busy).expect("an engine");
-            return self.send(entry, kind, ask, engine, None, now);
+            let job = Job {
+                entry,
+                kind,
+                ask,
+                run: None,
+            };
+            return self.send(job, engine, now);
         }
         match self.entries[entry].ask(ask.clone(), now) {
             Some(outcome) => self.outcome(entry, kind, ask, outcome, now),
@@ -226,32 +232,28 @@
                 let id = &*placement.listing.id;
                 let engine = self.engines.iter().position(|engine| engine.id == id);
                 let engine = engine.expect("a listed engine");
-                self.send(entry, kind, ask, engine, Some(placement.run), now);
+                let job = Job {
+                    entry,
+                    kind,
+                    ask,
+                    run: Some(placement.run),
+                };
+                self.send(job, engine, now);
             }
         }
     }
 
-    fn send(
-        &mut self,
-        entry: usize,
-        kind: usize,
-        ask: Ask,
-        engine: usize,
-        run: Option<Run>,
-        now: Timestamp,
-    ) {
-        *self.own[entry].entry(engine).or_default() += 1;
-        let job = self.next;
-        self.jobs.insert(
-            job,
-            Job {
-                entry,
-                kind,
-                ask,
-                run,
+    fn send(&mut self, job: Job, engine: usize, now: Timestamp) {
+        *self.own[job.entry].entry(engine).or_default() += 1;
+        let number = self.next;
+        self.jobs.insert(number, job);
+        self.add(
+            now + HOP,
+            Event::Reach {
+                engine,
+                job: number,
             },
         );
-        self.add(now + HOP, Event::Reach { engine, job });
     }
 
     fn reach(&mut self, engine: usize, job: u64, now: Timestamp) {
