--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -25,7 +25,7 @@
 pub use members::{Echo, EndpointLoad, Members, Report, ServiceLoad};
 pub use pace::{Pace, part};
 pub use plan::{
-    Access, Backend, EndpointId, Listing, Plan, PlanTeam, Repeat, Route, ServicePlan, Unit,
+    Access, EndpointId, Listing, Plan, PlanTeam, Repeat, Route, ServicePlan, Unit, Weighted,
 };
 pub use scheduler::{
     Ask, Bounds, Ending, Heard, Outcome, Placement, Reason, Scheduler, Ticket, Totals, Turned,
--- a/crates/core/src/direct/plan.rs
+++ b/crates/core/src/direct/plan.rs
@@ -42,7 +42,7 @@
 
 /// One of the services that a route is split over.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Backend {
+pub struct Weighted {
     /// The service.
     pub service: Arc<str>,
     /// Its part of the route's requests, against the sum of all weights.
@@ -59,7 +59,7 @@
     /// Begin of the path, with a slash at both ends.
     pub prefix: Arc<str>,
     /// The services.
-    pub split: Vec<Backend>,
+    pub split: Vec<Weighted>,
     /// Who may use it.
     pub access: Access,
     /// What may be repeated.
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -1,8 +1,10 @@
 //! The one state machine of a direct entry: where each request goes, waits, or is turned away.
 
+mod message;
 mod placing;
 mod sharing;
 
+pub use message::{Ask, Bounds, Ending, Outcome, Placement, Reason, Ticket, Totals, Turned};
 pub use sharing::Heard;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -12,9 +14,8 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use strum::IntoStaticStr;
 
-use super::allowance::{Allowance, Excess, Terms};
+use super::allowance::{Allowance, Excess};
 use super::book::{Book, Run};
 use super::budget::Budget;
 use super::currency::Currency;
@@ -32,123 +33,6 @@
 /// How long a request that can no longer be on time may wait for a place.
 const LATE_PATIENCE: Duration = Duration::from_millis(1_600);
 
-/// Names a request while it waits.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(pub u64);
-
-/// A request that wants an endpoint.
-#[derive(Debug, Clone)]
-pub struct Ask {
-    /// Names it.
-    pub ticket: Ticket,
-    /// The service.
-    pub service: Arc<str>,
-    /// Urgency of its team, which goes first; zero is the most urgent.
-    pub standing: u8,
-    /// Urgency of its route; zero is the most urgent.
-    pub rank: u8,
-    /// Tokens of its prompt.
-    pub prompt: u64,
-    /// Tokens that its answer is guessed to have.
-    pub length: u64,
-    /// Whether its answer is a stream.
-    pub streaming: bool,
-    /// When it came.
-    pub arrived: Timestamp,
-    /// Until when its answer has to begin to be on time.
-    pub objective: Timestamp,
-    /// When its caller stops waiting.
-    pub deadline: Timestamp,
-    /// Longest pause between events that is on time.
-    pub pause: Option<Duration>,
-    /// Endpoints that it must not go to again.
-    pub excluded: Vec<EndpointId>,
-}
-
-/// Where a request goes.
-#[derive(Debug, Clone)]
-pub struct Placement {
-    /// What is counted until the request is over there.
-    pub run: Run,
-    /// The endpoint.
-    pub listing: Listing,
-    /// Expected time to its first byte, in milliseconds.
-    pub expected: u64,
-}
-
-/// Why a request got no endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum Reason {
-    /// Every endpoint is full of work that goes before it.
-    Overloaded,
-    /// The service has no endpoint that may be used.
-    NoEndpoint,
-}
-
-/// A request that was turned away.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Turned {
-    /// Why.
-    pub reason: Reason,
-    /// When a place is expected.
-    pub retry: Duration,
-}
-
-/// What became of an [`Ask`].
-#[derive(Debug, Clone)]
-pub enum Outcome {
-    /// It goes to an endpoint.
-    Placed(Box<Placement>),
-    /// It is refused.
-    Turned(Turned),
-}
-
-/// How a request ended at an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ending {
-    /// It got its whole answer.
-    Whole,
-    /// The endpoint answered that it failed.
-    Failed,
-    /// The endpoint said that it did not run it.
-    Rejected,
-    /// The endpoint could not be reached, or broke the connection off.
-    Broken,
-    /// The caller left, or its time was over.
-    Cancelled,
-}
-
-/// Counts for metrics and for the dump of the state.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Totals {
-    /// Requests that wait.
-    pub waiting: usize,
-    /// Requests that run.
-    pub running: usize,
-    /// Endpoints known.
-    pub endpoints: usize,
-    /// Entries known, with this one.
-    pub members: usize,
-}
-
-/// Bounds that every entry keeps together with all others.
-#[derive(Debug, Clone)]
-pub struct Bounds {
-    /// How teams' rates are counted.
-    pub rates: Terms,
-    /// Window of the budget of repeats.
-    pub window: Duration,
-    /// Repeats for each request of a window.
-    pub ratio: f64,
-    /// Repeats of a window beyond that.
-    pub slack: f64,
-    /// Factor on the requests a second that a cold endpoint bears.
-    pub overage: f64,
-    /// Requests a second beyond that.
-    pub extra: f64,
-}
-
 /// The state of a direct entry.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -355,17 +239,17 @@
     }
 
     /// Chooses a service of a split route.
-    pub fn pick(&mut self, split: &[super::plan::Backend]) -> Option<Arc<str>> {
-        let total: u32 = split.iter().map(|backend| backend.weight).sum();
+    pub fn pick(&mut self, split: &[super::plan::Weighted]) -> Option<Arc<str>> {
+        let total: u32 = split.iter().map(|part| part.weight).sum();
         if total == 0 {
-            return split.first().map(|backend| Arc::clone(&backend.service));
+            return split.first().map(|part| Arc::clone(&part.service));
         }
         let mut drawn = self.random.random_range(0..total);
-        for backend in split {
-            if drawn < backend.weight {
-                return Some(Arc::clone(&backend.service));
+        for part in split {
+            if drawn < part.weight {
+                return Some(Arc::clone(&part.service));
             }
-            drawn -= backend.weight;
+            drawn -= part.weight;
         }
         None
     }
--- a/crates/core/tests/core/direct/parts.rs
+++ b/crates/core/tests/core/direct/parts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use comfreyhaven_core::direct::{Backend, Budget, Curve, Pace, Suspects};
+use comfreyhaven_core::direct::{Budget, Curve, Pace, Suspects, Weighted};
 use comfreyhaven_core::request::BodyDigest;
 
 use super::{address, at, scheduler};
@@ -96,7 +96,7 @@
 #[test]
 fn a_split_route_keeps_to_its_weights() {
     let mut scheduler = scheduler(1, &[]);
-    let split = [("x", 90), ("y", 10)].map(|(service, weight)| Backend {
+    let split = [("x", 90), ("y", 10)].map(|(service, weight)| Weighted {
         service: service.into(),
         weight,
     });
