--- a/crates/core/src/direct/book.rs
+++ b/crates/core/src/direct/book.rs
@@ -12,15 +12,15 @@
 use super::plan::{EndpointId, Listing};
 use crate::time::Timestamp;
 
-/// Tokens of a prompt by which endpoints are compared.
-const TYPICAL_TOKENS: f64 = 2_000.0;
-
 /// Part of a new measurement in a learnt time between events.
 const EVENT_GAIN: f64 = 0.15;
 
 /// Part of a new outcome in a learnt share of failures.
 const FAILURE_GAIN: f64 = 0.12;
 
+/// Time in which a share of failures fades to a third while nothing is sent.
+const FAILURE_MEMORY: Duration = Duration::from_secs(3);
+
 /// First pause after an endpoint could not be reached or broke off.
 const SUSPECT_MIN: Duration = Duration::from_millis(300);
 
@@ -68,11 +68,15 @@
     /// What its peers say they run there.
     foreign: Load,
     sends: Pace,
+    /// When this entry last sent a request there.
+    sent: Timestamp,
     cold: Timestamp,
     /// When the entry lapsed from the list while the list could not be trusted.
     lapsed: bool,
     /// Time to a first byte.
     curve: Curve,
+    /// Whether anything was seen of this endpoint itself.
+    learnt: bool,
     /// Time between two events of one answer, in milliseconds.
     event: f64,
     failures: f64,
@@ -108,10 +112,12 @@
         &self.curve
     }
 
-    /// The share of requests that failed there of late.
+    /// The share of requests that failed there of late. It fades while nothing is sent there, so
+    /// that the endpoint is tried again.
     #[must_use]
-    pub const fn failures(&self) -> f64 {
-        self.failures
+    pub fn failures(&self, now: Timestamp) -> f64 {
+        let idle = now.since(self.sent).as_secs_f64();
+        self.failures * (-idle / FAILURE_MEMORY.as_secs_f64()).exp()
     }
 
     /// Whether it is cold.
@@ -179,6 +185,7 @@
     endpoints: BTreeMap<EndpointId, Candidate>,
     services: HashMap<Arc<str>, Vec<EndpointId>>,
     digests: HashMap<u64, EndpointId>,
+    usual: HashMap<Arc<str>, Curve>,
     reports: HashMap<SocketAddr, Vec<EndpointLoad>>,
     starts: u64,
 }
@@ -214,9 +221,11 @@
             own: Load::default(),
             foreign: Load::default(),
             sends: Pace::default(),
+            sent: now,
             cold,
             lapsed: false,
             curve: self.usual(&listing.service),
+            learnt: false,
             event: EVENT_MS,
             failures: 0.0,
             strikes: 0,
@@ -241,12 +250,10 @@
         self.endpoints.insert(id, candidate);
     }
 
-    /// The median of a service's endpoints, from which a new one starts.
+    /// What is learnt of a service's endpoints together, from which a new one starts.
     fn usual(&self, service: &str) -> Curve {
-        let mut curves: Vec<Curve> = self.of(service).map(|known| known.curve).collect();
-        curves.sort_by(|one, other| one.at(TYPICAL_TOKENS).total_cmp(&other.at(TYPICAL_TOKENS)));
-        let median = curves.get(curves.len() / 2).map(Curve::prior);
-        median.unwrap_or_else(|| Curve::new(FIRST_MS, TOKEN_MS))
+        let first = || Curve::new(FIRST_MS, TOKEN_MS);
+        self.usual.get(service).map_or_else(first, Curve::prior)
     }
 
     /// Removes an endpoint.
@@ -358,6 +365,7 @@
         known.own.running += 1;
         known.own.pending += prompt;
         known.sends.note(now);
+        known.sent = now;
         Some(Run {
             endpoint: Arc::clone(&known.listing.id),
             sent: now,
@@ -385,6 +393,19 @@
         known.own.pending = known.own.pending.saturating_sub(run.prompt);
         let seen = now.since(run.sent).as_secs_f64() * 1_000.0;
         known.curve.learn(run.ahead, seen);
+        known.learnt = true;
+        let service_of = Arc::clone(&known.listing.service);
+        let usual = self.usual.entry(Arc::clone(&service_of));
+        let usual = usual.or_insert_with(|| Curve::new(FIRST_MS, TOKEN_MS));
+        usual.learn(run.ahead, seen);
+        let usual = *usual;
+        for id in self.services.get(&service_of).into_iter().flatten() {
+            if let Some(other) = self.endpoints.get_mut(id)
+                && !other.learnt
+            {
+                other.curve = usual;
+            }
+        }
     }
 
     /// Notes that a request is over there.
--- a/crates/core/src/direct/scheduler/placing.rs
+++ b/crates/core/src/direct/scheduler/placing.rs
@@ -197,7 +197,7 @@
         let expected = known.first_byte(ask.prompt) * DOUBT;
         let filled =
             f64::from(known.load().running) / f64::from(Self::places(known, ask.streaming));
-        let mut price = expected + FILL_MS * filled + FAILURE_MS * known.failures();
+        let mut price = expected + FILL_MS * filled + FAILURE_MS * known.failures(now);
         if known.listing().centre != self.centre {
             price += REMOTE_MS;
         }
--- a/crates/core/tests/core/direct/endpoints.rs
+++ b/crates/core/tests/core/direct/endpoints.rs
@@ -90,7 +90,10 @@
     assert!(place(&mut scheduler, 3, 30).is_some());
     // The run before it ends late and takes nothing from the new one.
     scheduler.end(&before.run, Ending::Broken, at(40));
-    assert_eq!(scheduler.book().get("x").expect("listed").failures(), 0.0);
+    assert_eq!(
+        scheduler.book().get("x").expect("listed").failures(at(50)),
+        0.0
+    );
     assert_eq!(scheduler.book().get("x").expect("listed").load().running, 1);
 }
 
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -227,7 +227,7 @@
                 pending:% = known.load().pending,
                 first:% = known.curve().at(0.0).round(),
                 slope:% = (known.curve().slope() * 1e5).round() / 1e5,
-                failures:% = (known.failures() * 100.0).round() / 100.0,
+                failures:% = (known.failures(now) * 100.0).round() / 100.0,
                 cold:% = known.is_cold(now),
                 suspect:% = known.is_suspect(now);
                 "endpoint"
