Treat all requests of a kind alike: short kinds go first, not the short requests of a kind

Short requests of a long kind were counted as short work, and with 23 entries an urgent request waits at some peer at any time, so that others were never placed. Change: the kind's average decides what is short; one request in four does not yield to peers, and none does while more places are free than urgent requests wait.

--- a/crates/core/src/direct/allowance.rs
+++ b/crates/core/src/direct/allowance.rs
@@ -150,7 +150,8 @@
         let over = self.used + need - self.limit(part * (1.0 - kept));
         self.fill(part, now);
         let lack = need as f64 + self.depth() * kept - self.level;
-        if over > 0 || lack > 0.0 && self.level < self.depth() {
+        let empty = lack > 0.0 && self.level < self.depth() && !small;
+        if over > 0 || empty {
             let filled = Duration::from_secs_f64((lack / self.rate as f64).clamp(0.0, 60.0));
             return Err(Excess {
                 refill: self.refill(over, now).max(filled),
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -30,6 +30,9 @@
 const RETURN_RANGE: (Duration, Duration) =
     (Duration::from_millis(900), Duration::from_millis(3_400));
 
+/// Part of a new request in the average of its kind.
+const TYPICAL_GAIN: f64 = 0.03;
+
 /// How long a request that can no longer be on time may wait for a place.
 const LATE_PATIENCE: Duration = Duration::from_millis(1_600);
 
@@ -49,6 +52,8 @@
     allowances: HashMap<u64, Allowance>,
     spent: HashMap<u64, i64>,
     suspects: Suspects,
+    /// Seconds that requests hold a place on average, by kind.
+    typical: HashMap<Arc<str>, f64>,
     members: Members,
     currency: Currency,
     leaving: bool,
@@ -80,6 +85,7 @@
             allowances: HashMap::new(),
             spent: HashMap::new(),
             suspects: Suspects::default(),
+            typical: HashMap::new(),
             members: Members::default(),
             currency: Currency::default(),
             leaving: false,
@@ -256,7 +262,8 @@
 
     /// Takes a request. Returns nothing if it waits; [`Scheduler::settle`] then tells what became of
     /// it.
-    pub fn ask(&mut self, ask: Ask, now: Timestamp) -> Option<Outcome> {
+    pub fn ask(&mut self, mut ask: Ask, now: Timestamp) -> Option<Outcome> {
+        ask.typical = self.typical(&ask);
         let late = self.is_late(&ask, now);
         if self.is_empty(&ask) {
             return Some(self.turn(&ask, Reason::NoEndpoint, now));
@@ -277,6 +284,14 @@
         None
     }
 
+    /// How long requests of a kind hold a place on average, with this one counted.
+    fn typical(&mut self, ask: &Ask) -> Duration {
+        let hold = ask.hold().as_secs_f64();
+        let typical = self.typical.entry(Arc::clone(&ask.kind)).or_insert(hold);
+        *typical += TYPICAL_GAIN * (hold - *typical);
+        Duration::from_secs_f64(*typical)
+    }
+
     /// Takes a waiting request back.
     pub fn withdraw(&mut self, service: &str, ticket: Ticket) {
         if let Some(line) = self.lines.get_mut(service) {
--- a/crates/core/src/direct/scheduler/message.rs
+++ b/crates/core/src/direct/scheduler/message.rs
@@ -21,6 +21,8 @@
     pub ticket: Ticket,
     /// The service.
     pub service: Arc<str>,
+    /// What kind of request it is: the name of its route.
+    pub kind: Arc<str>,
     /// Urgency of its team, which goes first; zero is the most urgent.
     pub standing: u8,
     /// Urgency of its route; zero is the most urgent.
@@ -41,6 +43,8 @@
     pub pause: Option<Duration>,
     /// Endpoints that it must not go to again.
     pub excluded: Vec<EndpointId>,
+    /// How long requests of its kind hold a place on average. The scheduler sets it.
+    pub typical: Duration,
 }
 
 /// Where a request goes.
--- a/crates/core/src/direct/scheduler/placing.rs
+++ b/crates/core/src/direct/scheduler/placing.rs
@@ -17,6 +17,9 @@
 /// Part of all places that is kept free for requests of a higher rank, for each rank below it.
 const RESERVE: f64 = 0.04;
 
+/// One request of so many does not leave its place to urgent ones at peers.
+const YIELD_LOTTERY: u64 = 4;
+
 /// Part of all places that is kept free for requests that can still be on time.
 const LATE_RESERVE: f64 = 0.12;
 
@@ -114,17 +117,19 @@
         if f64::from(free) <= kept * f64::from(all) {
             return false;
         }
-        self.is_fair(ask, all, now)
+        self.is_fair(ask, free, all, now)
     }
 
     /// Whether this entry has not more than its part of the places while others wait.
-    fn is_fair(&self, ask: &Ask, places: u32, now: Timestamp) -> bool {
+    fn is_fair(&self, ask: &Ask, free: u32, places: u32, now: Timestamp) -> bool {
         let (running, waiting, urgent) = self.members.demand(digest(&ask.service), now);
         if waiting == 0 {
             return true;
         }
-        // A place that is free here goes to the peer whose urgent request waits for it.
-        if urgent > 0 && ask.rank > 0 && !ask.is_short() {
+        // A place that is free here goes to the peer whose urgent request waits for it, but for some,
+        // or a large fleet would never serve anything else.
+        let yields = !ask.ticket.0.is_multiple_of(YIELD_LOTTERY);
+        if urgent >= free && ask.rank > 0 && yields && !ask.is_short() {
             return false;
         }
         let own_running: u32 = self
--- a/crates/core/src/direct/waiting.rs
+++ b/crates/core/src/direct/waiting.rs
@@ -25,10 +25,13 @@
 const SHORT_TIME: Duration = Duration::from_millis(350);
 
 /// Part of the expected time of a request by which its turn comes later.
-const LENGTH_PART: f64 = 0.5;
+const LENGTH_PART: f64 = 0.1;
+
+/// Longest time by which a turn comes later: what waits in time waits little longer.
+const PENALTY_MAX: Duration = Duration::from_millis(60);
 
 /// One request of so many keeps its turn whatever its length, so that long ones are not starved.
-const LOTTERY: u64 = 3;
+const LOTTERY: u64 = 2;
 
 impl Ask {
     /// How long the request is expected to hold a place.
@@ -39,10 +42,12 @@
         answer.saturating_add(PROMPT_TIME.saturating_mul(tokens(self.prompt)))
     }
 
-    /// Whether the request holds a place for so short a time that it hardly keeps others waiting.
+    /// Whether requests of this kind hold a place for so short a time that they hardly keep others
+    /// waiting. All of a kind are treated alike, so that its long ones are not starved by its short
+    /// ones.
     #[must_use]
     pub fn is_short(&self) -> bool {
-        self.hold() < SHORT_TIME
+        self.typical < SHORT_TIME
     }
 
     /// How much later a long request's turn comes: what a place can do meanwhile is worth more.
@@ -50,7 +55,7 @@
         if self.ticket.0.is_multiple_of(LOTTERY) {
             return Duration::ZERO;
         }
-        self.hold().mul_f64(LENGTH_PART)
+        self.hold().mul_f64(LENGTH_PART).min(PENALTY_MAX)
     }
 }
 
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -101,6 +101,8 @@
     Ask {
         ticket: Ticket(ticket),
         service: SERVICE.into(),
+        kind: format!("rank-{rank}").into(),
+        typical: Duration::ZERO,
         standing: 0,
         rank,
         prompt: 1_000,
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -204,6 +204,8 @@
         let ask = Ask {
             ticket: self.context.ticket(),
             service: Arc::clone(&self.service),
+            kind: Arc::clone(&head.route.name),
+            typical: Duration::ZERO,
             standing: head.standing(),
             rank: head.route.rank,
             prompt: head.cost.map_or(0, |cost| u64::from(cost.prompt)),
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -16,8 +16,11 @@
 use crate::context::Context;
 use crate::store::{Change, Page, Section, Store, StoreError};
 
-/// How long one watch waits. Each that returns confirms the configuration.
-const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+/// How long one watch of the configuration waits. Each that returns confirms it.
+const CONFIRM_WAIT: Duration = Duration::from_millis(1_000);
+
+/// How long one watch of the endpoints waits: a connection that went silent is found after it.
+const LIST_WAIT: Duration = Duration::from_millis(1_000);
 
 /// First and longest pause after a failed call.
 const PAUSE_RANGE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
@@ -75,7 +78,14 @@
     async fn call(&self, after: Option<u64>) -> Result<Page, StoreError> {
         match after {
             None => self.store.read(self.section).await,
-            Some(after) => self.store.watch(self.section, after, WATCH_WAIT).await,
+            Some(after) => self.store.watch(self.section, after, self.wait()).await,
+        }
+    }
+
+    const fn wait(&self) -> Duration {
+        match self.section {
+            Section::Configuration => CONFIRM_WAIT,
+            Section::Endpoints => LIST_WAIT,
         }
     }
 
