--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -78,7 +78,7 @@
         let elapsed = context.elapsed(&head.route.name, head.deadline);
         let span = head.deadline.min(head.route.timeout);
         log::info!(
-            request:? = head.id,
+            request = head.name(),
             route:% = head.route.name,
             team:% = head.team.as_ref().map_or("-", |team| &*team.name),
             rank:% = head.route.rank,
@@ -141,7 +141,7 @@
                         return Ok(response);
                     }
                     let text: &'static str = turned.reason.into();
-                    log::info!(request:? = self.intake.head.id, cause = text; "turned away");
+                    log::info!(request = self.intake.head.name(), cause = text; "turned away");
                     let kind = if self.runs > 0 {
                         RefusalKind::OutcomeUnknown
                     } else {
@@ -285,7 +285,7 @@
             .sends
             .with_label_values(&[outcome])
             .inc();
-        log::info!(request:? = self.intake.head.id, endpoint:% = listing.id, send:% = self.sends; "{outcome}");
+        log::info!(request = self.intake.head.name(), endpoint:% = listing.id, send:% = self.sends; "{outcome}");
     }
 
     fn broken(&self, error: &SendError, listing: &Listing, hold: Hold) -> Fault {
@@ -297,7 +297,7 @@
             },
             listing,
         );
-        log::info!(request:? = self.intake.head.id, endpoint:% = listing.id; "no answer: {error}");
+        log::info!(request = self.intake.head.name(), endpoint:% = listing.id; "no answer: {error}");
         hold.end(Ending::Broken);
         self.context.upstream.close(&listing.id);
         if error.is_unsent() {
@@ -397,7 +397,7 @@
 
     fn refuse(&self, kind: RefusalKind, retry: Option<Duration>) -> Response<AnswerBody> {
         let text: &'static str = kind.into();
-        log::info!(request:? = self.intake.head.id, cause = text, sends:% = self.sends; "refused");
+        log::info!(request = self.intake.head.name(), cause = text, sends:% = self.sends; "refused");
         if self.runs == 0
             && kind != RefusalKind::OutcomeUnknown
             && kind != RefusalKind::DeadlineExceeded
--- a/crates/direct/src/drive/stream.rs
+++ b/crates/direct/src/drive/stream.rs
@@ -187,7 +187,7 @@
         };
     }
     log::info!(
-        request:? = drive.intake.head.id,
+        request = drive.intake.head.name(),
         endpoint:% = source.listing.id,
         route:% = drive.intake.head.route.name,
         waited:% = drive.waited.as_millis(),
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -143,7 +143,7 @@
             .charge(team, units, head.route.rank, now);
         if let Err(excess) = charged {
             let retry = excess.refill.min(head.deadline / 3);
-            log::info!(request:? = head.id, team:% = team.name, units = units; "{excess}");
+            log::info!(request = head.name(), team:% = team.name, units = units; "{excess}");
             return refuse(context, &parts, RefusalKind::RateExceeded, Some(retry));
         }
     }
@@ -165,7 +165,19 @@
 ) -> Response<AnswerBody> {
     let text: &'static str = kind.into();
     let id = parts.headers.get(&context.dialect.request);
-    log::info!(request:? = id, cause = text; "refused on arrival");
+    let scheduler = context.scheduler.borrow();
+    let age = scheduler
+        .currency()
+        .age(clock::now())
+        .map(|age| age.as_millis() as u64);
+    log::info!(
+        request = id.and_then(|id| id.to_str().ok()).unwrap_or("-"),
+        cause = text,
+        version = scheduler.currency().version(),
+        age = age.unwrap_or(u64::MAX);
+        "refused on arrival"
+    );
+    drop(scheduler);
     let unavailable = kind == RefusalKind::Unavailable;
     let retry = retry.or(unavailable.then_some(UNAVAILABLE_PAUSE));
     let mut response = answer::refused(kind, retry);
--- a/crates/direct/src/intake.rs
+++ b/crates/direct/src/intake.rs
@@ -48,6 +48,11 @@
 }
 
 impl Head {
+    /// The request's id, for log lines.
+    pub(crate) fn name(&self) -> &str {
+        self.id.to_str().unwrap_or("-")
+    }
+
     /// Urgency of the team, which goes before that of the route.
     pub(crate) fn standing(&self) -> u8 {
         let team = self.team.as_ref().and_then(|team| team.rank);
--- a/crates/process/src/logging.rs
+++ b/crates/process/src/logging.rs
@@ -1,5 +1,10 @@
 //! Log lines: one event a line, with stable field names.
 
+pub mod structured;
+
+#[cfg(test)]
+mod tests;
+
 use std::io::Write;
 
 use log::kv::{Error, Key, Value, VisitSource};
@@ -12,6 +17,19 @@
     }
 }
 
+/// Starts logging as JSON to standard output, without ever waiting for whoever reads it.
+///
+/// # Errors
+/// Returns the error of starting the thread that writes.
+pub fn init_structured(filter: &str) -> std::io::Result<()> {
+    let logger = structured::Structured::new(filter, std::io::stdout())?;
+    // A second start in one process, as in tests, keeps the first logger.
+    if log::set_boxed_logger(Box::new(logger)).is_ok() {
+        log::set_max_level(log::LevelFilter::Trace);
+    }
+    Ok(())
+}
+
 /// Starts logging to standard error. `RUST_LOG`, if set, goes before `filter`.
 pub fn init(filter: &str) {
     let env = env_logger::Env::default().default_filter_or(filter);
