--- a/crates/direct/src/clock.rs
+++ b/crates/direct/src/clock.rs
@@ -1,8 +1,16 @@
 //! The clock of a direct entry: it goes on while the host is suspended.
 
+use std::time::Duration;
+
 use comfreyhaven_core::Timestamp;
 use rustix::time::{ClockId, clock_gettime};
 
+/// Whole milliseconds of a span, for log lines.
+#[must_use]
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Time since the host booted, suspensions included.
 ///
 /// Whatever expires is measured with it and checked at the moment of use: a process that wakes after
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -223,15 +223,15 @@
                 endpoint:% = id,
                 service:% = known.listing().service,
                 centre:% = known.listing().centre,
-                slots:% = known.listing().slots,
-                running:% = known.load().running,
-                own:% = known.own().running,
-                pending:% = known.load().pending,
-                first:% = known.curve().at(0.0).round(),
-                slope:% = (known.curve().slope() * 1e5).round() / 1e5,
-                failures:% = (known.failures(now) * 100.0).round() / 100.0,
-                cold:% = known.is_cold(now),
-                suspect:% = known.is_suspect(now);
+                slots = known.listing().slots,
+                running = known.load().running,
+                own = known.own().running,
+                pending = known.load().pending,
+                first = known.curve().at(0.0).round(),
+                slope = (known.curve().slope() * 1e5).round() / 1e5,
+                failures = (known.failures(now) * 100.0).round() / 100.0,
+                cold = known.is_cold(now),
+                suspect = known.is_suspect(now);
                 "endpoint"
             );
         }
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -81,11 +81,11 @@
             request = head.name(),
             route:% = head.route.name,
             team:% = head.team.as_ref().map_or("-", |team| &*team.name),
-            rank:% = head.route.rank,
+            rank = head.route.rank,
             service:% = service,
-            deadline:% = head.deadline.as_millis(),
-            elapsed:% = elapsed.as_millis(),
-            units:% = head.units();
+            deadline = clock::millis(head.deadline),
+            elapsed = clock::millis(elapsed),
+            units = head.units();
             "admitted"
         );
         let objective = head.route.objective.saturating_sub(elapsed);
@@ -141,7 +141,17 @@
                         return Ok(response);
                     }
                     let text: &'static str = turned.reason.into();
-                    log::info!(request = self.intake.head.name(), cause = text; "turned away");
+                    let totals = self.context.scheduler.borrow().totals();
+                    log::info!(
+                        request = self.intake.head.name(),
+                        cause = text,
+                        waited = clock::millis(self.waited),
+                        retry = clock::millis(turned.retry),
+                        waiting = totals.waiting,
+                        running = totals.running,
+                        members = totals.members;
+                        "turned away"
+                    );
                     let kind = if self.runs > 0 {
                         RefusalKind::OutcomeUnknown
                     } else {
@@ -285,7 +295,7 @@
             .sends
             .with_label_values(&[outcome])
             .inc();
-        log::info!(request = self.intake.head.name(), endpoint:% = listing.id, send:% = self.sends; "{outcome}");
+        log::info!(request = self.intake.head.name(), endpoint:% = listing.id, send = self.sends; "{outcome}");
     }
 
     fn broken(&self, error: &SendError, listing: &Listing, hold: Hold) -> Fault {
@@ -355,7 +365,18 @@
             hold.end(Ending::Broken);
             return Err(Fault::Unknown);
         };
-        self.note("answered", listing);
+        self.context
+            .metrics
+            .sends
+            .with_label_values(&["answered"])
+            .inc();
+        log::info!(
+            request = self.intake.head.name(),
+            endpoint:% = listing.id,
+            status = parts.status.as_u16(),
+            send = self.sends;
+            "answered"
+        );
         hold.end(ending);
         self.finish(lease);
         let headers = passed_back(&parts.headers);
@@ -397,7 +418,7 @@
 
     fn refuse(&self, kind: RefusalKind, retry: Option<Duration>) -> Response<AnswerBody> {
         let text: &'static str = kind.into();
-        log::info!(request = self.intake.head.name(), cause = text, sends:% = self.sends; "refused");
+        log::info!(request = self.intake.head.name(), cause = text, sends = self.sends; "refused");
         if self.runs == 0
             && kind != RefusalKind::OutcomeUnknown
             && kind != RefusalKind::DeadlineExceeded
--- a/crates/direct/src/drive/stream.rs
+++ b/crates/direct/src/drive/stream.rs
@@ -190,13 +190,13 @@
         request = drive.intake.head.name(),
         endpoint:% = source.listing.id,
         route:% = drive.intake.head.route.name,
-        waited:% = drive.waited.as_millis(),
-        expected:% = drive.expected,
-        first:% = began.as_millis(),
-        pause:% = pauses.longest.as_millis(),
-        events:% = pauses.events,
-        sends:% = drive.sends,
-        prompt:% = drive.intake.head.cost.map_or(0, |cost| cost.prompt);
+        waited = clock::millis(drive.waited),
+        expected = drive.expected,
+        first = clock::millis(began),
+        pause = clock::millis(pauses.longest),
+        events = pauses.events,
+        sends = drive.sends,
+        prompt = drive.intake.head.cost.map_or(0, |cost| cost.prompt);
         "stream complete"
     );
     drive
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -166,15 +166,12 @@
     let text: &'static str = kind.into();
     let id = parts.headers.get(&context.dialect.request);
     let scheduler = context.scheduler.borrow();
-    let age = scheduler
-        .currency()
-        .age(clock::now())
-        .map(|age| age.as_millis() as u64);
+    let age = scheduler.currency().age(clock::now());
     log::info!(
         request = id.and_then(|id| id.to_str().ok()).unwrap_or("-"),
         cause = text,
         version = scheduler.currency().version(),
-        age = age.unwrap_or(u64::MAX);
+        age = age.map_or_else(log::kv::Value::null, |age| clock::millis(age).into());
         "refused on arrival"
     );
     drop(scheduler);
--- a/crates/process/src/logging/structured.rs
+++ b/crates/process/src/logging/structured.rs
@@ -54,7 +54,10 @@
             .or_else(|| value.to_i64().map(Json::from))
             .or_else(|| value.to_f64().map(Json::from))
             .or_else(|| value.to_bool().map(Json::from))
-            .unwrap_or_else(|| Json::from(value.to_string()));
+            .unwrap_or_else(|| match value.to_string() {
+                text if text == "None" => Json::Null,
+                text => Json::from(text),
+            });
         self.0.insert(key.to_string(), value);
         Ok(())
     }
