Notice when the process runs late, and turn away what is less urgent

Hazard: an entry's own overload. Test: a_process_that_runs_late_takes_only_urgent_work_and_recovers.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -14,6 +14,7 @@
 mod pace;
 mod plan;
 mod scheduler;
+mod strain;
 mod suspects;
 mod waiting;
 
@@ -30,4 +31,5 @@
 pub use scheduler::{
     Ask, Bounds, Ending, Heard, Outcome, Placement, Reason, Scheduler, Ticket, Totals, Turned,
 };
+pub use strain::Strain;
 pub use suspects::Suspects;
--- a/crates/core/tests/core/direct/parts.rs
+++ b/crates/core/tests/core/direct/parts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use comfreyhaven_core::direct::{Budget, Curve, Pace, Suspects, Weighted};
+use comfreyhaven_core::direct::{Budget, Curve, Pace, Strain, Suspects, Weighted};
 use comfreyhaven_core::request::BodyDigest;
 
 use super::{address, at, scheduler};
@@ -104,3 +104,19 @@
     let second = picked.filter(|service| &**service == "y").count();
     assert!((120..280).contains(&second), "{second} of 2,000");
 }
+
+/// A host runs five times slower: every timer is late.
+#[test]
+fn a_process_that_runs_late_takes_only_urgent_work_and_recovers() {
+    let mut strain = Strain::default();
+    strain.note(Duration::from_millis(150));
+    assert!(!strain.refuses(2), "one late timer says little");
+    for _ in 0..20 {
+        strain.note(Duration::from_millis(450));
+    }
+    assert!(strain.refuses(2) && strain.refuses(1) && !strain.refuses(0));
+    for _ in 0..30 {
+        strain.note(Duration::ZERO);
+    }
+    assert!(!strain.refuses(2), "{:?}", strain.lag());
+}
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{Ask, Ending, Outcome, Placement, Run, Scheduler, Ticket, Turned};
+use comfreyhaven_core::direct::{
+    Ask, Ending, Outcome, Placement, Run, Scheduler, Strain, Ticket, Turned,
+};
 use tokio::sync::oneshot;
 use tokio_util::task::TaskTracker;
 
@@ -108,6 +110,7 @@
     pub tasks: TaskTracker,
     /// Counters.
     pub metrics: Metrics,
+    strain: Cell<Strain>,
     waiters: RefCell<HashMap<Ticket, oneshot::Sender<Answer>>>,
     next: Cell<u64>,
     leaving: Cell<bool>,
@@ -133,6 +136,7 @@
             times,
             tasks,
             metrics,
+            strain: Cell::default(),
             waiters: RefCell::default(),
             next: Cell::new(0),
             leaving: Cell::new(false),
@@ -161,6 +165,18 @@
         known && scheduler.currency().is_current(self.times.current, now)
     }
 
+    /// Notes by how much a timer came late.
+    pub fn note_lag(&self, late: Duration) {
+        let mut strain = self.strain.get();
+        strain.note(late);
+        self.strain.set(strain);
+    }
+
+    /// How late the process runs.
+    pub fn strain(&self) -> Strain {
+        self.strain.get()
+    }
+
     /// How long a request has been under way before it came here: its caller's deadline has shrunk
     /// by that against the route's usual one, or nothing if it may be one of the usual ones.
     pub fn elapsed(&self, route: &Arc<str>, deadline: Duration) -> Duration {
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -28,6 +28,9 @@
 /// Pause that is named to callers while the configuration is not known to be in force.
 const UNAVAILABLE_PAUSE: Duration = Duration::from_millis(500);
 
+/// Pause that is named to callers while this process runs late.
+const STRAIN_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// Header and idle limits before a configuration names others.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 
@@ -111,6 +114,11 @@
             return refuse(context, &parts, kind, None);
         }
     };
+    if context.strain().refuses(head.route.rank) {
+        drop(intake::body(body, plan.body).await);
+        let pause = Some(STRAIN_PAUSE.min(head.deadline / 3));
+        return refuse(context, &parts, RefusalKind::Overloaded, pause);
+    }
     let body = match intake::body(body, plan.body).await {
         Ok(body) => body,
         Err(kind) => return refuse(context, &parts, kind, None),
@@ -171,6 +179,7 @@
         request = id.and_then(|id| id.to_str().ok()).unwrap_or("-"),
         cause = text,
         version = scheduler.currency().version(),
+        lag = clock::millis(context.strain().lag()),
         age = age.map_or_else(log::kv::Value::null, |age| clock::millis(age).into());
         "refused on arrival"
     );
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -65,6 +65,15 @@
             received = socket.recv_from(&mut buffer) => received,
         };
         let (length, from) = match received {
+            // Entries speak from the port that they listen on.
+            Ok((_, from))
+                if socket
+                    .local_addr()
+                    .is_ok_and(|own| own.port() != from.port()) =>
+            {
+                log::debug!(peer:% = from; "a report from another port is passed over");
+                continue;
+            }
             Ok(received) => received,
             Err(error) => {
                 log::debug!("no report received: {error}");
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use comfreyhaven_core::direct::Scheduler;
@@ -194,10 +194,12 @@
 async fn tick(context: Rc<Context>, stop: CancellationToken) {
     let mut count: u64 = 0;
     loop {
+        let asleep = Instant::now();
         tokio::select! {
             () = stop.cancelled() => break,
             () = tokio::time::sleep(TICK) => {}
         }
+        context.note_lag(asleep.elapsed().saturating_sub(TICK));
         count += 1;
         if context.is_waiting() {
             context.settle();
