Watch the endpoints longer, the configuration not

Cause of the loss with longer watches, found on the second try: a confirmation was up to 1.6 s old when the store went away, so that keyed requests were refused from 2.65 s on; up to 3 s they are still owed. Ruled out: lapsed endpoints (borne by now, the loss stayed).

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -17,11 +17,12 @@
 use crate::context::Context;
 use crate::store::{Change, Page, Section, Store, StoreError};
 
-/// How long one watch of the configuration waits. Each that returns confirms it.
+/// How long one watch of the configuration waits. Each that returns confirms it: a longer wait would
+/// make an outage of the store end keyed requests sooner.
 const CONFIRM_WAIT: Duration = Duration::from_millis(1_000);
 
 /// How long one watch of the endpoints waits: a connection that went silent is found after it.
-const LIST_WAIT: Duration = Duration::from_millis(1_000);
+const LIST_WAIT: Duration = Duration::from_millis(2_000);
 
 /// First and longest pause after a failed call.
 const PAUSE_RANGE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
