--- a/crates/core/src/direct/plan.rs
+++ b/crates/core/src/direct/plan.rs
@@ -87,8 +87,6 @@
     pub cold: f64,
     /// How long an endpoint is cold after its start.
     pub warmup: Duration,
-    /// Connections that one endpoint bears.
-    pub connections: u32,
     /// Tokens that one event of a streamed answer holds.
     pub stride: f64,
 }
@@ -138,8 +136,6 @@
     pub header: usize,
     /// Longest body of a caller, in bytes.
     pub body: usize,
-    /// How long a caller may take to send a header.
-    pub patience: Duration,
     /// How long a connection of a caller may be idle.
     pub idle: Duration,
 }
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -63,7 +63,6 @@
         name: SERVICE.into(),
         cold: 22.0,
         warmup: Duration::from_secs(3),
-        connections: 600,
         stride: 6.0,
     };
     let mut plan = Plan {
--- a/crates/direct/src/drive/stream.rs
+++ b/crates/direct/src/drive/stream.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{Ending, Listing};
 use comfreyhaven_core::refusal::RefusalKind;
@@ -273,10 +272,3 @@
     }
     None
 }
-
-/// The bytes of an event, for tests and logs.
-impl From<Event> for Bytes {
-    fn from(event: Event) -> Self {
-        event.bytes
-    }
-}
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -56,13 +56,6 @@
         self.buffer.is_empty()
     }
 
-    /// Bytes of the event that has not ended.
-    #[must_use]
-    pub fn rest(&mut self) -> Bytes {
-        self.scanned = 0;
-        self.buffer.split().freeze()
-    }
-
     /// Where the first blank line ends.
     fn end(&mut self) -> Option<usize> {
         let bytes = &self.buffer;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -19,6 +19,7 @@
 mod peer;
 pub mod process;
 pub mod settings;
+mod side;
 pub mod store;
 pub mod upstream;
 
--- a/crates/direct/src/peer.rs
+++ b/crates/direct/src/peer.rs
@@ -1,6 +1,5 @@
 //! What one entry asks another: the configuration and the endpoints, while the store is out of reach.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -11,12 +10,9 @@
 use derive_more::{Display, Error, From};
 use http_body_util::{BodyExt, Empty, Full, Limited};
 use hyper::body::Incoming;
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpListener;
-use tokio_util::sync::CancellationToken;
 
 use crate::clock;
 use crate::context::Context;
@@ -31,9 +27,6 @@
 /// Largest snapshot, in bytes.
 const SNAPSHOT_LIMIT_BYTES: usize = 16 << 20;
 
-/// How long a peer's connection may be idle.
-const IDLE_LIMIT: Duration = Duration::from_secs(5);
-
 /// What an entry holds.
 #[derive(Debug, Serialize, Deserialize)]
 struct Snapshot {
@@ -57,36 +50,8 @@
     Incomplete,
 }
 
-/// Serves snapshots until `stop`.
-pub(crate) async fn serve(listener: TcpListener, context: Rc<Context>, stop: CancellationToken) {
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = accepted else { continue };
-        let context = Rc::clone(&context);
-        let stop = stop.clone();
-        context.tasks.clone().spawn_local(async move {
-            let service = service_fn(move |request| {
-                let response = answer(&request, &context);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let connection = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(IDLE_LIMIT)
-                .serve_connection(TokioIo::new(stream), service);
-            tokio::select! {
-                () = stop.cancelled() => {}
-                ended = connection => if let Err(error) = ended {
-                    log::debug!("a peer's connection ended: {error}");
-                }
-            }
-        });
-    }
-}
-
-fn answer(request: &Request<Incoming>, context: &Context) -> Response<Full<Bytes>> {
+/// Gives the snapshot.
+pub(crate) fn answer(request: &Request<Incoming>, context: &Context) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     if request.method() != Method::GET || request.uri().path() != SNAPSHOT_PATH {
         *response.status_mut() = StatusCode::NOT_FOUND;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -1,6 +1,5 @@
 //! A direct entry from start to exit.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -11,9 +10,8 @@
 use comfreyhaven_core::direct::Scheduler;
 use derive_more::{Display, Error};
 use http_body_util::Full;
-use hyper::service::service_fn;
-use hyper::{Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
 use prometheus::{Encoder, Registry, TextEncoder};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -27,7 +25,7 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::store::{Section, Store};
-use crate::{front, gossip, peer};
+use crate::{front, gossip, peer, side};
 
 /// How often connections are trimmed and waiting requests are looked at.
 const TICK: Duration = Duration::from_millis(20);
@@ -39,9 +37,6 @@
 /// platform has asked twice whether it is ready.
 const LINGER: Duration = Duration::from_millis(2_500);
 
-/// How long a connection that asks for readiness or metrics may be idle.
-const PROBE_IDLE: Duration = Duration::from_secs(30);
-
 /// Part of the grace period in which a leaving process finishes its work.
 const GRACE_PART: f64 = 0.95;
 
@@ -130,14 +125,18 @@
         Rc::clone(&context),
         finish.clone(),
     ));
-    tasks.spawn_local(peer::serve(peers, Rc::clone(&context), finish.clone()));
-    tasks.spawn_local(probes(ready, Rc::clone(&context), finish.clone()));
-    if let Some(address) = places.metrics {
-        tasks.spawn_local(probes(
-            bind(address).await?,
+    let serve = |listener, handler| {
+        tasks.spawn_local(side::serve(
+            listener,
             Rc::clone(&context),
             finish.clone(),
+            handler,
         ));
+    };
+    serve(peers, peer::answer);
+    serve(ready, probe);
+    if let Some(address) = places.metrics {
+        serve(bind(address).await?, probe);
     }
     tasks.spawn_local(tick(Rc::clone(&context), finish.clone()));
     tasks.spawn_local(front::serve(front, Rc::clone(&context), stop.clone()));
@@ -218,36 +217,9 @@
 }
 
 /// Answers whether this process takes callers, and gives its metrics.
-async fn probes(listener: TcpListener, context: Rc<Context>, stop: CancellationToken) {
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = accepted else { continue };
-        let (context, stop) = (Rc::clone(&context), stop.clone());
-        context.tasks.clone().spawn_local(async move {
-            let service = service_fn(|request: hyper::Request<hyper::body::Incoming>| {
-                let response = probe(request.uri().path(), &context);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let connection = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(PROBE_IDLE)
-                .serve_connection(TokioIo::new(stream), service);
-            tokio::select! {
-                () = stop.cancelled() => {}
-                ended = connection => if let Err(error) = ended {
-                    log::debug!("a probe's connection ended: {error}");
-                }
-            }
-        });
-    }
-}
-
-fn probe(path: &str, context: &Context) -> Response<Full<Bytes>> {
+fn probe(request: &Request<Incoming>, context: &Context) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
-    if path == context.dialect.ready {
+    if request.uri().path() == context.dialect.ready {
         if context.is_leaving() || !context.is_current(clock::now()) {
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         }
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -151,7 +151,10 @@
             front: entry.value("callers", SOCKET)?,
             ready: entry.value("ready", SOCKET)?,
             peer,
-            metrics: None,
+            metrics: match entry.text("metrics", SOCKET) {
+                Ok(_) => Some(entry.value("metrics", SOCKET)?),
+                Err(_) => None,
+            },
             seeds: seeds(&entry, first)?,
             centre: entry
                 .text("data centre", "the name of a data centre")?
