One HTTP connection for endpoints and the store; take out what was dead or done twice

Found on reading the whole change again; behaviour stays as it is. - the store's client had a connection of its own beside that of the endpoints: both use Connection::open - the arm for a handed-over answer that is no stream could not be reached; what is under way is a flag; the ends of a failed send are one expression - Scheduler::unlist served only a test: the test lets the endpoint lapse at once, as processes do - trimming kept connections searched a list of all endpoints for each one; it asks the book - a listing that is not cold needed no case of its own

--- a/crates/core/src/direct/book.rs
+++ b/crates/core/src/direct/book.rs
@@ -214,11 +214,7 @@
             if listing.sequence < known.listing.sequence {
                 return;
             }
-            known.cold = if listing.cold.is_zero() {
-                known.cold
-            } else {
-                known.cold.max(cold)
-            };
+            known.cold = known.cold.max(cold);
             known.lapsed = Timestamp::NEVER;
             known.listing = listing;
             return;
@@ -313,7 +309,7 @@
         };
         self.endpoints
             .values()
-            .filter(|known| known.lapsed == Timestamp::NEVER)
+            .filter(|known| !known.is_lapsed())
             .map(current)
             .collect()
     }
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -148,11 +148,6 @@
         self.book.list(listing, now);
     }
 
-    /// Removes an endpoint.
-    pub fn unlist(&mut self, id: &str) {
-        self.book.remove(id);
-    }
-
     /// Notes that an endpoint is no longer listed; it may be used until `until`.
     pub fn lapse(&mut self, id: &str, until: Timestamp) {
         self.book.lapse(id, until);
--- a/crates/core/tests/core/direct/endpoints.rs
+++ b/crates/core/tests/core/direct/endpoints.rs
@@ -29,7 +29,7 @@
         matches!(outcome, Some(Outcome::Turned(turned)) if turned.reason == Reason::NoEndpoint)
     );
     scheduler.list(listing("y", 4), at(30));
-    scheduler.unlist("y");
+    scheduler.lapse("y", at(30));
     assert!(place(&mut scheduler, 3, 40).is_none());
 }
 
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -106,23 +106,12 @@
     /// Sees the request through to an answer.
     pub(crate) async fn run(mut self) -> Response<AnswerBody> {
         let left = self.limit.since(clock::now());
-        let route = Arc::clone(&self.intake.head.route);
-        let streaming = route.streaming;
-        let mut place = None;
-        let answered = tokio::time::timeout(left, self.attempts(&mut place)).await;
+        let mut sending = false;
+        let answered = tokio::time::timeout(left, self.attempts(&mut sending)).await;
         match answered {
             Ok(Ok(response)) => response,
-            Ok(Err((reply, hold, listing))) if streaming => {
-                stream::begin(self, reply, hold, listing).await
-            }
-            Ok(Err((reply, hold, listing))) => {
-                // Only streams are handed over; anything else was collected.
-                drop((reply, hold, listing));
-                self.refuse(RefusalKind::OutcomeUnknown, None)
-            }
-            Err(_) if self.runs > 0 || place.is_some() => {
-                self.refuse(RefusalKind::DeadlineExceeded, None)
-            }
+            Ok(Err((reply, hold, listing))) => stream::begin(self, reply, hold, listing).await,
+            Err(_) if self.runs > 0 || sending => self.refuse(RefusalKind::DeadlineExceeded, None),
             Err(_) => self.refuse(RefusalKind::Overloaded, Some(RETRY_PAUSE)),
         }
     }
@@ -130,7 +119,7 @@
     /// Sends until there is an answer, or a stream that has begun.
     async fn attempts(
         &mut self,
-        under_way: &mut Option<EndpointId>,
+        sending: &mut bool,
     ) -> Result<Response<AnswerBody>, (Reply, Hold, Listing)> {
         let mut failed = None;
         loop {
@@ -160,14 +149,14 @@
                     return Ok(self.refuse(kind, Some(turned.retry)));
                 }
             };
-            *under_way = Some(placement.listing.id.clone());
+            *sending = true;
             self.sends += 1;
             let endpoint = placement.listing.id.clone();
             let fault = match self.send(&placement, hold).await? {
                 Ok(response) => return Ok(response),
                 Err(fault) => fault,
             };
-            *under_way = None;
+            *sending = false;
             self.excluded.push(endpoint);
             let again = match &fault {
                 Fault::NotRun => self.sends < SENDS_LIMIT,
@@ -183,27 +172,18 @@
                 let mut scheduler = self.context.scheduler.borrow_mut();
                 scheduler.repeat(&self.service, now)
             };
-            match fault {
-                fault if repeat => {
-                    if let Fault::Failed(response) = fault {
-                        failed = Some(response);
-                    }
-                }
-                Fault::Failed(response) => return Ok(response),
-                _ if failed.is_some() => {
-                    if let Some(response) = failed {
-                        return Ok(response);
-                    }
-                    return Ok(self.refuse(RefusalKind::OutcomeUnknown, None));
-                }
-                Fault::Unknown => return Ok(self.refuse(RefusalKind::OutcomeUnknown, None)),
-                Fault::NotRun if self.runs > 0 => {
-                    return Ok(self.refuse(RefusalKind::OutcomeUnknown, None));
-                }
-                Fault::NotRun => {
-                    return Ok(self.refuse(RefusalKind::Overloaded, Some(RETRY_PAUSE)));
-                }
+            let unrun = matches!(fault, Fault::NotRun) && self.runs == 0;
+            if let Fault::Failed(response) = fault {
+                failed = Some(response);
+            }
+            if repeat {
+                continue;
             }
+            return Ok(match failed {
+                Some(response) => response,
+                None if unrun => self.refuse(RefusalKind::Overloaded, Some(RETRY_PAUSE)),
+                None => self.refuse(RefusalKind::OutcomeUnknown, None),
+            });
         }
     }
 
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -204,10 +204,10 @@
             context.settle();
         }
         if count.is_multiple_of(TRIM_TICKS) {
-            let listed: Vec<_> = context.scheduler.borrow().book().ids();
-            context
-                .upstream
-                .trim(|id| listed.iter().any(|other| **other == *id));
+            let scheduler = context.scheduler.borrow();
+            let listed = |id: &str| scheduler.book().get(id).is_some();
+            context.upstream.trim(listed);
+            drop(scheduler);
             context.measure();
             if count.is_multiple_of(TRIM_TICKS * 4) {
                 context.describe();
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use comfreyhaven_core::direct::{EndpointId, Listing};
 use derive_more::{Display, Error};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
@@ -96,14 +97,41 @@
     socket.set_tcp_keepalive(&probes)
 }
 
-/// A connection and the task that moves its bytes. Dropping it ends both.
+/// An HTTP connection and the task that moves its bytes. Dropping it ends both.
 #[derive(Debug)]
-struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+pub struct Connection<B> {
+    /// Where requests go.
+    pub sender: SendRequest<B>,
     task: AbortHandle,
 }
 
-impl Drop for Connection {
+impl<B> Connection<B>
+where
+    B: Body<Data = Bytes, Error = Infallible> + 'static,
+{
+    /// Connects to a server. `tasks` joins the connection's task.
+    ///
+    /// # Errors
+    /// Returns a [`SendError`] if the peer does not accept in time.
+    pub async fn open(address: SocketAddr, tasks: &TaskTracker) -> Result<Self, SendError> {
+        let stream = open(address).await?;
+        let handshake = http1::Builder::new()
+            .max_buf_size(HEADER_LIMIT_BYTES)
+            .handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(SendError::Broken)?;
+        let task = tasks.spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection to {address} ended: {error}");
+            }
+        });
+        Ok(Self {
+            sender,
+            task: task.abort_handle(),
+        })
+    }
+}
+
+impl<B> Drop for Connection<B> {
     fn drop(&mut self) {
         self.task.abort();
     }
@@ -111,7 +139,7 @@
 
 #[derive(Debug)]
 struct Kept {
-    connection: Connection,
+    connection: Connection<Full<Bytes>>,
     until: Timestamp,
 }
 
@@ -127,7 +155,7 @@
 #[derive(Debug)]
 pub struct Lease {
     endpoint: EndpointId,
-    connection: Connection,
+    connection: Connection<Full<Bytes>>,
     idle: Duration,
 }
 
@@ -172,7 +200,7 @@
                 Ok(reply) => return Ok(reply),
             }
         }
-        let connection = self.connect(listing.address).await?;
+        let connection = Connection::open(listing.address, &self.tasks).await?;
         match attempt(connection, request, listing).await {
             Err(Attempt::Unsent(_)) => Err(SendError::Stale),
             Err(Attempt::Failed(error)) => Err(SendError::Broken(error)),
@@ -180,24 +208,7 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Connection, SendError> {
-        let stream = open(address).await?;
-        let handshake = http1::Builder::new()
-            .max_buf_size(HEADER_LIMIT_BYTES)
-            .handshake(TokioIo::new(stream));
-        let (sender, connection) = handshake.await.map_err(SendError::Broken)?;
-        let task = self.tasks.spawn_local(async move {
-            if let Err(error) = connection.await {
-                log::debug!("connection to an endpoint ended: {error}");
-            }
-        });
-        Ok(Connection {
-            sender,
-            task: task.abort_handle(),
-        })
-    }
-
-    fn take(&self, id: &EndpointId) -> Option<Connection> {
+    fn take(&self, id: &EndpointId) -> Option<Connection<Full<Bytes>>> {
         let mut kept = self.kept.borrow_mut();
         let list = kept.get_mut(id)?;
         let now = clock::now();
@@ -245,7 +256,7 @@
 }
 
 async fn attempt(
-    mut connection: Connection,
+    mut connection: Connection<Full<Bytes>>,
     request: Request<Full<Bytes>>,
     listing: &Listing,
 ) -> Result<Reply, Attempt> {
