Late requests of long kinds no longer wait for a place

Requests that came back after a refusal waited up to 1.6 s behind all that were in time and were refused then.

Change: only requests of short kinds wait when they are late; others get a place now or their refusal with Retry-After at once. The test fails before.

--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -36,7 +36,7 @@
 /// Part of a new request in the average of its kind.
 const TYPICAL_GAIN: f64 = 0.03;
 
-/// How long a request that can no longer be on time may wait for a place.
+/// How long a request of a short kind that can no longer be on time may wait for a place.
 const LATE_PATIENCE: Duration = Duration::from_millis(1_600);
 
 /// The state of a direct entry.
@@ -347,8 +347,13 @@
         over.then(|| self.turn(ask, Reason::Overloaded, now))
     }
 
-    /// Until when a request that is late anyway may wait: its answer still has to come.
+    /// Until when a request that is late anyway may wait: its answer still has to come. One of a long
+    /// kind comes after all that are in time, and waits in vain while there are such; it is told at
+    /// once when to come back.
     fn patience(&self, ask: &Ask) -> Timestamp {
+        if !ask.is_short() {
+            return ask.arrived;
+        }
         let need = ask.hold() * 2;
         let left = ask.deadline.since(ask.arrived).saturating_sub(need);
         ask.arrived + LATE_PATIENCE.min(left)
--- a/crates/core/tests/core/direct/overload.rs
+++ b/crates/core/tests/core/direct/overload.rs
@@ -2,7 +2,10 @@
 //!
 //! The bounds are targets: what an operator may expect of each rank while the load is what it is.
 
+use comfreyhaven_core::direct::{Ask, Outcome};
+
 use super::world::{Kind, Policy, Tally, World};
+use super::{ask, at, listing, placed, scheduler};
 
 /// Eight endpoints of usual speed and four that take over four times as long.
 const FACTORS: [f64; 12] = [
@@ -109,3 +112,22 @@
         );
     }
 }
+
+/// Load: every place taken, and requests that were refused come back too late to be in time.
+#[test]
+fn a_late_request_waits_only_if_it_is_of_a_short_kind() {
+    let mut entry = scheduler(1, &[]);
+    entry.list(listing("e0", 1), at(0));
+    assert!(placed(entry.ask(ask(1, 0, at(0)), at(0))).is_some());
+    let late = |ticket, rank, length| Ask {
+        objective: at(0),
+        length,
+        ..ask(ticket, rank, at(100))
+    };
+    let long = entry.ask(late(2, 1, 400), at(100));
+    assert!(matches!(long, Some(Outcome::Turned(_))), "{long:?}");
+    let short = entry.ask(late(3, 2, 10), at(100));
+    assert!(short.is_none(), "{short:?}");
+    let in_time = entry.ask(ask(4, 1, at(100)), at(100));
+    assert!(in_time.is_none(), "{in_time:?}");
+}
