An endpoint that says nothing is left where a repeat is allowed

Change: core::direct::silence says for how long an endpoint may be silent before its first byte (from what was expected) and between events. An idempotent request or a resumable stream then goes to another endpoint, if the budget of repeats allows one, an attempt is left, and a sound endpoint has a place free. What may run once only stays.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -15,6 +15,7 @@
 mod plan;
 mod readings;
 mod scheduler;
+pub mod silence;
 mod strain;
 mod suspects;
 mod waiting;
--- a/crates/core/src/direct/budget.rs
+++ b/crates/core/src/direct/budget.rs
@@ -73,15 +73,20 @@
 
     /// Takes a repeat if the budget has one for this entry, one of `members`.
     pub fn take(&mut self, members: usize, now: Timestamp) -> bool {
+        let left = self.has_left(members, now);
+        if left {
+            self.step(now).repeats += 1;
+        }
+        left
+    }
+
+    /// Whether the budget has a repeat for this entry, one of `members`.
+    pub fn has_left(&mut self, members: usize, now: Timestamp) -> bool {
         self.step(now);
         let requests: u32 = self.steps.iter().map(|step| step.requests).sum();
         let repeats: u32 = self.steps.iter().map(|step| step.repeats).sum();
         let slack = self.slack / members.max(1) as f64;
         let allowed = CAUTION * (self.ratio * f64::from(requests) + slack);
-        if f64::from(repeats) + 1.0 > allowed {
-            return false;
-        }
-        self.step(now).repeats += 1;
-        true
+        f64::from(repeats) + 1.0 <= allowed
     }
 }
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -221,6 +221,19 @@
         self.budget(service).take(members, now)
     }
 
+    /// Whether a repeat would be allowed now and an endpoint outside of `excluded` has room for it.
+    pub fn may_repeat(
+        &mut self,
+        service: &Arc<str>,
+        excluded: &[EndpointId],
+        streaming: bool,
+        now: Timestamp,
+    ) -> bool {
+        let members = self.members.count();
+        self.budget(service).has_left(members, now)
+            && self.has_other(service, excluded, streaming, now)
+    }
+
     fn budget(&mut self, service: &Arc<str>) -> &mut Budget {
         let bounds = &self.bounds;
         self.budgets
@@ -379,6 +392,12 @@
         self.book.stream(run, events, span);
     }
 
+    /// Notes that an endpoint has been silent for so long that its request leaves it.
+    pub fn leave_silent(&mut self, run: &Run, now: Timestamp) {
+        self.book.fail(run);
+        self.book.suspect(run, now);
+    }
+
     /// Notes that a request is over at its endpoint.
     pub fn end(&mut self, run: &Run, ending: Ending, now: Timestamp) {
         self.book.end(run);
--- a/crates/core/src/direct/scheduler/placing.rs
+++ b/crates/core/src/direct/scheduler/placing.rs
@@ -9,6 +9,7 @@
 use super::{Ask, Outcome, Placement, Scheduler};
 use crate::direct::book::{Candidate, digest};
 use crate::direct::pace::part;
+use crate::direct::plan::EndpointId;
 use crate::time::Timestamp;
 
 /// Requests that a plain service's endpoint is given at once, for each place.
@@ -75,6 +76,24 @@
             && !ask.excluded.contains(&listing.id)
     }
 
+    /// Whether a sound endpoint that is not excluded has a place free.
+    pub(super) fn has_other(
+        &self,
+        service: &str,
+        excluded: &[EndpointId],
+        streaming: bool,
+        now: Timestamp,
+    ) -> bool {
+        self.book.of(service).any(|known| {
+            let listing = known.listing();
+            known.is_usable(now)
+                && !known.is_suspect(now)
+                && !self.closed.contains(&listing.centre)
+                && !excluded.contains(&listing.id)
+                && known.load().running < Self::places(known, streaming)
+        })
+    }
+
     /// The endpoints that a request may go to: suspected ones only where there is no other.
     fn open<'a>(&'a self, ask: &'a Ask, now: Timestamp) -> impl Iterator<Item = &'a Candidate> {
         let open = move |known: &&Candidate| self.is_open(known, ask, now);
@@ -152,19 +171,14 @@
     }
 
     /// The endpoint with the least expected time, and that time.
-    fn best(
-        &mut self,
-        ask: &Ask,
-        late: bool,
-        now: Timestamp,
-    ) -> Option<(crate::direct::EndpointId, f64)> {
+    fn best(&mut self, ask: &Ask, late: bool, now: Timestamp) -> Option<(EndpointId, f64)> {
         let service = self.plan.services.get(&ask.service);
         let bearing = service.map_or(0.0, |service| service.cold);
         let stride = service.map_or(1.0, |service| service.stride.max(1.0));
         let cold = bearing * self.bounds.overage + self.bounds.extra;
         let (members, place) = (self.members.count(), self.members.place(self.own));
         let left = ask.objective.since(now).as_secs_f64() * 1_000.0;
-        let mut found: Option<(crate::direct::EndpointId, f64, f64)> = None;
+        let mut found: Option<(EndpointId, f64, f64)> = None;
         let room = |known: &&Candidate| known.load().running < Self::places(known, ask.streaming);
         let open = self.open(ask, now).filter(room);
         let ids: Vec<_> = open.map(|known| known.listing().id.clone()).collect();
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -2,13 +2,14 @@
 
 mod stream;
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{Ask, Ending, EndpointId, Listing, Placement};
+use comfreyhaven_core::direct::{Ask, Ending, EndpointId, Listing, Placement, Run, silence};
 use comfreyhaven_core::refusal::RefusalKind;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
@@ -26,6 +27,9 @@
 /// Largest answer that is held until it is whole, in bytes.
 const WHOLE_LIMIT_BYTES: usize = 8 << 20;
 
+/// Time that has to be left to leave an endpoint that says nothing.
+const LEAVING_TIME: Duration = Duration::from_millis(150);
+
 /// Time that has to be left for another send to be of use.
 const USEFUL_TIME: Duration = Duration::from_millis(60);
 
@@ -240,11 +244,56 @@
         request
     }
 
-    /// Sends the request once. A stream that has begun is handed over as the outer error.
+    /// Sends the request once, and leaves an endpoint that says nothing where another may be tried.
     async fn send(
         &self,
         placement: &Placement,
         hold: Hold,
+    ) -> Result<Result<Response<AnswerBody>, Fault>, (Reply, Hold, Listing)> {
+        let mut sending = pin!(self.exchange(placement, hold));
+        let streaming = self.intake.head.route.streaming;
+        let expected = Duration::from_millis(placement.expected);
+        let patience = silence::first_byte(expected, streaming);
+        if let Ok(result) = tokio::time::timeout(patience, sending.as_mut()).await {
+            return result;
+        }
+        if !self.may_leave(&placement.listing) {
+            return sending.await;
+        }
+        self.leave_silent(&placement.run);
+        Ok(Err(Fault::Unknown))
+    }
+
+    /// Whether the request may leave an endpoint that runs it for another one.
+    fn may_leave(&self, listing: &Listing) -> bool {
+        let route = &self.intake.head.route;
+        let now = clock::now();
+        if !route.repeat.is_allowed()
+            || self.runs + 1 >= route.attempts
+            || self.limit < now + LEAVING_TIME
+        {
+            return false;
+        }
+        let mut excluded = self.excluded.clone();
+        excluded.push(listing.id.clone());
+        let mut scheduler = self.context.scheduler.borrow_mut();
+        scheduler.may_repeat(&self.service, &excluded, route.streaming, now)
+    }
+
+    fn leave_silent(&self, run: &Run) {
+        let mut scheduler = self.context.scheduler.borrow_mut();
+        scheduler.leave_silent(run, clock::now());
+        drop(scheduler);
+        let sends = &self.context.metrics.sends;
+        sends.with_label_values(&["silent"]).inc();
+        log::info!(request = self.intake.head.name(), endpoint:% = run.endpoint, send = self.sends; "silent");
+    }
+
+    /// Sends the request once. A stream that has begun is handed over as the outer error.
+    async fn exchange(
+        &self,
+        placement: &Placement,
+        hold: Hold,
     ) -> Result<Result<Response<AnswerBody>, Fault>, (Reply, Hold, Listing)> {
         let listing = &placement.listing;
         let request = self.request(listing, None);
--- a/crates/direct/src/drive/stream.rs
+++ b/crates/direct/src/drive/stream.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{Ending, Listing};
+use comfreyhaven_core::direct::{Ending, Listing, silence};
 use comfreyhaven_core::refusal::RefusalKind;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
@@ -51,6 +51,8 @@
     hold: Hold,
     listing: Listing,
     splitter: Splitter,
+    /// How long the next event may take.
+    patience: Duration,
 }
 
 /// What comes next on a stream.
@@ -60,10 +62,17 @@
     End,
     /// The endpoint broke off.
     Broken,
+    /// The endpoint says nothing.
+    Silent,
+    /// The caller left.
+    Left,
+    /// The time is over.
+    Over,
 }
 
 impl Source {
-    fn new(reply: Reply, hold: Hold, listing: Listing) -> (Response<()>, Self) {
+    fn new(reply: Reply, hold: Hold, drive: &Drive, listing: Listing) -> (Response<()>, Self) {
+        let expected = Duration::from_millis(drive.expected);
         let (response, lease) = reply.split();
         let (parts, body) = response.into_parts();
         let source = Self {
@@ -72,6 +81,7 @@
             hold,
             listing,
             splitter: Splitter::default(),
+            patience: silence::first_byte(expected, true),
         };
         (Response::from_parts(parts, ()), source)
     }
@@ -101,6 +111,22 @@
     }
 }
 
+/// Waits for the next event for as long as the endpoint may be silent and the request may take.
+async fn next(drive: &Drive, source: &mut Source) -> Next {
+    loop {
+        let left = drive.limit.since(clock::now());
+        if let Ok(next) = tokio::time::timeout(left.min(source.patience), source.next()).await {
+            return next;
+        }
+        if drive.limit <= clock::now() {
+            return Next::Over;
+        }
+        if drive.may_leave(&source.listing) {
+            return Next::Silent;
+        }
+    }
+}
+
 /// Waits for the first event and answers with a stream that begins with it.
 pub(super) async fn begin(
     mut drive: Drive,
@@ -108,27 +134,17 @@
     hold: Hold,
     listing: Listing,
 ) -> Response<AnswerBody> {
-    let (head, mut source) = Source::new(reply, hold, listing);
-    let left = drive.limit.since(clock::now());
-    let first = tokio::time::timeout(left, source.next()).await;
-    let first = match first {
-        Err(_) => return drive.refuse(RefusalKind::DeadlineExceeded, None),
-        Ok(Next::Broken) => match resume(&mut drive, source, None).await {
-            Some(resumed) => {
-                source = resumed;
-                match source.next().await {
-                    Next::Event(event) => Some(event),
-                    Next::End => None,
-                    Next::Broken => {
-                        source.hold.end(Ending::Broken);
-                        return drive.refuse(RefusalKind::OutcomeUnknown, None);
-                    }
-                }
-            }
-            None => return drive.refuse(RefusalKind::OutcomeUnknown, None),
-        },
-        Ok(Next::Event(event)) => Some(event),
-        Ok(Next::End) => None,
+    let (head, mut source) = Source::new(reply, hold, &drive, listing);
+    let first = loop {
+        let next = next(&drive, &mut source).await;
+        match next {
+            Next::Event(_) | Next::End => break next,
+            Next::Left | Next::Over => return drive.refuse(RefusalKind::DeadlineExceeded, None),
+            Next::Broken | Next::Silent => match resume(&mut drive, source, None, &next).await {
+                Some(resumed) => source = resumed,
+                None => return drive.refuse(RefusalKind::OutcomeUnknown, None),
+            },
+        }
     };
     source.hold.begin();
     let waited = clock::now().since(drive.intake.arrived);
@@ -140,49 +156,45 @@
 }
 
 /// Passes events on until the stream ends, the caller leaves or the time is over.
-async fn pump(
-    mut drive: Drive,
-    mut source: Source,
-    first: Option<Event>,
-    sender: mpsc::Sender<Piece>,
-) {
+async fn pump(mut drive: Drive, mut source: Source, first: Next, sender: mpsc::Sender<Piece>) {
     let mut last = None;
     let mut pauses = Pauses::new();
     let began = clock::now().since(drive.intake.arrived);
-    let mut next = first.map_or(Next::End, Next::Event);
+    let mut coming = first;
     loop {
-        match next {
+        match coming {
             Next::Event(event) => {
                 // A resumed stream may begin with events that the caller has.
                 let known = event
                     .id
                     .is_some_and(|id| last.is_some_and(|last| id <= last));
                 last = event.id.or(last);
+                source.patience = silence::next_event(drive.intake.head.route.pause);
                 pauses.note();
                 if !known && sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
                     return drive.note("caller gone", &source.listing);
                 }
             }
             Next::End => break,
-            Next::Broken => match resume(&mut drive, source, last).await {
-                Some(resumed) => source = resumed,
-                None => {
-                    drive.count(StatusCode::OK, "broken");
-                    drop(sender.send(Err(BrokenOff)).await);
-                    return;
-                }
-            },
-        }
-        let left = drive.limit.since(clock::now());
-        next = tokio::select! {
-            next = source.next() => next,
-            () = sender.closed() => return drive.note("caller gone", &source.listing),
-            () = tokio::time::sleep(left) => {
+            Next::Left => return drive.note("caller gone", &source.listing),
+            Next::Over => {
                 drive.count(StatusCode::OK, "timeout");
                 drive.note("timeout", &source.listing);
                 drop(sender.send(Err(BrokenOff)).await);
                 return;
             }
+            Next::Broken | Next::Silent => {
+                let Some(resumed) = resume(&mut drive, source, last, &coming).await else {
+                    drive.count(StatusCode::OK, "broken");
+                    drop(sender.send(Err(BrokenOff)).await);
+                    return;
+                };
+                source = resumed;
+            }
+        }
+        coming = tokio::select! {
+            next = next(&drive, &mut source) => next,
+            () = sender.closed() => Next::Left,
         };
     }
     log::info!(
@@ -214,14 +226,25 @@
 }
 
 /// Finds another endpoint that goes on after the event `last`, if the route allows that.
-async fn resume(drive: &mut Drive, source: Source, last: Option<u64>) -> Option<Source> {
-    drive.note("broken", &source.listing);
+async fn resume(
+    drive: &mut Drive,
+    source: Source,
+    last: Option<u64>,
+    cause: &Next,
+) -> Option<Source> {
     drive.excluded.push(source.listing.id.clone());
-    drive.context.upstream.close(&source.listing.id);
-    source.hold.end(Ending::Broken);
+    let is_silent = matches!(cause, Next::Silent);
+    if is_silent {
+        drive.leave_silent(source.hold.run());
+        source.hold.end(Ending::Cancelled);
+    } else {
+        drive.note("broken", &source.listing);
+        drive.context.upstream.close(&source.listing.id);
+        source.hold.end(Ending::Broken);
+    }
     drop(source.lease);
     drive.runs += 1;
-    if last.is_none() {
+    if last.is_none() && !is_silent {
         let mut scheduler = drive.context.scheduler.borrow_mut();
         scheduler
             .suspects_mut()
@@ -248,7 +271,7 @@
         match drive.context.upstream.send(&listing, request).await {
             Ok(reply) if matches!(drive.kind(&reply.response), Kind::Success) => {
                 drive.note("resumed", &listing);
-                return Some(Source::new(reply, hold, listing).1);
+                return Some(Source::new(reply, hold, drive, listing).1);
             }
             Ok(reply) => {
                 let rejected = matches!(drive.kind(&reply.response), Kind::Rejected);
