Endpoints' speed is learnt while answers come, and shared between entries

At placement they were expected to take 25 ms an event and took 120 ms: a third of the endpoints is four times slower, each of 23 entries learnt alone, from whole answers only, and so from the short ones.

Change: core::direct::tempo. Sightings at the 4th, 8th, 16th ... event of an answer; reports carry what was seen; an entry takes its peers' word until it has seen an answer itself; an endpoint that is not learnt starts as many times slower for its first byte too, and from a light prior (the whole curve of the service was copied, which took dozens of sightings to correct). The expected time to the last byte is in the log lines of streams, and how a stream stood that did not become whole.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -18,6 +18,7 @@
 pub mod silence;
 mod strain;
 mod suspects;
+mod tempo;
 mod waiting;
 
 pub use allowance::{Allowance, Excess, Terms};
@@ -37,3 +38,4 @@
 };
 pub use strain::Strain;
 pub use suspects::Suspects;
+pub use tempo::Tempo;
--- a/crates/core/src/direct/book.rs
+++ b/crates/core/src/direct/book.rs
@@ -10,11 +10,9 @@
 use super::members::EndpointLoad;
 use super::pace::Pace;
 use super::plan::{EndpointId, Listing};
+use super::tempo::Tempo;
 use crate::time::Timestamp;
 
-/// Part of a new measurement in a learnt time between events.
-const EVENT_GAIN: f64 = 0.15;
-
 /// Part of a new outcome in a learnt share of failures.
 const FAILURE_GAIN: f64 = 0.12;
 
@@ -33,8 +31,11 @@
 /// Time to read a prompt, in milliseconds a token, before anything is learnt.
 const TOKEN_MS: f64 = 0.008;
 
-/// Time between two events of an answer, in milliseconds, before anything is learnt.
-const EVENT_MS: f64 = 25.0;
+/// Part of a new sighting in the usual time between events of a service.
+const USUAL_GAIN: f64 = 0.02;
+
+/// Bounds of the factor by which an endpoint is taken to be slower than is usual.
+const FACTOR_RANGE: (f64, f64) = (0.5, 6.0);
 
 /// Answers with fewer events tell nothing of the time between two.
 const EVENTS_MIN: u32 = 4;
@@ -75,8 +76,8 @@
     lapsed: Timestamp,
     /// Time to a first byte.
     curve: Curve,
-    /// Time between two events of one answer, in milliseconds.
-    event: f64,
+    /// Time between two events of one answer.
+    tempo: Tempo,
     failures: f64,
     strikes: u32,
     suspect: Timestamp,
@@ -151,7 +152,7 @@
     /// Time in which an answer of `events` events comes, in milliseconds.
     #[must_use]
     pub fn streaming(&self, events: f64) -> f64 {
-        self.event * events
+        self.tempo.millis() * events
     }
 
     /// Time in which a prompt of `tokens` would have its first byte there if nothing else ran.
@@ -189,13 +190,40 @@
     begun: bool,
 }
 
+/// What is learnt of a service's endpoints together.
+#[derive(Debug, Clone, Copy)]
+struct Usual {
+    /// Time to a first byte.
+    curve: Curve,
+    /// Time between two events, in milliseconds, once anything was seen.
+    event: Option<f64>,
+}
+
+impl Default for Usual {
+    fn default() -> Self {
+        Self {
+            curve: Curve::new(FIRST_MS, TOKEN_MS),
+            event: None,
+        }
+    }
+}
+
+impl Usual {
+    /// What an endpoint of this tempo is expected to take for a first byte.
+    fn curve(&self, tempo: &Tempo) -> Curve {
+        let factor = self.event.map_or(1.0, |event| tempo.millis() / event);
+        self.curve
+            .prior(factor.clamp(FACTOR_RANGE.0, FACTOR_RANGE.1))
+    }
+}
+
 /// All endpoints that are listed.
 #[derive(Debug, Default)]
 pub struct Book {
     endpoints: BTreeMap<EndpointId, Candidate>,
     services: HashMap<Arc<str>, Vec<EndpointId>>,
     digests: HashMap<u64, EndpointId>,
-    usual: HashMap<Arc<str>, Curve>,
+    usual: HashMap<Arc<str>, Usual>,
     /// Endpoints of which nothing was seen yet, by service: they go by what is usual.
     unlearnt: HashMap<Arc<str>, BTreeSet<EndpointId>>,
     reports: HashMap<SocketAddr, Vec<EndpointLoad>>,
@@ -223,6 +251,12 @@
         let id = Arc::clone(&listing.id);
         let digest = digest(&id);
         self.starts += 1;
+        let usual = self
+            .usual
+            .get(&listing.service)
+            .copied()
+            .unwrap_or_default();
+        let tempo = Tempo::new(usual.event);
         let mut candidate = Candidate {
             digest,
             start: self.starts,
@@ -232,8 +266,8 @@
             sent: now,
             cold,
             lapsed: Timestamp::NEVER,
-            curve: self.usual(&listing.service),
-            event: EVENT_MS,
+            curve: usual.curve(&tempo),
+            tempo,
             failures: 0.0,
             strikes: 0,
             suspect: Timestamp::ZERO,
@@ -259,12 +293,6 @@
         self.endpoints.insert(id, candidate);
     }
 
-    /// What is learnt of a service's endpoints together, from which a new one starts.
-    fn usual(&self, service: &str) -> Curve {
-        let first = || Curve::new(FIRST_MS, TOKEN_MS);
-        self.usual.get(service).map_or_else(first, Curve::prior)
-    }
-
     /// Removes an endpoint.
     pub fn remove(&mut self, id: &str) {
         if let Some(known) = self.endpoints.remove(id) {
@@ -347,9 +375,21 @@
             }
         }
         for load in &loads {
-            if let Some(known) = self.by_digest(load.endpoint) {
-                known.foreign.running += u32::from(load.running);
-                known.foreign.pending += u64::from(load.pending);
+            let Some(id) = self.digests.get(&load.endpoint) else {
+                continue;
+            };
+            let Some(known) = self.endpoints.get_mut(id) else {
+                continue;
+            };
+            known.foreign.running += u32::from(load.running);
+            known.foreign.pending += u64::from(load.pending);
+            let service = &known.listing.service;
+            let unlearnt = self.unlearnt.get(service);
+            if known.tempo.hear(load.tempo)
+                && unlearnt.is_some_and(|unlearnt| unlearnt.contains(id))
+                && let Some(usual) = self.usual.get(service)
+            {
+                known.curve = usual.curve(&known.tempo);
             }
         }
         if !loads.is_empty() {
@@ -372,6 +412,7 @@
             endpoint: known.digest,
             running: u16::try_from(known.own.running).unwrap_or(u16::MAX),
             pending: u32::try_from(known.own.pending).unwrap_or(u32::MAX),
+            tempo: known.tempo.told(),
         };
         busy.map(load).collect()
     }
@@ -411,15 +452,13 @@
         let seen = now.since(run.sent).as_secs_f64() * 1_000.0;
         known.curve.learn(run.ahead, seen);
         let service = Arc::clone(&known.listing.service);
-        let usual = self.usual.entry(Arc::clone(&service));
-        let usual = usual.or_insert_with(|| Curve::new(FIRST_MS, TOKEN_MS));
-        usual.learn(run.ahead, seen);
-        let usual = *usual;
+        let usual = self.usual.entry(Arc::clone(&service)).or_default();
+        usual.curve.learn(run.ahead, seen);
         if let Some(unlearnt) = self.unlearnt.get_mut(&service) {
             unlearnt.remove(&run.endpoint);
             for id in &*unlearnt {
                 if let Some(other) = self.endpoints.get_mut(id) {
-                    other.curve = usual;
+                    other.curve = usual.curve(&other.tempo);
                 }
             }
         }
@@ -435,13 +474,25 @@
         }
     }
 
-    /// Notes how long an answer's events took.
+    /// Notes how long the events of an answer have taken until now.
     pub fn stream(&mut self, run: &Run, events: u32, span: Duration) {
-        if events >= EVENTS_MIN
-            && let Some(known) = self.of_run(run)
-        {
-            let seen = span.as_secs_f64() * 1_000.0 / f64::from(events - 1);
-            known.event += EVENT_GAIN * (seen - known.event);
+        if events < EVENTS_MIN {
+            return;
+        }
+        let seen = span.as_secs_f64() * 1_000.0 / f64::from(events - 1);
+        let Some(known) = self.of_run(run) else {
+            return;
+        };
+        known.tempo.see(seen);
+        let service = Arc::clone(&known.listing.service);
+        let usual = self.usual.entry(Arc::clone(&service)).or_default();
+        let event = usual.event.get_or_insert(seen);
+        *event += USUAL_GAIN * (seen - *event);
+        let event = *event;
+        for id in self.unlearnt.get(&service).into_iter().flatten() {
+            if let Some(other) = self.endpoints.get_mut(id) {
+                other.tempo.guess(event);
+            }
         }
     }
 
--- a/crates/core/src/direct/curve.rs
+++ b/crates/core/src/direct/curve.rs
@@ -93,9 +93,9 @@
         first + slope * tokens
     }
 
-    /// The same line as a starting point for another endpoint.
+    /// The same line as a starting point for another endpoint, which takes `factor` times as long.
     #[must_use]
-    pub fn prior(&self) -> Self {
-        Self::new(self.at(0.0), self.slope())
+    pub fn prior(&self, factor: f64) -> Self {
+        Self::new(self.at(0.0) * factor, self.slope() * factor)
     }
 }
--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -39,6 +39,8 @@
     pub running: u16,
     /// Prompt tokens among them that have not been read yet.
     pub pending: u32,
+    /// Time between two events that the reporter has seen there, in tenths of milliseconds, or 0.
+    pub tempo: u16,
 }
 
 /// What a report says of one service.
--- a/crates/core/src/direct/scheduler/message.rs
+++ b/crates/core/src/direct/scheduler/message.rs
@@ -56,6 +56,8 @@
     pub listing: Listing,
     /// Expected time to its first byte, in milliseconds.
     pub expected: u64,
+    /// Expected time to its last byte, in milliseconds.
+    pub whole: u64,
 }
 
 /// Why a request got no endpoint.
--- a/crates/core/src/direct/scheduler/placing.rs
+++ b/crates/core/src/direct/scheduler/placing.rs
@@ -113,12 +113,15 @@
             return None;
         }
         let (id, expected) = self.best(ask, late, now)?;
-        let listing = self.book.get(&id)?.listing().clone();
+        let known = self.book.get(&id)?;
+        let whole = expected + known.streaming(self.events(ask));
+        let listing = known.listing().clone();
         let run = self.book.send(&id, ask.prompt, now)?;
         Some(Outcome::Placed(Box::new(Placement {
             run,
             listing,
             expected: expected as u64,
+            whole: whole as u64,
         })))
     }
 
@@ -174,7 +177,6 @@
     fn best(&mut self, ask: &Ask, late: bool, now: Timestamp) -> Option<(EndpointId, f64)> {
         let service = self.plan.services.get(&ask.service);
         let bearing = service.map_or(0.0, |service| service.cold);
-        let stride = service.map_or(1.0, |service| service.stride.max(1.0));
         let cold = bearing * self.bounds.overage + self.bounds.extra;
         let (members, place) = (self.members.count(), self.members.place(self.own));
         let left = ask.objective.since(now).as_secs_f64() * 1_000.0;
@@ -185,7 +187,7 @@
         for id in ids {
             let known = self.book.get(&id)?;
             let is_cold = known.is_cold(now);
-            let (expected, price) = self.price(known, ask, stride, now);
+            let (expected, price) = self.price(known, ask, now);
             if !late && ask.streaming && expected > left {
                 continue;
             }
@@ -205,8 +207,19 @@
         found.map(|(id, expected, _)| (id, expected))
     }
 
+    /// Events that an answer is guessed to have.
+    fn events(&self, ask: &Ask) -> f64 {
+        let service = self.plan.services.get(&ask.service);
+        let stride = service.map_or(1.0, |service| service.stride.max(1.0));
+        if ask.streaming {
+            ask.length as f64 / stride
+        } else {
+            0.0
+        }
+    }
+
     /// The expected time to a request's first byte at an endpoint, and the same with prices.
-    fn price(&self, known: &Candidate, ask: &Ask, stride: f64, now: Timestamp) -> (f64, f64) {
+    fn price(&self, known: &Candidate, ask: &Ask, now: Timestamp) -> (f64, f64) {
         let expected = known.first_byte(ask.prompt) * DOUBT;
         let filled =
             f64::from(known.load().running) / f64::from(Self::places(known, ask.streaming));
@@ -218,7 +231,7 @@
             price += REMOTE_MS;
         }
         if ask.streaming {
-            let whole = expected + known.streaming(ask.length as f64 / stride) * LENGTH_DOUBT;
+            let whole = expected + known.streaming(self.events(ask)) * LENGTH_DOUBT;
             let left = ask.deadline.since(now).as_secs_f64() * 1_000.0;
             price += OVERTIME_PRICE * (whole - left).max(0.0);
         }
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -8,6 +8,7 @@
 mod overload;
 mod parts;
 mod readings;
+mod tempo;
 mod world;
 
 use std::net::SocketAddr;
--- a/crates/core/tests/core/direct/world.rs
+++ b/crates/core/tests/core/direct/world.rs
@@ -19,6 +19,8 @@
 const FIRST_MS: f64 = 26.0;
 const PROMPT_TOKEN_MS: f64 = 0.0064;
 const ANSWER_TOKEN_MS: f64 = 4.2;
+/// Tokens of an event.
+const STRIDE: f64 = 6.0;
 
 /// How requests find an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,6 +48,8 @@
     pub timely: u32,
     pub late: u32,
     pub refused: u32,
+    /// Answers that were not whole at their deadline.
+    pub cut: u32,
 }
 
 impl Tally {
@@ -292,6 +296,7 @@
 
     fn done(&mut self, engine: usize, job: u64, now: Timestamp) {
         let job = self.jobs.remove(&job).expect("a job");
+        self.tallies[job.kind].cut += u32::from(now > job.ask.deadline);
         self.engines[engine].running -= 1;
         if let Some(next) = self.engines[engine].queue.pop_front() {
             self.begin(engine, next, now);
@@ -300,6 +305,10 @@
             *count -= 1;
         }
         if let Some(run) = &job.run {
+            let events = job.ask.length as f64 / STRIDE;
+            let span = self.engines[engine].factor * ANSWER_TOKEN_MS * job.ask.length as f64;
+            let span = Duration::from_secs_f64(span / 1_000.0);
+            self.entries[job.entry].stream(run, events as u32, span);
             self.entries[job.entry].end(run, Ending::Whole, now);
             self.settle(job.entry, now);
         }
--- a/crates/direct/src/drive.rs
+++ b/crates/direct/src/drive.rs
@@ -74,6 +74,8 @@
     waited: Duration,
     /// When its first byte was expected at the last placement, in milliseconds.
     expected: u64,
+    /// When its last byte was, in milliseconds.
+    whole: u64,
 }
 
 impl Drive {
@@ -104,6 +106,7 @@
             runs: 0,
             waited: Duration::ZERO,
             expected: 0,
+            whole: 0,
         }
     }
 
@@ -217,6 +220,7 @@
         self.waited += waited;
         if let Answer::Placed(placement, _) = &answer {
             self.expected = placement.expected;
+            self.whole = placement.whole;
         }
         answer
     }
--- a/crates/direct/src/drive/stream.rs
+++ b/crates/direct/src/drive/stream.rs
@@ -42,6 +42,24 @@
         self.last = now;
         self.events += 1;
     }
+
+    /// Writes how a stream ended that did not become whole.
+    fn tell(&self, drive: &Drive, source: &Source, outcome: &str) {
+        let sends = &drive.context.metrics.sends;
+        sends.with_label_values(&[outcome]).inc();
+        log::info!(
+            request = drive.intake.head.name(),
+            endpoint:% = source.listing.id,
+            send = drive.sends,
+            length = drive.intake.head.length,
+            expected = drive.expected,
+            whole = drive.whole,
+            events = self.events,
+            pause = clock::millis(self.longest),
+            silent = clock::millis(clock::now().since(self.last));
+            "{outcome}"
+        );
+    }
 }
 
 /// An answer that comes from one endpoint.
@@ -53,6 +71,9 @@
     splitter: Splitter,
     /// How long the next event may take.
     patience: Duration,
+    /// Events that came from this endpoint, and when the first one did.
+    events: u32,
+    first: Timestamp,
 }
 
 /// What comes next on a stream.
@@ -82,10 +103,24 @@
             listing,
             splitter: Splitter::default(),
             patience: silence::first_byte(expected, true),
+            events: 0,
+            first: Timestamp::ZERO,
         };
         (Response::from_parts(parts, ()), source)
     }
 
+    /// Counts an event, and learns the endpoint's speed now and then.
+    fn count(&mut self) {
+        let now = clock::now();
+        if self.events == 0 {
+            self.first = now;
+        }
+        self.events += 1;
+        if self.events.is_power_of_two() {
+            self.hold.stream(self.events, now.since(self.first));
+        }
+    }
+
     async fn next(&mut self) -> Next {
         loop {
             if let Some(event) = self.splitter.next() {
@@ -171,15 +206,16 @@
                 last = event.id.or(last);
                 source.patience = silence::next_event(drive.intake.head.route.pause);
                 pauses.note();
+                source.count();
                 if !known && sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
-                    return drive.note("caller gone", &source.listing);
+                    return pauses.tell(&drive, &source, "caller gone");
                 }
             }
             Next::End => break,
-            Next::Left => return drive.note("caller gone", &source.listing),
+            Next::Left => return pauses.tell(&drive, &source, "caller gone"),
             Next::Over => {
                 drive.count(StatusCode::OK, "timeout");
-                drive.note("timeout", &source.listing);
+                pauses.tell(&drive, &source, "timeout");
                 drop(sender.send(Err(BrokenOff)).await);
                 return;
             }
@@ -204,6 +240,9 @@
         waited = clock::millis(drive.waited),
         expected = drive.expected,
         first = clock::millis(began),
+        whole = drive.whole,
+        took = clock::millis(clock::now().since(drive.intake.arrived)),
+        length = drive.intake.head.length,
         pause = clock::millis(pauses.longest),
         events = pauses.events,
         sends = drive.sends,
@@ -217,10 +256,6 @@
         .with_label_values(&["answered"])
         .inc();
     drive.count(StatusCode::OK, "endpoint");
-    let span = clock::now()
-        .since(drive.intake.arrived)
-        .saturating_sub(began);
-    source.hold.stream(pauses.events, span);
     source.hold.end(Ending::Whole);
     drive.finish(source.lease);
 }
