A caller that sends its header too slowly is dismissed with 408

Cause: only the idle limit ended slow callers, and every byte renewed what a caller may take: headerTimeoutMs of the configuration was not read.

Change: crates/direct/src/paced.rs notes when a header begins; after the limit of the configuration the connection gets 408 (nothing ran) and ends. Answers that are still under way do not count.

--- a/crates/core/src/direct/plan.rs
+++ b/crates/core/src/direct/plan.rs
@@ -136,6 +136,8 @@
     pub header: usize,
     /// Longest body of a caller, in bytes.
     pub body: usize,
+    /// How long a caller may take to send a header.
+    pub heading: Duration,
     /// How long a connection of a caller may be idle.
     pub idle: Duration,
 }
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -1,7 +1,6 @@
 //! The callers' side: connections, limits on them, and one answer for each request.
 
 use std::convert::Infallible;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +11,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
@@ -20,6 +20,7 @@
 use crate::context::Context;
 use crate::drive::Drive;
 use crate::intake::{self, Intake};
+use crate::paced::{Paced, Phase};
 use crate::upstream;
 
 /// Pause after a failed accept, so that a lack of descriptors does not spin.
@@ -31,9 +32,19 @@
 /// Pause that is named to callers while this process runs late.
 const STRAIN_PAUSE: Duration = Duration::from_millis(1_500);
 
-/// Header and idle limits before a configuration names others.
+/// Idle limit before a configuration names another.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 
+/// Limit of the time that a header may take before a configuration names another.
+const DEFAULT_HEADING: Duration = Duration::from_secs(5);
+
+/// How long a caller may take to accept the answer to a header that took too long.
+const FAREWELL: Duration = Duration::from_millis(500);
+
+/// What a caller is told whose header took too long: nothing ran.
+const TOO_SLOW: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// Smallest buffer that the HTTP library takes, in bytes.
 const BUFFER_MIN_BYTES: usize = 8 * 1024;
 
@@ -66,33 +77,37 @@
         return;
     }
     let plan = context.scheduler.borrow().plan().clone();
-    let known = plan.version > 0;
-    let idle = if known { plan.idle } else { DEFAULT_IDLE };
-    let header = if known {
-        plan.header
+    let (idle, heading, header) = if plan.version > 0 {
+        (plan.idle, plan.heading, plan.header)
     } else {
-        DEFAULT_HEADER_BYTES
+        (DEFAULT_IDLE, DEFAULT_HEADING, DEFAULT_HEADER_BYTES)
     };
+    let phase = Phase::new();
+    let answering = Rc::clone(&phase);
     let service = service_fn(move |request| {
         let context = Rc::clone(&context);
+        let busy = answering.answer();
         async move {
             let mut response = handle(request, &context).await;
             if context.is_leaving() {
                 answer::close(&mut response);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| busy.around(body)))
         }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(header.max(BUFFER_MIN_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
+        .serve_connection(TokioIo::new(Paced::new(stream, Rc::clone(&phase))), service);
     let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
+        ended = Pin::new(&mut connection) => ended,
+        () = phase.overdue(heading) => {
+            let stream = connection.into_parts().io.into_inner().into_inner();
+            return dismiss(stream).await;
+        }
         () = stop.cancelled() => {
-            connection.as_mut().graceful_shutdown();
+            Pin::new(&mut connection).graceful_shutdown();
             connection.await
         }
     };
@@ -101,6 +116,20 @@
     }
 }
 
+/// Ends the connection of a caller whose header took too long.
+async fn dismiss(mut stream: TcpStream) {
+    log::info!(limit = "header"; "a caller is too slow");
+    let farewell = async {
+        stream.write_all(TOO_SLOW).await?;
+        stream.shutdown().await
+    };
+    match tokio::time::timeout(FAREWELL, farewell).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::debug!("a slow caller's connection ended: {error}"),
+        Err(_) => log::debug!("a slow caller does not take its answer"),
+    }
+}
+
 async fn handle(request: Request<Incoming>, context: &Rc<Context>) -> Response<AnswerBody> {
     let arrived = clock::now();
     let (parts, body) = request.into_parts();
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -16,6 +16,7 @@
 mod gossip;
 mod intake;
 pub mod metrics;
+mod paced;
 mod peer;
 pub mod process;
 pub mod settings;
