--- a/crates/core/src/direct/book.rs
+++ b/crates/core/src/direct/book.rs
@@ -1,42 +1,35 @@
 //! What an entry knows of each endpoint: its listing, what runs there, and how it proved itself.
 
+mod candidate;
+mod usual;
+
+pub use candidate::{Candidate, Load};
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::curve::Curve;
 use super::members::EndpointLoad;
 use super::pace::Pace;
 use super::plan::{EndpointId, Listing};
 use super::tempo::Tempo;
 use crate::time::Timestamp;
+use usual::Usual;
 
 /// Part of a new outcome in a learnt share of failures.
 const FAILURE_GAIN: f64 = 0.12;
 
-/// Time in which a share of failures fades to a third while nothing is sent.
-const FAILURE_MEMORY: Duration = Duration::from_secs(3);
-
 /// First pause after an endpoint could not be reached or broke off.
 const SUSPECT_MIN: Duration = Duration::from_millis(300);
 
 /// Longest such pause.
 const SUSPECT_MAX: Duration = Duration::from_millis(2_400);
 
-/// Time to the first byte of an idle endpoint, in milliseconds, before anything is learnt.
-const FIRST_MS: f64 = 30.0;
-
-/// Time to read a prompt, in milliseconds a token, before anything is learnt.
-const TOKEN_MS: f64 = 0.008;
-
 /// Part of a new sighting in the usual time between events of a service.
 const USUAL_GAIN: f64 = 0.02;
 
-/// Bounds of the factor by which an endpoint is taken to be slower than is usual.
-const FACTOR_RANGE: (f64, f64) = (0.5, 6.0);
-
 /// Answers with fewer events tell nothing of the time between two.
 const EVENTS_MIN: u32 = 4;
 
@@ -48,132 +41,6 @@
     hasher.finish()
 }
 
-/// Requests at one endpoint.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Requests that run.
-    pub running: u32,
-    /// Prompt tokens that were sent and not read yet.
-    pub pending: u64,
-}
-
-/// One endpoint.
-#[derive(Debug)]
-pub struct Candidate {
-    listing: Listing,
-    /// Tells the starts under one name apart.
-    start: u64,
-    digest: u64,
-    /// What this entry runs there.
-    own: Load,
-    /// What its peers say they run there.
-    foreign: Load,
-    sends: Pace,
-    /// When this entry last sent a request there.
-    sent: Timestamp,
-    cold: Timestamp,
-    /// Until when it is used although it is no longer listed, or never if it is listed.
-    lapsed: Timestamp,
-    /// Time to a first byte.
-    curve: Curve,
-    /// Time between two events of one answer.
-    tempo: Tempo,
-    failures: f64,
-    strikes: u32,
-    suspect: Timestamp,
-}
-
-impl Candidate {
-    /// The listing.
-    #[must_use]
-    pub const fn listing(&self) -> &Listing {
-        &self.listing
-    }
-
-    /// Requests of all entries there.
-    #[must_use]
-    pub const fn load(&self) -> Load {
-        Load {
-            running: self.own.running + self.foreign.running,
-            pending: self.own.pending + self.foreign.pending,
-        }
-    }
-
-    /// What this entry runs there.
-    #[must_use]
-    pub const fn own(&self) -> Load {
-        self.own
-    }
-
-    /// The learnt time to a first byte.
-    #[must_use]
-    pub const fn curve(&self) -> &Curve {
-        &self.curve
-    }
-
-    /// The share of requests that failed there of late. It fades while nothing is sent there, so
-    /// that the endpoint is tried again.
-    #[must_use]
-    pub fn failures(&self, now: Timestamp) -> f64 {
-        let idle = now.since(self.sent).as_secs_f64();
-        self.failures * (-idle / FAILURE_MEMORY.as_secs_f64()).exp()
-    }
-
-    /// Whether it is cold.
-    #[must_use]
-    pub fn is_cold(&self, now: Timestamp) -> bool {
-        now < self.cold
-    }
-
-    /// Whether it is no longer listed.
-    #[must_use]
-    pub fn is_lapsed(&self) -> bool {
-        self.lapsed < Timestamp::NEVER
-    }
-
-    /// Whether it may still be used.
-    #[must_use]
-    pub fn is_usable(&self, now: Timestamp) -> bool {
-        !self.listing.leaving && now < self.lapsed
-    }
-
-    /// Whether new requests keep away from it for a while.
-    #[must_use]
-    pub fn is_suspect(&self, now: Timestamp) -> bool {
-        now < self.suspect
-    }
-
-    /// Time in which a prompt of `tokens` would have its first byte there, in milliseconds.
-    #[must_use]
-    pub fn first_byte(&self, tokens: u64) -> f64 {
-        self.curve.at((self.load().pending + tokens) as f64)
-    }
-
-    /// Time in which an answer of `events` events comes, in milliseconds.
-    #[must_use]
-    pub fn streaming(&self, events: f64) -> f64 {
-        self.tempo.millis() * events
-    }
-
-    /// Time in which a prompt of `tokens` would have its first byte there if nothing else ran.
-    #[must_use]
-    pub fn idle_byte(&self, tokens: u64) -> f64 {
-        self.curve.at(tokens as f64)
-    }
-
-    /// Time for which reading what is pending and `tokens` more holds other answers up, in
-    /// milliseconds.
-    #[must_use]
-    pub fn reading(&self, tokens: u64) -> f64 {
-        self.curve.slope() * (self.load().pending + tokens) as f64
-    }
-
-    /// Requests that this entry sent there in the last second.
-    pub fn recent(&mut self, now: Timestamp) -> usize {
-        self.sends.recent(now)
-    }
-}
-
 /// A request that was sent to an endpoint.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -190,33 +57,6 @@
     begun: bool,
 }
 
-/// What is learnt of a service's endpoints together.
-#[derive(Debug, Clone, Copy)]
-struct Usual {
-    /// Time to a first byte.
-    curve: Curve,
-    /// Time between two events, in milliseconds, once anything was seen.
-    event: Option<f64>,
-}
-
-impl Default for Usual {
-    fn default() -> Self {
-        Self {
-            curve: Curve::new(FIRST_MS, TOKEN_MS),
-            event: None,
-        }
-    }
-}
-
-impl Usual {
-    /// What an endpoint of this tempo is expected to take for a first byte.
-    fn curve(&self, tempo: &Tempo) -> Curve {
-        let factor = self.event.map_or(1.0, |event| tempo.millis() / event);
-        self.curve
-            .prior(factor.clamp(FACTOR_RANGE.0, FACTOR_RANGE.1))
-    }
-}
-
 /// All endpoints that are listed.
 #[derive(Debug, Default)]
 pub struct Book {
--- a/crates/direct/src/drive/stream.rs
+++ b/crates/direct/src/drive/stream.rs
@@ -10,7 +10,8 @@
 use hyper::{Response, StatusCode};
 use tokio::sync::mpsc;
 
-use super::{Drive, Kind, passed_back};
+use super::send::passed_back;
+use super::{Drive, Kind};
 use crate::answer::{self, AnswerBody, BrokenOff, Piece};
 use crate::clock;
 use crate::context::{Answer, Hold};
