The bucket of a team's rate fills as fast as its windows allow

A window holds rate x length and burst; the bucket beside it, which is there for a kill of all entries, filled at the bare rate, so that a team with a large burst never got what its windows had room for (rate 58,282, burst 209,813, 8 s: 58,282 of 84,509 units a second).

Change: the bucket fills at the window's units over its length and holds 0.65 (0.2 at a start) of what the fleet may exceed a window by, the margin and the slack of the settings (new: `rate slack`). The test fails before (45,900 of 60,000 units); the test of a kill of every entry holds.

--- a/crates/core/src/direct/allowance.rs
+++ b/crates/core/src/direct/allowance.rs
@@ -8,7 +8,9 @@
 //!
 //! When every entry is killed at once nobody remembers the window. A bucket therefore keeps a team from
 //! taking the whole window in its first second, and begins nearly empty: what was taken before the
-//! kill and what is taken after it together stay within the margin that the operators leave.
+//! kill and what is taken after it together stay within the margin that the operators leave. It fills
+//! as fast as a window allows in the long run, so that it refuses nothing that a window has room for
+//! but what comes at once.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -20,11 +22,12 @@
 /// Steps in which a window is counted.
 const STEPS: u32 = 40;
 
-/// Part of the margin by which a bucket is deeper than the burst.
+/// Part of what the fleet may exceed a window by that a bucket holds at most. With [`START_PART`] it
+/// stays below one; the rest is for what entries have not heard of each other yet.
 const DEPTH_PART: f64 = 0.65;
 
-/// Part of the margin that a bucket holds at the start of a process.
-const START_PART: f64 = 0.25;
+/// Part of what the fleet may exceed a window by that a bucket holds at the start of a process.
+const START_PART: f64 = 0.2;
 
 /// Part of a team's limit that is kept for its more urgent requests, for each rank below the highest.
 const RANK_RESERVE: f64 = 0.08;
@@ -59,6 +62,8 @@
     pub window: Duration,
     /// Part of a window's units by which the fleet may exceed it while it cannot know better.
     pub margin: f64,
+    /// Units by which it may exceed the window besides.
+    pub slack: f64,
     /// Whether nothing can have been used before this process started.
     pub first: bool,
 }
@@ -79,7 +84,7 @@
         allowance.level = if terms.first {
             allowance.depth()
         } else {
-            allowance.margin() * START_PART
+            allowance.excess() * START_PART
         };
         allowance
     }
@@ -88,12 +93,18 @@
         self.rate as f64 * self.terms.window.as_secs_f64() + self.burst as f64
     }
 
-    fn margin(&self) -> f64 {
-        self.whole() * self.terms.margin
+    /// Units by which the fleet may exceed a window.
+    fn excess(&self) -> f64 {
+        self.whole() * self.terms.margin + self.terms.slack
     }
 
     fn depth(&self) -> f64 {
-        self.burst as f64 + self.margin() * DEPTH_PART
+        self.excess() * DEPTH_PART
+    }
+
+    /// Units a second that windows have room for in the long run.
+    fn pace(&self) -> f64 {
+        self.whole() / self.terms.window.as_secs_f64()
     }
 
     /// Takes another rate and burst.
@@ -106,7 +117,7 @@
     }
 
     fn fill(&mut self, part: f64, now: Timestamp) {
-        let gained = now.since(self.filled).as_secs_f64() * self.rate as f64 * part;
+        let gained = now.since(self.filled).as_secs_f64() * self.pace() * part;
         self.filled = self.filled.max(now);
         self.level = (self.level + gained).min(self.depth());
     }
@@ -152,7 +163,7 @@
         let lack = need as f64 + self.depth() * kept - self.level;
         let empty = lack > 0.0 && self.level < self.depth() && !small;
         if over > 0 || empty {
-            let filled = Duration::from_secs_f64((lack / self.rate as f64).clamp(0.0, 60.0));
+            let filled = Duration::from_secs_f64((lack / self.pace()).clamp(0.0, 60.0));
             return Err(Excess {
                 refill: self.refill(over, now).max(filled),
             });
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -34,6 +34,7 @@
     Terms {
         window: Duration::from_secs(8),
         margin: 0.25,
+        slack: 0.0,
         first,
     }
 }
--- a/crates/core/tests/core/direct/allowance.rs
+++ b/crates/core/tests/core/direct/allowance.rs
@@ -40,6 +40,20 @@
     assert!(total >= 29 * RATE, "the rate is not used: {total}");
 }
 
+/// Load: a team whose limit was cut goes on sending far more. What a window has room for is let in, for
+/// as long as that goes on.
+#[test]
+fn what_windows_have_room_for_is_let_in() {
+    let burst = 4 * RATE;
+    let mut allowance = Allowance::new(RATE, burst, terms(true), at(0));
+    let mut spent = Vec::new();
+    drain(&mut allowance, 0, 40_000, &mut spent);
+    let whole = 8 * RATE + burst;
+    assert!(worst(&spent) <= whole);
+    let total: u64 = spent.iter().map(|(_, units)| units).sum();
+    assert!(total >= whole * 9 / 2, "{total} of five windows of {whole}");
+}
+
 /// A drawn day: every entry was killed while a team took its whole window in its first seconds, and
 /// nobody remembered it. 41 in 100 more than a window ran.
 #[test]
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -173,6 +173,7 @@
             rates: Terms {
                 window: Duration::from_secs_f64(limits.number("rate window s")?),
                 margin: limits.number("rate margin")?,
+                slack: limits.number("rate slack")?,
                 first: entry.value("first start", "true or false")?,
             },
             window: Duration::from_secs_f64(limits.number("repeat window s")?),
