--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -2,12 +2,12 @@
 
 use std::process::ExitCode;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 use comfreyhaven_core::RequestId;
 
 use crate::addresses;
 use crate::error::CliError;
-use crate::ops::ask;
+use crate::ops::{ask, lines};
 use crate::output::{self, Output};
 
 /// Describes the subcommand.
@@ -18,21 +18,40 @@
             Arg::new("request")
                 .value_name("REQUEST-ID")
                 .help("Identifier from the answer's x-comfreyhaven-request header, or from a log")
-                .required(true)
-                .value_parser(value_parser!(RequestId)),
+                .required(true),
+        )
+        .arg(
+            addresses::arg("Operators' port of an entry, such as 10.0.1.1:7002")
+                .required(false)
+                .required_unless_present("log")
+                .conflicts_with("log"),
+        )
+        .arg(
+            Arg::new("log")
+                .long("log")
+                .value_name("FILE")
+                .help("Log of a process, whose lines are read instead of asking; may be repeated")
+                .action(ArgAction::Append),
         )
-        .arg(addresses::arg(
-            "Operators' port of an entry, such as 10.0.1.1:7002",
-        ))
         .arg(Output::arg())
 }
 
 /// Asks each entry and prints what the ones that know the request say.
 pub(super) fn exec(matches: &ArgMatches) -> Result<ExitCode, CliError> {
-    let addresses = addresses::of(matches);
-    let Some(&request) = matches.get_one::<RequestId>("request") else {
+    let Some(request) = matches.get_one::<String>("request") else {
         return Ok(ExitCode::SUCCESS);
     };
+    if let Some(logs) = matches.get_many::<String>("log") {
+        return from_logs(
+            request,
+            &logs.cloned().collect::<Vec<_>>(),
+            Output::of(matches),
+        );
+    }
+    let addresses = addresses::of(matches);
+    let request: RequestId = request
+        .parse()
+        .map_err(|_| CliError::NoRequest(request.clone()))?;
     let found = ask::explain(request, &addresses)?;
     if Output::of(matches) == Output::Json {
         output::json(&found)?;
@@ -50,3 +69,23 @@
     }
     Ok(ExitCode::SUCCESS)
 }
+
+/// Prints what logs say of a request, after what each process last said of the store.
+fn from_logs(request: &str, logs: &[String], output: Output) -> Result<ExitCode, CliError> {
+    let found = lines::explain(request, logs)?;
+    if output == Output::Json {
+        output::json(&found)?;
+        return Ok(ExitCode::SUCCESS);
+    }
+    let first = found
+        .iter()
+        .find(|line| line.own)
+        .map_or(0, |line| line.time);
+    let mut table = output::table(&["ms", "log", "decision", "inputs and outcome"]);
+    for line in &found {
+        let millis = i128::from(line.time) - i128::from(first);
+        table.add_row([&millis.to_string(), &line.log, &line.event, &line.fields]);
+    }
+    println!("{table}");
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -47,9 +47,13 @@
         source: AskError,
     },
     /// No process knows a request.
-    #[display("none of the processes asked knows request {_0}")]
+    #[display("nothing is known of request {_0}: check the id, and name every entry or its log")]
     #[from(ignore)]
-    UnknownRequest(#[error(not(source))] comfreyhaven_core::RequestId),
+    UnknownRequest(#[error(not(source))] String),
+    /// A request's id is malformed.
+    #[display("{_0:?} is no identifier of a request: expected the value of x-comfreyhaven-request")]
+    #[from(ignore)]
+    NoRequest(#[error(not(source))] String),
     /// A value cannot be printed as JSON.
     #[display("cannot print JSON: {_0}")]
     Json(serde_json::Error),
@@ -92,6 +96,7 @@
             | Self::Create { .. }
             | Self::Write(_)
             | Self::Empty(_)
+            | Self::NoRequest(_)
             | Self::Ask { .. }
             | Self::Json(_) => 2,
         }
--- a/crates/cli/src/ops/ask.rs
+++ b/crates/cli/src/ops/ask.rs
@@ -80,7 +80,7 @@
     match (found.is_empty(), failed) {
         (false, _) => Ok(found),
         (true, Some(error)) => Err(error),
-        (true, None) => Err(CliError::UnknownRequest(request)),
+        (true, None) => Err(CliError::UnknownRequest(request.to_string())),
     }
 }
 
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -165,3 +165,37 @@
         );
     }
 }
+
+#[test]
+fn a_request_is_explained_from_the_logs_of_entries() {
+    let directory = tempfile::tempdir().expect("a temporary directory");
+    let write = |name: &str, lines: &[&str]| {
+        let file = directory.path().join(name);
+        std::fs::write(&file, lines.join("\n")).expect("the log is written");
+        file.to_str().expect("a path in UTF-8").to_owned()
+    };
+    let first = write(
+        "entry-1.log",
+        &[
+            r#"{"time":100,"event":"configuration in force","version":45}"#,
+            r#"{"time":150,"event":"the store is lost: no answer in time","section":"endpoints"}"#,
+            r#"not a line of ours"#,
+            r#"{"time":200,"event":"admitted","request":"4d93","route":"plans","level":"INFO"}"#,
+            r#"{"time":201,"event":"admitted","request":"4d94","route":"plans"}"#,
+            r#"{"time":560,"event":"refused","request":"4d93","cause":"overloaded","sends":0}"#,
+        ],
+    );
+    let second = write(
+        "entry-2.log",
+        &[
+            r#"{"time":90,"event":"started","boot":7}"#,
+            r#"entry-2 {"time":1800,"event":"refused on arrival","request":"4d93","cause":"unavailable","age":4300}"#,
+        ],
+    );
+    let output = run(&["explain", "4d93", "--log", &first, "--log", &second]);
+    insta::assert_snapshot!(shown(directory.path(), &output));
+    let unknown = run(&["explain", "4d95", "--log", &first]);
+    insta::assert_snapshot!(shown(directory.path(), &unknown));
+    let neither = run(&["explain", "4d93"]);
+    assert_eq!(neither.status.code(), Some(2));
+}
