A stream that is resumed at a silent endpoint ends with its deadline

Cause (found by examples/soak: one lane stood still for 260 s, with one caller's connection open at an entry and at an engine that hangs): the send that goes on with a broken stream at another endpoint had no limit of time, and nobody looked whether the caller was still there.

Ruled out: the stand-ins (the entry's own connections to both were open and idle; its metrics and reports went on).

Change: that send may take as long as any first byte, the caller's deadline at most, and ends when the caller leaves.

--- a/crates/direct/src/drive/stream.rs
+++ b/crates/direct/src/drive/stream.rs
@@ -221,7 +221,15 @@
                 return;
             }
             Next::Broken | Next::Silent => {
-                let Some(resumed) = resume(&mut drive, source, last, &coming).await else {
+                let resumed = tokio::select! {
+                    resumed = resume(&mut drive, source, last, &coming) => Some(resumed),
+                    () = sender.closed() => None,
+                };
+                let Some(resumed) = resumed else {
+                    log::info!(request = drive.intake.head.name(); "caller gone");
+                    return;
+                };
+                let Some(resumed) = resumed else {
                     drive.count(StatusCode::OK, "broken");
                     drop(sender.send(Err(BrokenOff)).await);
                     return;
@@ -302,27 +310,8 @@
             return None;
         };
         let listing = placement.listing.clone();
-        drive.sends += 1;
-        let request = drive.request(&listing, last);
-        match drive.context.upstream.send(&listing, request).await {
-            Ok(reply) if matches!(drive.kind(&reply.response), Kind::Success) => {
-                drive.note("resumed", &listing);
-                return Some(Source::new(reply, hold, drive, listing).1);
-            }
-            Ok(reply) => {
-                let rejected = matches!(drive.kind(&reply.response), Kind::Rejected);
-                drive.runs += u32::from(!rejected);
-                hold.end(if rejected {
-                    Ending::Rejected
-                } else {
-                    Ending::Failed
-                });
-            }
-            Err(error) => {
-                drive.runs += u32::from(!error.is_unsent());
-                hold.end(Ending::Broken);
-                log::info!(endpoint:% = listing.id; "cannot resume: {error}");
-            }
+        if let Some(resumed) = go_on(drive, &listing, hold, last).await {
+            return Some(resumed);
         }
         drive.excluded.push(listing.id);
         if drive.sends >= super::SENDS_LIMIT {
@@ -331,3 +320,44 @@
     }
     None
 }
+
+/// Asks one endpoint to go on after the event `last`.
+async fn go_on(
+    drive: &mut Drive,
+    listing: &Listing,
+    hold: Hold,
+    last: Option<u64>,
+) -> Option<Source> {
+    drive.sends += 1;
+    let request = drive.request(listing, last);
+    let expected = Duration::from_millis(drive.expected);
+    let left = drive.limit.since(clock::now());
+    let patience = left.min(silence::first_byte(expected, true));
+    let sending = drive.context.upstream.send(listing, request);
+    match tokio::time::timeout(patience, sending).await {
+        Ok(Ok(reply)) if matches!(drive.kind(&reply.response), Kind::Success) => {
+            drive.note("resumed", listing);
+            return Some(Source::new(reply, hold, drive, listing.clone()).1);
+        }
+        Ok(Ok(reply)) => {
+            let rejected = matches!(drive.kind(&reply.response), Kind::Rejected);
+            drive.runs += u32::from(!rejected);
+            hold.end(if rejected {
+                Ending::Rejected
+            } else {
+                Ending::Failed
+            });
+        }
+        Ok(Err(error)) => {
+            drive.runs += u32::from(!error.is_unsent());
+            hold.end(Ending::Broken);
+            log::info!(endpoint:% = listing.id; "cannot resume: {error}");
+        }
+        Err(_) => {
+            drive.runs += 1;
+            drive.leave_silent(hold.run());
+            hold.end(Ending::Cancelled);
+        }
+    }
+    None
+}
