News of the store is told at once; a line is settled without copying it

Cause: in a large fleet an entry reports every few seconds (2.75 s at 330), so that a change that a reader has seen would come to the others late against the 3 s that a configuration has; and each of them would ask the reader for it in the same moment. Scheduler::settle copied every waiting request on each tick and each ending.

Change: a reader that has seen something new reports 100 ms after its last report;

settle_line copies only what it tries to place or turns away.

--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -321,47 +321,51 @@
             .map(|(s, _)| Arc::clone(s))
             .collect();
         for service in services {
-            let waiting: Vec<(Place, Ask)> = match self.lines.get(&service) {
-                Some(line) => line
-                    .iter()
-                    .map(|(place, ask)| (*place, ask.clone()))
-                    .collect(),
-                None => continue,
+            self.settle_line(&service, &mut outcomes, now);
+        }
+        outcomes
+    }
+
+    fn settle_line(
+        &mut self,
+        service: &Arc<str>,
+        outcomes: &mut Vec<(Ticket, Outcome)>,
+        now: Timestamp,
+    ) {
+        let places = self.lines.get(service).map(Line::places);
+        let mut full = false;
+        for place in places.unwrap_or_default() {
+            let Some(ask) = self.lines.get(service).and_then(|line| line.get(&place)) else {
+                continue;
+            };
+            let over = self.is_overdue(&place, ask, now);
+            if full && !over {
+                continue;
+            }
+            let ask = ask.clone();
+            let placed = if full {
+                None
+            } else {
+                self.place(&ask, place.is_late(), now)
             };
-            let mut full = false;
-            for (place, ask) in waiting {
-                let late = place.is_late();
-                let outcome = if full {
-                    None
-                } else {
-                    self.place(&ask, late, now)
-                };
-                let outcome = match outcome {
-                    Some(outcome) => Some(outcome),
-                    None => {
-                        full = true;
-                        self.overdue(&place, &ask, now)
-                    }
-                };
-                if let Some(outcome) = outcome {
-                    outcomes.push((ask.ticket, outcome));
-                    if let Some(line) = self.lines.get_mut(&service) {
-                        line.take(&place);
-                    }
+            full |= placed.is_none();
+            let turned = || over.then(|| self.turn(&ask, Reason::Overloaded, now));
+            if let Some(outcome) = placed.or_else(turned) {
+                outcomes.push((ask.ticket, outcome));
+                if let Some(line) = self.lines.get_mut(service) {
+                    line.take(&place);
                 }
             }
         }
-        outcomes
     }
 
-    /// What becomes of a request that still waits: one whose time is over is turned away.
-    fn overdue(&mut self, place: &Place, ask: &Ask, now: Timestamp) -> Option<Outcome> {
-        let over = if place.is_late() {
+    /// Whether the time of a request that still waits is over.
+    fn is_overdue(&self, place: &Place, ask: &Ask, now: Timestamp) -> bool {
+        if place.is_late() {
             self.patience(ask) <= now
         } else {
             self.is_late(ask, now)
-        };
-        over.then(|| self.turn(ask, Reason::Overloaded, now))
+        }
     }
 
     /// Until when a request that is late anyway may wait: its answer still has to come. One of a long
@@ -425,7 +429,7 @@
     #[must_use]
     pub fn totals(&self) -> Totals {
         Totals {
-            waiting: self.lines.values().map(|line| line.iter().count()).sum(),
+            waiting: self.lines.values().map(Line::len).sum(),
             running: self
                 .book
                 .loads()
--- a/crates/core/src/direct/waiting.rs
+++ b/crates/core/src/direct/waiting.rs
@@ -114,8 +114,18 @@
         self.asks.remove(place)
     }
 
-    pub(super) fn iter(&self) -> impl Iterator<Item = (&Place, &Ask)> {
-        self.asks.iter()
+    /// The places in the order in which they are served.
+    pub(super) fn places(&self) -> Vec<Place> {
+        self.asks.keys().copied().collect()
+    }
+
+    pub(super) fn get(&self, place: &Place) -> Option<&Ask> {
+        self.asks.get(place)
+    }
+
+    /// Requests that wait.
+    pub(super) fn len(&self) -> usize {
+        self.asks.len()
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -12,7 +12,7 @@
 use comfreyhaven_core::direct::{
     Ask, Ending, Outcome, Placement, Run, Scheduler, Strain, Ticket, Turned,
 };
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio_util::task::TaskTracker;
 
 use crate::clock;
@@ -121,6 +121,7 @@
     next: Cell<u64>,
     leaving: Cell<bool>,
     fetching: Cell<bool>,
+    news: Notify,
     /// The longest deadline that callers gave each route: a shorter one tells of time that passed.
     longest: RefCell<HashMap<Arc<str>, Duration>>,
 }
@@ -147,6 +148,7 @@
             next: Cell::new(0),
             leaving: Cell::new(false),
             fetching: Cell::new(false),
+            news: Notify::new(),
             longest: RefCell::default(),
         })
     }
@@ -208,6 +210,16 @@
         !self.waiters.borrow().is_empty()
     }
 
+    /// Notes that this entry has read something new, which its peers should hear of soon.
+    pub fn tell_news(&self) {
+        self.news.notify_one();
+    }
+
+    /// Waits until there is something new to tell.
+    pub async fn news(&self) {
+        self.news.notified().await;
+    }
+
     /// Whether a snapshot may be fetched now: one at a time.
     #[must_use]
     pub fn begin_fetch(&self) -> bool {
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -146,6 +146,7 @@
         };
         if !covered {
             self.change(page.changes, whole, asked);
+            self.context.tell_news();
         }
         let mut scheduler = self.context.scheduler.borrow_mut();
         scheduler.readings_mut().note(self.section, changed, asked);
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -15,6 +15,12 @@
 /// Largest report, in bytes.
 const REPORT_LIMIT_BYTES: usize = 60_000;
 
+/// Shortest pause between reports in a large fleet, when this entry has read something new.
+const NEWS_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest wait before a snapshot is asked for, for each entry of the fleet: all hear of news at once.
+const FETCH_SPREAD: Duration = Duration::from_millis(1);
+
 /// Pause after a snapshot before the next is asked for: changes come in series.
 const FETCH_PAUSE: Duration = Duration::from_millis(200);
 
@@ -25,9 +31,16 @@
 pub(crate) async fn tell(socket: Rc<UdpSocket>, context: Rc<Context>, stop: CancellationToken) {
     loop {
         let pause = context.scheduler.borrow().interval();
+        let waiting = async {
+            tokio::time::sleep(pause.min(NEWS_PAUSE)).await;
+            tokio::select! {
+                () = tokio::time::sleep(pause.saturating_sub(NEWS_PAUSE)) => {}
+                () = context.news() => {}
+            }
+        };
         tokio::select! {
             () = stop.cancelled() => break,
-            () = tokio::time::sleep(pause) => {}
+            () = waiting => {}
         }
         report(&socket, &context).await;
         let gone = context.scheduler.borrow_mut().forget(clock::now());
@@ -103,6 +116,9 @@
     if heard.newer && context.begin_fetch() {
         let context = Rc::clone(context);
         context.tasks.clone().spawn_local(async move {
+            let members = context.scheduler.borrow().totals().members;
+            let spread = FETCH_SPREAD * u32::try_from(members).unwrap_or(u32::MAX);
+            tokio::time::sleep(spread.mul_f64(rand::random())).await;
             peer::fetch(&context, from).await;
             tokio::time::sleep(FETCH_PAUSE).await;
             context.end_fetch();
