--- a/crates/core/src/direct/book.rs
+++ b/crates/core/src/direct/book.rs
@@ -68,6 +68,8 @@
     unlearnt: HashMap<Arc<str>, BTreeSet<EndpointId>>,
     reports: HashMap<SocketAddr, Vec<EndpointLoad>>,
     starts: u64,
+    /// Endpoints that changed, and of which it is not yet noted when.
+    changed: Vec<EndpointId>,
 }
 
 impl Book {
@@ -82,6 +84,10 @@
             if listing.sequence < known.listing.sequence {
                 return;
             }
+            if listing.sequence > known.listing.sequence || known.is_lapsed() {
+                known.revision = u64::MAX;
+                self.changed.push(Arc::clone(&listing.id));
+            }
             known.cold = known.cold.max(cold);
             known.lapsed = Timestamp::NEVER;
             known.listing = listing;
@@ -111,8 +117,10 @@
             failures: 0.0,
             strikes: 0,
             suspect: Timestamp::ZERO,
+            revision: u64::MAX,
             listing,
         };
+        self.changed.push(Arc::clone(&id));
         for load in self
             .reports
             .values()
@@ -152,7 +160,11 @@
     pub fn lapse(&mut self, id: &str, until: Timestamp) {
         match self.endpoints.get_mut(id) {
             Some(known) if known.listing.leaving => self.remove(id),
-            Some(known) => known.lapsed = known.lapsed.min(until),
+            Some(known) => {
+                known.lapsed = known.lapsed.min(until);
+                known.revision = u64::MAX;
+                self.changed.push(known.listing.id.clone());
+            }
             None => {}
         }
     }
@@ -173,9 +185,25 @@
         self.endpoints.keys().cloned().collect()
     }
 
-    /// Every listing, with the milliseconds for which one is still used that has lapsed.
+    /// Notes that whatever has changed did so up to `revision` of the store.
+    pub fn stamp(&mut self, revision: u64) {
+        for id in std::mem::take(&mut self.changed) {
+            if let Some(known) = self.endpoints.get_mut(&id) {
+                known.revision = revision;
+            }
+        }
+    }
+
+    /// Digests of all endpoints.
+    #[must_use]
+    pub fn digests(&self) -> Vec<u64> {
+        self.endpoints.values().map(|known| known.digest).collect()
+    }
+
+    /// The listings that changed after `revision`, with the milliseconds for which one is still used that
+    /// has lapsed.
     #[must_use]
-    pub fn listings(&self, now: Timestamp) -> Vec<(Listing, Option<u32>)> {
+    pub fn listings(&self, revision: u64, now: Timestamp) -> Vec<(Listing, Option<u32>)> {
         let current = |known: &Candidate| {
             let rest = known.lapsed.since(now).as_millis();
             let rest = u32::try_from(rest).unwrap_or(u32::MAX);
@@ -185,7 +213,8 @@
             };
             (listing, known.is_lapsed().then_some(rest))
         };
-        self.endpoints.values().map(current).collect()
+        let newer = |known: &&Candidate| known.revision > revision;
+        self.endpoints.values().filter(newer).map(current).collect()
     }
 
     /// One endpoint.
--- a/crates/core/src/direct/book/candidate.rs
+++ b/crates/core/src/direct/book/candidate.rs
@@ -44,6 +44,8 @@
     pub(super) failures: f64,
     pub(super) strikes: u32,
     pub(super) suspect: Timestamp,
+    /// The store's revision up to which the listing changed last, at its latest.
+    pub(super) revision: u64,
 }
 
 impl Candidate {
--- a/crates/core/src/direct/scheduler/sharing.rs
+++ b/crates/core/src/direct/scheduler/sharing.rs
@@ -118,6 +118,15 @@
         &self.readings
     }
 
+    /// Takes the answer to what this entry asked the store at `asked`: the newest change is that of
+    /// `revision`.
+    pub fn note_reading(&mut self, section: Section, revision: u64, asked: Timestamp) {
+        self.readings.note(section, revision, asked);
+        if section == Section::Endpoints {
+            self.book.stamp(self.readings.revision(section));
+        }
+    }
+
     /// How much of the store is known.
     pub const fn readings_mut(&mut self) -> &mut Readings {
         &mut self.readings
--- a/crates/core/src/direct/scheduler/snapshot.rs
+++ b/crates/core/src/direct/scheduler/snapshot.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Scheduler;
+use crate::direct::book::digest;
 use crate::direct::plan::{Listing, Plan};
 use crate::direct::readings::Section;
 use crate::time::Timestamp;
@@ -16,8 +17,11 @@
 pub struct Snapshot {
     /// The configuration, if it is newer than the one that the asker holds.
     pub plan: Option<Plan>,
-    /// The endpoints, with the milliseconds for which one is still used that is no longer listed.
+    /// The endpoints that changed since the asker's knowledge, with the milliseconds for which one is
+    /// still used that is no longer listed.
     pub endpoints: Vec<(Listing, Option<u32>)>,
+    /// Digests of all endpoints: others are gone.
+    pub known: Vec<u64>,
     /// The data centres that are taken out.
     pub closed: Vec<Arc<str>>,
     /// The store's revision of the newest change known, by section.
@@ -25,13 +29,15 @@
 }
 
 impl Scheduler {
-    /// What a peer may take that holds the configuration `version`.
+    /// What a peer may take that holds the configuration `version` and knows the endpoints up to
+    /// `revision` of the store.
     #[must_use]
-    pub fn snapshot(&self, version: u64, now: Timestamp) -> Snapshot {
+    pub fn snapshot(&self, version: u64, revision: u64, now: Timestamp) -> Snapshot {
         let sections = [Section::Configuration, Section::Endpoints];
         Snapshot {
             plan: (self.plan.version > version).then(|| Plan::clone(&self.plan)),
-            endpoints: self.book.listings(now),
+            endpoints: self.book.listings(revision, now),
+            known: self.book.digests(),
             closed: self.closed.iter().cloned().collect(),
             revisions: sections.map(|section| self.readings.revision(section)),
         }
@@ -52,7 +58,8 @@
             self.close_only(snapshot.closed.into_iter().collect(), now);
         }
         if self.readings.adopt(Section::Endpoints, endpoints) || self.book.ids().is_empty() {
-            self.list_only(snapshot.endpoints, now);
+            self.list_only(snapshot.endpoints, &snapshot.known, now);
+            self.book.stamp(endpoints);
         }
         configured
     }
@@ -68,10 +75,10 @@
         }
     }
 
-    fn list_only(&mut self, endpoints: Vec<(Listing, Option<u32>)>, now: Timestamp) {
-        let named: BTreeSet<_> = endpoints.iter().map(|(l, _)| Arc::clone(&l.id)).collect();
+    fn list_only(&mut self, endpoints: Vec<(Listing, Option<u32>)>, known: &[u64], now: Timestamp) {
+        let known: BTreeSet<_> = known.iter().copied().collect();
         for id in self.book.ids() {
-            if !named.contains(&id) {
+            if !known.contains(&digest(&id)) {
                 self.book.lapse(&id, now);
             }
         }
--- a/crates/core/tests/core/direct/readings.rs
+++ b/crates/core/tests/core/direct/readings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use comfreyhaven_core::direct::{Scheduler, Section};
+use comfreyhaven_core::direct::{Listing, Scheduler, Section};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -105,7 +105,7 @@
             let heard = self.entries[to].hear(address(from as u8 + 1), report, now);
             if heard.newer {
                 let held = self.entries[to].plan().version;
-                let snapshot = self.entries[from].snapshot(held, now);
+                let snapshot = self.entries[from].snapshot(held, 0, now);
                 self.entries[to].take(snapshot, now);
             }
         }
@@ -225,18 +225,50 @@
     }
     one.list(listing("e4", 4), at(0));
     one.lapse("e1", at(900));
-    one.readings_mut().note(Section::Endpoints, 20, at(0));
-    two.take(one.snapshot(0, at(100)), at(100));
+    one.note_reading(Section::Endpoints, 20, at(0));
+    two.take(one.snapshot(0, 0, at(100)), at(100));
     assert_eq!(two.book().ids().len(), 4);
     assert!(two.book().get("e1").expect("still used").is_lapsed());
     assert_eq!(two.drop_lapsed(at(899)), Vec::<std::sync::Arc<str>>::new());
     assert_eq!(two.drop_lapsed(at(900)), ["e1".into()]);
     // What a peer says that knows no more changes nothing.
     one.lapse("e2", at(1_000));
-    two.take(one.snapshot(0, at(950)), at(950));
+    two.take(one.snapshot(0, 20, at(950)), at(950));
     assert!(!two.book().get("e2").expect("listed").is_lapsed());
 }
 
+#[test]
+fn a_snapshot_holds_what_changed_since_and_names_what_is_left() {
+    let (mut one, mut two) = (scheduler(1, &[2]), scheduler(2, &[1]));
+    for id in ["e1", "e2", "e3"] {
+        one.list(listing(id, 4), at(0));
+    }
+    one.note_reading(Section::Endpoints, 20, at(0));
+    assert_eq!(one.snapshot(0, 0, at(1)).endpoints.len(), 3);
+    two.take(one.snapshot(0, 0, at(1)), at(1));
+    assert!(one.snapshot(0, 20, at(1)).endpoints.is_empty());
+    let leaving = Listing {
+        leaving: true,
+        sequence: 2,
+        ..listing("e2", 4)
+    };
+    one.list(leaving, at(10));
+    one.list(listing("e4", 4), at(10));
+    one.lapse("e1", at(10));
+    one.drop_lapsed(at(11));
+    one.note_reading(Section::Endpoints, 23, at(11));
+    let snapshot = one.snapshot(0, 20, at(12));
+    assert_eq!(snapshot.endpoints.len(), 2);
+    two.take(snapshot, at(12));
+    two.drop_lapsed(at(12));
+    let names: Vec<_> = two.book().ids().iter().map(ToString::to_string).collect();
+    assert_eq!(names, ["e2", "e3", "e4"]);
+    assert!(!two.book().get("e2").expect("known").is_usable(at(12)));
+    // What it took it can pass on.
+    assert_eq!(two.snapshot(0, 20, at(13)).endpoints.len(), 2);
+    assert!(two.snapshot(0, 23, at(13)).endpoints.is_empty());
+}
+
 #[test]
 fn an_answer_of_the_store_that_a_peer_overtook_is_passed_over() {
     let mut entry = scheduler(1, &[2]);
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -121,6 +121,7 @@
     next: Cell<u64>,
     leaving: Cell<bool>,
     fetching: Cell<bool>,
+    asked: Cell<bool>,
     news: Notify,
     /// The longest deadline that callers gave each route: a shorter one tells of time that passed.
     longest: RefCell<HashMap<Arc<str>, Duration>>,
@@ -148,6 +149,7 @@
             next: Cell::new(0),
             leaving: Cell::new(false),
             fetching: Cell::new(false),
+            asked: Cell::new(false),
             news: Notify::new(),
             longest: RefCell::default(),
         })
@@ -210,6 +212,17 @@
         !self.waiters.borrow().is_empty()
     }
 
+    /// Notes that the store was asked, whether it answered or not.
+    pub fn note_asked(&self) {
+        self.asked.set(true);
+    }
+
+    /// Whether what peers know may be taken: a process that starts asks the store first.
+    #[must_use]
+    pub fn has_asked(&self) -> bool {
+        self.asked.get()
+    }
+
     /// Notes that this entry has read something new, which its peers should hear of soon.
     pub fn tell_news(&self) {
         self.news.notify_one();
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -71,6 +71,7 @@
                 () = stop.cancelled() => break,
                 result = self.call(after) => result,
             };
+            self.context.note_asked();
             match result {
                 Ok(page) => {
                     self.succeed();
@@ -149,7 +150,7 @@
             self.context.tell_news();
         }
         let mut scheduler = self.context.scheduler.borrow_mut();
-        scheduler.readings_mut().note(self.section, changed, asked);
+        scheduler.note_reading(self.section, changed, asked);
         let version = scheduler.plan().version;
         if self.section == Section::Configuration && version > 0 {
             scheduler.confirm(version, asked);
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -113,7 +113,7 @@
     if heard.started {
         log::info!(peer:% = from, version = version; "peer heard");
     }
-    if heard.newer && context.begin_fetch() {
+    if heard.newer && context.has_asked() && context.begin_fetch() {
         let context = Rc::clone(context);
         context.tasks.clone().spawn_local(async move {
             let members = context.scheduler.borrow().totals().members;
--- a/crates/direct/src/peer.rs
+++ b/crates/direct/src/peer.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use comfreyhaven_core::direct::Snapshot;
+use comfreyhaven_core::direct::{Section, Snapshot};
 use derive_more::{Display, Error, From};
 use http_body_util::{BodyExt, Empty, Full, Limited};
 use hyper::body::Incoming;
@@ -16,7 +16,8 @@
 use crate::context::Context;
 use crate::upstream::{SendError, open};
 
-/// Path of the snapshot; the version of the configuration that the asker holds follows.
+/// Path of the snapshot; the version of the configuration that the asker holds follows, and the
+/// revision of the store up to which it knows the endpoints.
 const SNAPSHOT_PATH: &str = "/snapshot/";
 
 /// How long a peer may take to give its snapshot.
@@ -46,12 +47,16 @@
 pub(crate) fn answer(request: &Request<Incoming>, context: &Context) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     let held = request.uri().path().strip_prefix(SNAPSHOT_PATH);
-    let held = held.and_then(|version| version.parse().ok());
-    let Some(held) = held.filter(|_| request.method() == Method::GET) else {
+    let held = held.and_then(|held| held.split_once('/'));
+    let held = held.and_then(|(v, r)| Some((v.parse().ok()?, r.parse().ok()?)));
+    let Some((version, revision)) = held.filter(|_| request.method() == Method::GET) else {
         *response.status_mut() = StatusCode::NOT_FOUND;
         return response;
     };
-    let snapshot = context.scheduler.borrow().snapshot(held, clock::now());
+    let snapshot = context
+        .scheduler
+        .borrow()
+        .snapshot(version, revision, clock::now());
     match rmp_serde::to_vec(&snapshot) {
         Ok(bytes) => *response.body_mut() = Full::new(bytes.into()),
         Err(error) => {
@@ -64,8 +69,12 @@
 
 /// Takes what is newer from a peer.
 pub(crate) async fn fetch(context: &Rc<Context>, from: SocketAddr) {
-    let held = context.scheduler.borrow().plan().version;
-    let snapshot = match tokio::time::timeout(FETCH_TIMEOUT, request(from, held)).await {
+    let held = {
+        let scheduler = context.scheduler.borrow();
+        let revision = scheduler.readings().revision(Section::Endpoints);
+        format!("{SNAPSHOT_PATH}{}/{revision}", scheduler.plan().version)
+    };
+    let snapshot = match tokio::time::timeout(FETCH_TIMEOUT, request(from, &held)).await {
         Ok(Ok(snapshot)) => snapshot,
         Ok(Err(error)) => return log::info!(peer:% = from; "no snapshot: {error}"),
         Err(_) => return log::info!(peer:% = from; "no snapshot in time"),
@@ -81,12 +90,11 @@
     context.settle();
 }
 
-async fn request(from: SocketAddr, held: u64) -> Result<Snapshot, FetchError> {
+async fn request(from: SocketAddr, path: &str) -> Result<Snapshot, FetchError> {
     let stream = open(from).await?;
     let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
     let (mut sender, connection) = handshake.await?;
     let mut request = Request::new(Empty::<Bytes>::new());
-    let path = format!("{SNAPSHOT_PATH}{held}");
     *request.uri_mut() = path.parse()?;
     let exchange = async {
         let response = sender.send_request(request).await?;
