--- a/crates/core/src/direct/scheduler/sharing.rs
+++ b/crates/core/src/direct/scheduler/sharing.rs
@@ -9,6 +9,9 @@
 use crate::direct::readings::{Readings, Section};
 use crate::time::Timestamp;
 
+/// Age of the configuration's confirmation from which an entry reads the store whatever its peers say.
+const CONFIRMED_LIMIT: Duration = Duration::from_secs(2);
+
 /// What a peer's report calls for.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Heard {
@@ -135,7 +138,12 @@
     /// For how long this entry need not ask the store for a section.
     #[must_use]
     pub fn rest(&self, section: Section, now: Timestamp) -> Duration {
-        let rank = self.members.rank(self.own, now);
+        // What peers say counts from when they were asked, which is long ago in a large fleet.
+        let rank = if self.currency.is_current(CONFIRMED_LIMIT, now) {
+            self.members.rank(self.own, now)
+        } else {
+            0
+        };
         self.readings.rest(section, rank, self.interval(), now)
     }
 
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -10,7 +10,7 @@
 
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
-    Ask, Ending, Outcome, Placement, Run, Scheduler, Strain, Ticket, Turned,
+    Ask, Ending, Outcome, Placement, Run, Scheduler, Section, Strain, Ticket, Turned,
 };
 use tokio::sync::{Notify, oneshot};
 use tokio_util::task::TaskTracker;
@@ -121,7 +121,8 @@
     next: Cell<u64>,
     leaving: Cell<bool>,
     fetching: Cell<bool>,
-    asked: Cell<bool>,
+    /// Whether the store was asked for each section.
+    asked: Cell<[bool; 2]>,
     news: Notify,
     /// The longest deadline that callers gave each route: a shorter one tells of time that passed.
     longest: RefCell<HashMap<Arc<str>, Duration>>,
@@ -149,7 +150,7 @@
             next: Cell::new(0),
             leaving: Cell::new(false),
             fetching: Cell::new(false),
-            asked: Cell::new(false),
+            asked: Cell::default(),
             news: Notify::new(),
             longest: RefCell::default(),
         })
@@ -212,15 +213,18 @@
         !self.waiters.borrow().is_empty()
     }
 
-    /// Notes that the store was asked, whether it answered or not.
-    pub fn note_asked(&self) {
-        self.asked.set(true);
+    /// Notes that the store was asked for a section, whether it answered or not.
+    pub fn note_asked(&self, section: Section) {
+        let mut asked = self.asked.get();
+        asked[section as usize] = true;
+        self.asked.set(asked);
     }
 
-    /// Whether what peers know may be taken: a process that starts asks the store first.
+    /// Whether what peers know may be taken: a process that starts asks the store first. Otherwise all
+    /// that start together would ask the one that is ready first.
     #[must_use]
     pub fn has_asked(&self) -> bool {
-        self.asked.get()
+        self.asked.get() == [true; 2]
     }
 
     /// Notes that this entry has read something new, which its peers should hear of soon.
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -71,7 +71,7 @@
                 () = stop.cancelled() => break,
                 result = self.call(after) => result,
             };
-            self.context.note_asked();
+            self.context.note_asked(self.section);
             match result {
                 Ok(page) => {
                     self.succeed();
