--- a/crates/core/tests/core/direct/readings.rs
+++ b/crates/core/tests/core/direct/readings.rs
@@ -282,3 +282,23 @@
     assert!(!readings.covers(Section::Endpoints, true, 20, 27));
     assert!(readings.covers(Section::Endpoints, true, 20, 25));
 }
+
+/// What a peer says counts from when it was asked: in a large fleet, or where answers to an entry's own
+/// reports are lost, it knows that nothing is newer and not how current that is.
+#[test]
+fn an_entry_whose_confirmation_is_old_reads_the_store_whatever_peers_say() {
+    let mut fleet = Fleet::new(4, 0.0);
+    fleet.run(3_000);
+    let rest = |entry: &Scheduler, now| entry.rest(Section::Configuration, at(now));
+    let last = (0..4).max_by_key(|index| rest(&fleet.entries[*index], 3_000));
+    let last = last.expect("an entry");
+    for now in (3_000..5_500).step_by(50) {
+        for peer in (0..4).filter(|peer| *peer != last) {
+            let mut report = fleet.entries[peer].report(at(now));
+            report.readings[0].age = Some(0);
+            fleet.entries[last].hear(address(peer as u8 + 1), report, at(now));
+        }
+        let old = fleet.entries[last].currency().age(at(now)) > Some(Duration::from_secs(2));
+        assert_eq!(rest(&fleet.entries[last], now).is_zero(), old, "at {now}");
+    }
+}
