--- a/crates/core/src/agent/queue.rs
+++ b/crates/core/src/agent/queue.rs
@@ -43,8 +43,7 @@
     /// The latest time at which it can start and be expected to meet its deadline.
     #[must_use]
     pub fn latest_start(&self) -> Timestamp {
-        let service = u64::try_from(self.service.as_micros()).unwrap_or(u64::MAX);
-        Timestamp::from_micros(self.deadline.as_micros().saturating_sub(service))
+        self.deadline - self.service
     }
 }
 
--- a/crates/core/src/direct/book.rs
+++ b/crates/core/src/direct/book.rs
@@ -15,7 +15,7 @@
 use super::pace::Pace;
 use super::plan::{EndpointId, Listing};
 use super::tempo::Tempo;
-use crate::time::Timestamp;
+use crate::time::{Timestamp, whole_millis};
 use usual::Usual;
 
 /// Part of a new outcome in a learnt share of failures.
@@ -85,8 +85,7 @@
                 return;
             }
             if listing.sequence > known.listing.sequence || known.is_lapsed() {
-                known.revision = u64::MAX;
-                self.changed.push(Arc::clone(&listing.id));
+                known.mark(&mut self.changed);
             }
             known.cold = known.cold.max(cold);
             known.lapsed = Timestamp::NEVER;
@@ -120,7 +119,7 @@
             revision: u64::MAX,
             listing,
         };
-        self.changed.push(Arc::clone(&id));
+        candidate.mark(&mut self.changed);
         for load in self
             .reports
             .values()
@@ -162,8 +161,7 @@
             Some(known) if known.listing.leaving => self.remove(id),
             Some(known) => {
                 known.lapsed = known.lapsed.min(until);
-                known.revision = u64::MAX;
-                self.changed.push(known.listing.id.clone());
+                known.mark(&mut self.changed);
             }
             None => {}
         }
@@ -205,8 +203,7 @@
     #[must_use]
     pub fn listings(&self, revision: u64, now: Timestamp) -> Vec<(Listing, Option<u32>)> {
         let current = |known: &Candidate| {
-            let rest = known.lapsed.since(now).as_millis();
-            let rest = u32::try_from(rest).unwrap_or(u32::MAX);
+            let rest = whole_millis(known.lapsed.since(now));
             let listing = Listing {
                 cold: known.cold.since(now),
                 ..known.listing.clone()
@@ -270,6 +267,28 @@
         self.endpoints.get_mut(self.digests.get(&digest)?)
     }
 
+    /// How many endpoints there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Whether there are none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+
+    /// Requests that this entry runs at all of them.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        let running = self
+            .endpoints
+            .values()
+            .map(|known| known.own.running as usize);
+        running.sum()
+    }
+
     /// What this entry runs, for a report.
     #[must_use]
     pub fn loads(&self) -> Vec<EndpointLoad> {
--- a/crates/core/src/direct/book/candidate.rs
+++ b/crates/core/src/direct/book/candidate.rs
@@ -1,10 +1,11 @@
 //! What is known of one endpoint.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::super::curve::Curve;
 use super::super::pace::Pace;
-use super::super::plan::Listing;
+use super::super::plan::{EndpointId, Listing};
 use super::super::tempo::Tempo;
 use crate::time::Timestamp;
 
@@ -49,6 +50,12 @@
 }
 
 impl Candidate {
+    /// Notes in `changed` that the listing changed, at a revision that is not known yet.
+    pub(super) fn mark(&mut self, changed: &mut Vec<EndpointId>) {
+        self.revision = u64::MAX;
+        changed.push(Arc::clone(&self.listing.id));
+    }
+
     /// The listing.
     #[must_use]
     pub const fn listing(&self) -> &Listing {
--- a/crates/core/src/direct/currency.rs
+++ b/crates/core/src/direct/currency.rs
@@ -46,9 +46,7 @@
     /// was sent at `asked`.
     pub fn hear(&mut self, version: u64, age: Duration, asked: Timestamp) {
         if version == self.version {
-            let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-            let confirmed = asked.as_micros().saturating_sub(micros);
-            self.confirmed = self.confirmed.max(Some(Timestamp::from_micros(confirmed)));
+            self.confirmed = self.confirmed.max(Some(asked - age));
         }
     }
 
--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -103,6 +103,20 @@
     spent: HashMap<u64, i64>,
     services: Vec<ServiceLoad>,
     leaving: bool,
+    /// Its place in an order of all entries that mixes data centres.
+    order: u64,
+}
+
+impl Member {
+    /// Whether it was heard within `limit`.
+    fn is_heard(&self, limit: Duration, now: Timestamp) -> bool {
+        now < self.heard + limit
+    }
+}
+
+/// Where an entry stands in an order that mixes data centres.
+fn order(address: SocketAddr) -> u64 {
+    digest(&address.to_string())
 }
 
 /// News from a report.
@@ -150,6 +164,7 @@
             spent,
             services: report.services.clone(),
             leaving: report.leaving,
+            order: known.map_or_else(|| order(from), |member| member.order),
         };
         self.members.insert(from, member);
         self.rumours.remove(&from);
@@ -183,10 +198,9 @@
     /// Members that have been silent for a while.
     pub fn silent(&self, now: Timestamp) -> impl Iterator<Item = SocketAddr> + '_ {
         let limit = self.silence();
-        let silent = move |member: &Member| member.heard + limit <= now;
         self.members
             .iter()
-            .filter(move |(_, m)| silent(m))
+            .filter(move |(_, member)| !member.is_heard(limit, now))
             .map(|(address, _)| *address)
     }
 
@@ -206,12 +220,12 @@
     /// mixes data centres.
     #[must_use]
     pub fn rank(&self, own: SocketAddr, now: Timestamp) -> usize {
-        let order = |address: &SocketAddr| (digest(&address.to_string()), *address);
         let limit = self.silence();
-        let stays = |member: &Member| !member.leaving && now < member.heard + limit;
-        let before = |address: &SocketAddr| order(address) < order(&own);
-        let others = self.members.iter().filter(|(_, member)| stays(member));
-        others.filter(|(address, _)| before(address)).count()
+        let own = (order(own), own);
+        let others = self.members.iter();
+        let stay = others.filter(|(_, member)| !member.leaving && member.is_heard(limit, now));
+        stay.filter(|(address, member)| (member.order, **address) < own)
+            .count()
     }
 
     /// The part of a shared rate that may be spent by the entries that can be heard.
@@ -235,7 +249,7 @@
     #[must_use]
     pub fn demand(&self, service: u64, now: Timestamp) -> (u32, u32, u32) {
         let limit = self.silence();
-        let heard = self.members.values().filter(|m| now < m.heard + limit);
+        let heard = self.members.values().filter(|m| m.is_heard(limit, now));
         let loads = heard
             .flat_map(|member| &member.services)
             .filter(|load| load.service == service);
--- a/crates/core/src/direct/readings.rs
+++ b/crates/core/src/direct/readings.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::time::Timestamp;
+use crate::time::{Timestamp, whole_millis};
 
 /// Entries that always read the store.
 const READERS: usize = 2;
@@ -45,6 +45,11 @@
     Endpoints,
 }
 
+impl Section {
+    /// Every section, in the order in which messages carry them.
+    pub const ALL: [Self; 2] = [Self::Configuration, Self::Endpoints];
+}
+
 /// What a report says of one section.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Told {
@@ -103,9 +108,7 @@
         if told.revision == reading.revision
             && let Some(age) = told.age
         {
-            let age = Duration::from_millis(age.into()).as_micros();
-            let age = u64::try_from(age).unwrap_or(u64::MAX);
-            let confirmed = Timestamp::from_micros(now.as_micros().saturating_sub(age));
+            let confirmed = now - Duration::from_millis(age.into());
             reading.confirmed = reading.confirmed.max(Some(confirmed));
         }
         false
@@ -134,7 +137,7 @@
             let age = reading.confirmed.map(|confirmed| now.since(confirmed));
             Told {
                 revision: reading.revision,
-                age: age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
+                age: age.map(whole_millis),
             }
         })
     }
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -400,8 +400,8 @@
         self.book.stream(run, events, span);
     }
 
-    /// Notes that an endpoint has been silent for so long that its request leaves it.
-    pub fn leave_silent(&mut self, run: &Run, now: Timestamp) {
+    /// Notes that an endpoint broke off, could not be reached, or has been silent for too long.
+    pub fn blame(&mut self, run: &Run, now: Timestamp) {
         self.book.fail(run);
         self.book.suspect(run, now);
     }
@@ -412,10 +412,7 @@
         match ending {
             Ending::Whole => self.book.succeed(run),
             Ending::Failed | Ending::Rejected => self.book.fail(run),
-            Ending::Broken => {
-                self.book.fail(run);
-                self.book.suspect(run, now);
-            }
+            Ending::Broken => self.blame(run, now),
             Ending::Cancelled => {}
         }
     }
@@ -430,13 +427,8 @@
     pub fn totals(&self) -> Totals {
         Totals {
             waiting: self.lines.values().map(Line::len).sum(),
-            running: self
-                .book
-                .loads()
-                .iter()
-                .map(|load| usize::from(load.running))
-                .sum(),
-            endpoints: self.book.ids().len(),
+            running: self.book.running(),
+            endpoints: self.book.len(),
             members: self.members.count(),
         }
     }
--- a/crates/core/src/direct/scheduler/message.rs
+++ b/crates/core/src/direct/scheduler/message.rs
@@ -97,7 +97,7 @@
     Failed,
     /// The endpoint said that it did not run it.
     Rejected,
-    /// The endpoint could not be reached, or broke the connection off.
+    /// The endpoint could not be reached, broke the connection off, or was silent for too long.
     Broken,
     /// The caller left, or its time was over.
     Cancelled,
--- a/crates/core/src/direct/scheduler/placing.rs
+++ b/crates/core/src/direct/scheduler/placing.rs
@@ -66,14 +66,14 @@
     /// Whether no endpoint of the service may be used at all.
     pub(super) fn is_empty(&self, ask: &Ask, now: Timestamp) -> bool {
         let mut endpoints = self.book.of(&ask.service);
-        !endpoints.any(|known| self.is_open(known, ask, now))
+        !endpoints.any(|known| self.is_open(known, &ask.excluded, now))
     }
 
-    fn is_open(&self, known: &Candidate, ask: &Ask, now: Timestamp) -> bool {
+    fn is_open(&self, known: &Candidate, excluded: &[EndpointId], now: Timestamp) -> bool {
         let listing = known.listing();
         known.is_usable(now)
             && !self.closed.contains(&listing.centre)
-            && !ask.excluded.contains(&listing.id)
+            && !excluded.contains(&listing.id)
     }
 
     /// Whether a sound endpoint that is not excluded has a place free.
@@ -85,18 +85,15 @@
         now: Timestamp,
     ) -> bool {
         self.book.of(service).any(|known| {
-            let listing = known.listing();
-            known.is_usable(now)
+            self.is_open(known, excluded, now)
                 && !known.is_suspect(now)
-                && !self.closed.contains(&listing.centre)
-                && !excluded.contains(&listing.id)
                 && known.load().running < Self::places(known, streaming)
         })
     }
 
     /// The endpoints that a request may go to: suspected ones only where there is no other.
     fn open<'a>(&'a self, ask: &'a Ask, now: Timestamp) -> impl Iterator<Item = &'a Candidate> {
-        let open = move |known: &&Candidate| self.is_open(known, ask, now);
+        let open = move |known: &&Candidate| self.is_open(known, &ask.excluded, now);
         let endpoints = || self.book.of(&ask.service).filter(open);
         let suspects = endpoints().all(|known| known.is_suspect(now));
         endpoints().filter(move |known| suspects || !known.is_suspect(now))
--- a/crates/core/src/direct/scheduler/sharing.rs
+++ b/crates/core/src/direct/scheduler/sharing.rs
@@ -7,7 +7,7 @@
 use crate::direct::book::digest;
 use crate::direct::members::{Report, ServiceLoad};
 use crate::direct::readings::{Readings, Section};
-use crate::time::Timestamp;
+use crate::time::{Timestamp, whole_millis};
 
 /// Age of the configuration's confirmation from which an entry reads the store whatever its peers say.
 const CONFIRMED_LIMIT: Duration = Duration::from_secs(2);
@@ -49,10 +49,7 @@
                 urgent: u16::try_from(urgent).unwrap_or(u16::MAX),
             }
         });
-        let age = self
-            .currency
-            .age(now)
-            .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
+        let age = self.currency.age(now).map(whole_millis);
         Report {
             boot: self.boot,
             sent: now.as_micros(),
@@ -96,7 +93,7 @@
         }
         self.suspects.hear(from, &report.crashes, now);
         let mut newer = report.version > self.currency.version();
-        for section in [Section::Configuration, Section::Endpoints] {
+        for section in Section::ALL {
             newer |= self
                 .readings
                 .hear(section, report.readings[section as usize], now);
@@ -157,6 +154,12 @@
         gone
     }
 
+    /// How many entries there are, with this one.
+    #[must_use]
+    pub fn members(&self) -> usize {
+        self.members.count()
+    }
+
     /// The entries that are known.
     #[must_use]
     pub fn peers(&self) -> Vec<SocketAddr> {
--- a/crates/core/src/direct/scheduler/snapshot.rs
+++ b/crates/core/src/direct/scheduler/snapshot.rs
@@ -33,13 +33,12 @@
     /// `revision` of the store.
     #[must_use]
     pub fn snapshot(&self, version: u64, revision: u64, now: Timestamp) -> Snapshot {
-        let sections = [Section::Configuration, Section::Endpoints];
         Snapshot {
             plan: (self.plan.version > version).then(|| Plan::clone(&self.plan)),
             endpoints: self.book.listings(revision, now),
             known: self.book.digests(),
             closed: self.closed.iter().cloned().collect(),
-            revisions: sections.map(|section| self.readings.revision(section)),
+            revisions: Section::ALL.map(|section| self.readings.revision(section)),
         }
     }
 
@@ -57,7 +56,7 @@
         if self.readings.adopt(Section::Configuration, configuration) {
             self.close_only(snapshot.closed.into_iter().collect(), now);
         }
-        if self.readings.adopt(Section::Endpoints, endpoints) || self.book.ids().is_empty() {
+        if self.readings.adopt(Section::Endpoints, endpoints) || self.book.is_empty() {
             self.list_only(snapshot.endpoints, &snapshot.known, now);
             self.book.stamp(endpoints);
         }
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -66,6 +66,21 @@
     }
 }
 
+impl std::ops::Sub<Duration> for Timestamp {
+    type Output = Self;
+
+    /// Saturates at [`Timestamp::ZERO`].
+    fn sub(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
+/// Whole milliseconds of a span, as messages carry them.
+pub(crate) fn whole_millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
 impl std::ops::Add<Duration> for Timestamp {
     type Output = Self;
 
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -50,12 +50,6 @@
             .stream(&self.run, events, span);
     }
 
-    /// What is counted for it.
-    #[must_use]
-    pub const fn run(&self) -> &Run {
-        &self.run
-    }
-
     /// Gives the place back.
     pub fn end(mut self, ending: Ending) {
         self.finish(ending);
--- a/crates/direct/src/drive/send.rs
+++ b/crates/direct/src/drive/send.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use comfreyhaven_core::direct::{Ending, Listing, Placement, Run, silence};
+use comfreyhaven_core::direct::{Ending, Listing, Placement, silence};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
@@ -52,16 +52,15 @@
         hold: Hold,
     ) -> Result<Result<Response<AnswerBody>, Fault>, (Reply, Hold, Listing)> {
         let mut sending = pin!(self.exchange(placement, hold));
-        let streaming = self.intake.head.route.streaming;
-        let expected = Duration::from_millis(placement.expected);
-        let patience = silence::first_byte(expected, streaming);
-        if let Ok(result) = tokio::time::timeout(patience, sending.as_mut()).await {
+        if let Ok(result) = tokio::time::timeout(self.patience(), sending.as_mut()).await {
             return result;
         }
         if !self.may_leave(&placement.listing) {
             return sending.await;
         }
-        self.leave_silent(&placement.run);
+        self.note("silent", &placement.listing);
+        let mut scheduler = self.context.scheduler.borrow_mut();
+        scheduler.blame(&placement.run, clock::now());
         Ok(Err(Fault::Unknown))
     }
 
@@ -81,17 +80,14 @@
         scheduler.may_repeat(&self.service, &excluded, route.streaming, now)
     }
 
-    pub(super) fn leave_silent(&self, run: &Run) {
-        let mut scheduler = self.context.scheduler.borrow_mut();
-        scheduler.leave_silent(run, clock::now());
-        drop(scheduler);
-        let sends = &self.context.metrics.sends;
-        sends.with_label_values(&["silent"]).inc();
-        log::info!(request = self.intake.head.name(), endpoint:% = run.endpoint, send = self.sends; "silent");
+    /// How long the endpoint of the last placement may take to begin its answer.
+    pub(super) fn patience(&self) -> Duration {
+        let expected = Duration::from_millis(self.expected);
+        silence::first_byte(expected, self.intake.head.route.streaming)
     }
 
     /// Sends the request once. A stream that has begun is handed over as the outer error.
-    pub(super) async fn exchange(
+    async fn exchange(
         &self,
         placement: &Placement,
         hold: Hold,
@@ -119,16 +115,18 @@
         }
     }
 
+    /// Counts what became of a send.
+    pub(super) fn tally(&self, outcome: &str) {
+        let sends = &self.context.metrics.sends;
+        sends.with_label_values(&[outcome]).inc();
+    }
+
     pub(super) fn note(&self, outcome: &str, listing: &Listing) {
-        self.context
-            .metrics
-            .sends
-            .with_label_values(&[outcome])
-            .inc();
+        self.tally(outcome);
         log::info!(request = self.intake.head.name(), endpoint:% = listing.id, send = self.sends; "{outcome}");
     }
 
-    pub(super) fn broken(&self, error: &SendError, listing: &Listing, hold: Hold) -> Fault {
+    fn broken(&self, error: &SendError, listing: &Listing, hold: Hold) -> Fault {
         self.note(
             if error.is_unsent() {
                 "unsent"
@@ -150,7 +148,7 @@
     }
 
     /// The endpoint did not run the request.
-    pub(super) fn rejected(&self, reply: Reply, hold: Hold, listing: &Listing) -> Fault {
+    fn rejected(&self, reply: Reply, hold: Hold, listing: &Listing) -> Fault {
         self.note("rejected", listing);
         let other = reply.response.status() == StatusCode::MISDIRECTED_REQUEST;
         hold.end(if other {
@@ -167,7 +165,7 @@
     }
 
     /// Reads the rest of an answer that nobody needs, so that its connection can be kept.
-    pub(super) fn drain(&self, reply: Reply) {
+    fn drain(&self, reply: Reply) {
         let upstream = self.context.upstream.clone();
         self.context.tasks.spawn_local(async move {
             let (response, lease) = reply.split();
@@ -179,7 +177,7 @@
     }
 
     /// Reads an answer to its end before the caller sees any of it.
-    pub(super) async fn collect(
+    async fn collect(
         &self,
         reply: Reply,
         mut hold: Hold,
@@ -195,11 +193,7 @@
             hold.end(Ending::Broken);
             return Err(Fault::Unknown);
         };
-        self.context
-            .metrics
-            .sends
-            .with_label_values(&["answered"])
-            .inc();
+        self.tally("answered");
         log::info!(
             request = self.intake.head.name(),
             endpoint:% = listing.id,
--- a/crates/direct/src/drive/stream.rs
+++ b/crates/direct/src/drive/stream.rs
@@ -18,6 +18,9 @@
 use crate::events::{Event, Splitter};
 use crate::upstream::{Lease, Reply};
 
+/// Time that has to be left to go on at another endpoint.
+const RESUME_TIME: Duration = Duration::from_millis(100);
+
 /// What a stream was like, for its log line.
 #[derive(Debug)]
 struct Pauses {
@@ -46,8 +49,7 @@
 
     /// Writes how a stream ended that did not become whole.
     fn tell(&self, drive: &Drive, source: &Source, outcome: &str) {
-        let sends = &drive.context.metrics.sends;
-        sends.with_label_values(&[outcome]).inc();
+        drive.tally(outcome);
         log::info!(
             request = drive.intake.head.name(),
             endpoint:% = source.listing.id,
@@ -94,7 +96,6 @@
 
 impl Source {
     fn new(reply: Reply, hold: Hold, drive: &Drive, listing: Listing) -> (Response<()>, Self) {
-        let expected = Duration::from_millis(drive.expected);
         let (response, lease) = reply.split();
         let (parts, body) = response.into_parts();
         let source = Self {
@@ -103,7 +104,7 @@
             hold,
             listing,
             splitter: Splitter::default(),
-            patience: silence::first_byte(expected, true),
+            patience: drive.patience(),
             events: 0,
             first: Timestamp::ZERO,
         };
@@ -222,12 +223,10 @@
             }
             Next::Broken | Next::Silent => {
                 let resumed = tokio::select! {
-                    resumed = resume(&mut drive, source, last, &coming) => Some(resumed),
-                    () = sender.closed() => None,
-                };
-                let Some(resumed) = resumed else {
-                    log::info!(request = drive.intake.head.name(); "caller gone");
-                    return;
+                    resumed = resume(&mut drive, source, last, &coming) => resumed,
+                    () = sender.closed() => {
+                        return log::info!(request = drive.intake.head.name(); "caller gone");
+                    }
                 };
                 let Some(resumed) = resumed else {
                     drive.count(StatusCode::OK, "broken");
@@ -258,12 +257,7 @@
         prompt = drive.intake.head.cost.map_or(0, |cost| cost.prompt);
         "stream complete"
     );
-    drive
-        .context
-        .metrics
-        .sends
-        .with_label_values(&["answered"])
-        .inc();
+    drive.tally("answered");
     drive.count(StatusCode::OK, "endpoint");
     source.hold.end(Ending::Whole);
     drive.finish(source.lease);
@@ -279,13 +273,12 @@
     drive.excluded.push(source.listing.id.clone());
     let is_silent = matches!(cause, Next::Silent);
     if is_silent {
-        drive.leave_silent(source.hold.run());
-        source.hold.end(Ending::Cancelled);
+        drive.note("silent", &source.listing);
     } else {
         drive.note("broken", &source.listing);
         drive.context.upstream.close(&source.listing.id);
-        source.hold.end(Ending::Broken);
     }
+    source.hold.end(Ending::Broken);
     drop(source.lease);
     drive.runs += 1;
     if last.is_none() && !is_silent {
@@ -297,7 +290,7 @@
     let route = drive.intake.head.route.clone();
     while route.repeat.is_allowed() && drive.runs < route.attempts {
         let now = clock::now();
-        if drive.limit <= now + Duration::from_millis(100)
+        if drive.limit <= now + RESUME_TIME
             || !drive
                 .context
                 .scheduler
@@ -330,9 +323,8 @@
 ) -> Option<Source> {
     drive.sends += 1;
     let request = drive.request(listing, last);
-    let expected = Duration::from_millis(drive.expected);
     let left = drive.limit.since(clock::now());
-    let patience = left.min(silence::first_byte(expected, true));
+    let patience = left.min(drive.patience());
     let sending = drive.context.upstream.send(listing, request);
     match tokio::time::timeout(patience, sending).await {
         Ok(Ok(reply)) if matches!(drive.kind(&reply.response), Kind::Success) => {
@@ -355,8 +347,8 @@
         }
         Err(_) => {
             drive.runs += 1;
-            drive.leave_silent(hold.run());
-            hold.end(Ending::Cancelled);
+            drive.note("silent", listing);
+            hold.end(Ending::Broken);
         }
     }
     None
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::EndpointId;
+use comfreyhaven_core::direct::{EndpointId, Plan};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
@@ -66,6 +66,11 @@
                 }
                 continue;
             }
+            self.context
+                .scheduler
+                .borrow_mut()
+                .readings_mut()
+                .ask(self.section, asked);
             after = after.max(self.adopted()).filter(|_| !whole);
             let result = tokio::select! {
                 () = stop.cancelled() => break,
@@ -92,13 +97,11 @@
         }
     }
 
-    /// Notes that the store is asked now. Returns the newest change that a peer told of, from which
-    /// it can be watched on.
+    /// The newest change that is known, also from a peer: it can be watched on from there.
     fn adopted(&self) -> Option<u64> {
-        let mut scheduler = self.context.scheduler.borrow_mut();
-        let readings = scheduler.readings_mut();
-        readings.ask(self.section, clock::now());
-        Some(readings.revision(self.section)).filter(|revision| *revision > 0)
+        let scheduler = self.context.scheduler.borrow();
+        let revision = scheduler.readings().revision(self.section);
+        Some(revision).filter(|revision| *revision > 0)
     }
 
     async fn call(&self, after: Option<u64>) -> Result<Page, StoreError> {
@@ -146,7 +149,7 @@
             readings.covers(self.section, whole, changed, revision)
         };
         if !covered {
-            self.change(page.changes, whole, asked);
+            self.change(page.changes, whole);
             self.context.tell_news();
         }
         let mut scheduler = self.context.scheduler.borrow_mut();
@@ -159,14 +162,14 @@
         self.context.settle();
     }
 
-    fn change(&self, changes: Vec<Change>, whole: bool, asked: Timestamp) {
+    fn change(&self, changes: Vec<Change>, whole: bool) {
         let now = clock::now();
         let mut listed = BTreeSet::new();
         let mut closed = BTreeSet::new();
         let scheduler = &self.context.scheduler;
         for change in changes {
             match change {
-                Change::Plan(plan) => self.configure(plan, asked, now),
+                Change::Plan(plan) => self.configure(plan, now),
                 Change::Listed(listing) => {
                     listed.insert(Arc::clone(&listing.id));
                     scheduler.borrow_mut().list(listing, now);
@@ -187,16 +190,10 @@
         }
     }
 
-    fn configure(
-        &self,
-        plan: Box<comfreyhaven_core::direct::Plan>,
-        asked: Timestamp,
-        now: Timestamp,
-    ) {
+    fn configure(&self, plan: Box<Plan>, now: Timestamp) {
         let version = plan.version;
         let mut scheduler = self.context.scheduler.borrow_mut();
         if scheduler.configure(Arc::from(plan), now) {
-            scheduler.confirm(version, asked);
             log::info!(version = version; "configuration in force");
             for team in &scheduler.plan().teams {
                 log::info!(team:% = team.name, rate = team.rate, burst = team.burst; "limit of a team");
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -15,6 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use crate::accept::accept;
 use crate::answer::{self, AnswerBody};
 use crate::clock;
 use crate::context::Context;
@@ -23,9 +24,6 @@
 use crate::paced::{Paced, Phase};
 use crate::upstream;
 
-/// Pause after a failed accept, so that a lack of descriptors does not spin.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Pause that is named to callers while the configuration is not known to be in force.
 const UNAVAILABLE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -53,22 +51,8 @@
 
 /// Accepts callers until `stop`, then lets those finish that are there.
 pub(crate) async fn serve(listener: TcpListener, context: Rc<Context>, stop: CancellationToken) {
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let task = connection(stream, Rc::clone(&context), stop.clone());
-                context.tasks.spawn_local(task);
-            }
-            Err(error) => {
-                log::warn!("cannot accept a caller: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    let serve = |stream| connection(stream, Rc::clone(&context), stop.clone());
+    accept(listener, &context.tasks, &stop, serve).await;
 }
 
 async fn connection(stream: TcpStream, context: Rc<Context>, stop: CancellationToken) {
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -116,7 +116,7 @@
     if heard.newer && context.has_asked() && context.begin_fetch() {
         let context = Rc::clone(context);
         context.tasks.clone().spawn_local(async move {
-            let members = context.scheduler.borrow().totals().members;
+            let members = context.scheduler.borrow().members();
             let spread = FETCH_SPREAD * u32::try_from(members).unwrap_or(u32::MAX);
             tokio::time::sleep(spread.mul_f64(rand::random())).await;
             peer::fetch(&context, from).await;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -5,6 +5,7 @@
 //! decisions are those of [`comfreyhaven_core::direct`]; this crate carries bytes, follows the store
 //! through the [`store::Store`] port, and speaks a platform's words through a [`dialect::Dialect`].
 
+mod accept;
 mod answer;
 pub mod clock;
 pub mod context;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -114,7 +114,7 @@
     let context = Context::new(scheduler, dialect, times, metrics, tasks.clone());
     let (stop, finish) = (CancellationToken::new(), CancellationToken::new());
     let store = Rc::new(store);
-    for section in [Section::Configuration, Section::Endpoints] {
+    for section in Section::ALL {
         let follower = Follower::new(Rc::clone(&context), Rc::clone(&store), section);
         tasks.spawn_local(follower.run(finish.clone()));
     }
