--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -9,29 +9,34 @@
 mod endpoint_table;
 mod event_interval;
 mod latency_model;
+mod load_sum;
 mod members;
 mod plan;
 mod process_lag;
 mod rate_limit;
+mod report;
 mod retry_budget;
 mod scheduler;
 mod send_window;
+mod spending;
 pub mod stall;
 mod store_progress;
 mod suspects;
+mod topology;
 mod wait_queue;
 
 pub use confirmation::Confirmation;
 pub use endpoint_table::{EndpointState, EndpointTable, Load, Run, digest};
 pub use event_interval::EventInterval;
 pub use latency_model::LatencyModel;
-pub use members::{Echo, EndpointLoad, Members, Report, ServiceLoad};
+pub use members::Members;
 pub use plan::{
     Access, EndpointId, EndpointRecord, Plan, PlanTeam, RetryPolicy, Route, ServicePlan, Unit,
     WeightedService,
 };
 pub use process_lag::ProcessLag;
 pub use rate_limit::{FleetView, RateExceeded, RateLimiter, RatePolicy};
+pub use report::{Echo, EndpointLoad, Identity, MemberStatus, Report, Scope, ServiceLoad, Source};
 pub use retry_budget::RetryBudget;
 pub use scheduler::{
     Bounds, Ending, Outcome, Placement, PlacementRefusal, PlacementRequest, Reason, ReportEffect,
@@ -40,3 +45,4 @@
 pub use send_window::{SendWindow, split_limit};
 pub use store_progress::{Section, SectionStatus, StoreProgress};
 pub use suspects::Suspects;
+pub use topology::Role;
--- a/crates/core/src/direct/endpoint_table.rs
+++ b/crates/core/src/direct/endpoint_table.rs
@@ -7,13 +7,12 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::event_interval::EventInterval;
-use super::members::EndpointLoad;
 use super::plan::{EndpointId, EndpointRecord};
+use super::report::{EndpointLoad, Source};
 use super::send_window::SendWindow;
 use crate::time::{Timestamp, whole_millis};
 use service_baseline::ServiceBaseline;
@@ -67,7 +66,7 @@
     /// Endpoints without observed answers, by service. Their estimates follow the service's
     /// baseline.
     unobserved: HashMap<Arc<str>, BTreeSet<EndpointId>>,
-    reports: HashMap<SocketAddr, Vec<EndpointLoad>>,
+    reports: HashMap<Source, Vec<EndpointLoad>>,
     incarnations: u64,
     /// Endpoints that changed at a revision of the store that is not known yet.
     changed: Vec<EndpointId>,
@@ -110,6 +109,7 @@
             own: Load::default(),
             peers: Load::default(),
             sends: SendWindow::default(),
+            cold_limit: None,
             last_sent: now,
             cold_until: cold,
             expires: Timestamp::NEVER,
@@ -237,9 +237,15 @@
         ids.filter_map(|id| self.endpoints.get(id))
     }
 
-    /// Replaces the load that a peer reported. An empty report removes it.
-    pub fn apply_report(&mut self, peer: SocketAddr, loads: Vec<EndpointLoad>) {
-        let before = self.reports.remove(&peer).unwrap_or_default();
+    /// Returns the load that was last reported of a source.
+    #[must_use]
+    pub fn reported(&self, source: &Source) -> &[EndpointLoad] {
+        self.reports.get(source).map_or(&[], Vec::as_slice)
+    }
+
+    /// Replaces the load that was reported of a source. An empty report removes it.
+    pub fn apply_report(&mut self, source: Source, loads: Vec<EndpointLoad>) {
+        let before = self.reports.remove(&source).unwrap_or_default();
         for load in &before {
             if let Some(state) = self.by_digest(load.endpoint) {
                 state.peers.running = state.peers.running.saturating_sub(load.running.into());
@@ -265,7 +271,7 @@
             }
         }
         if !loads.is_empty() {
-            self.reports.insert(peer, loads);
+            self.reports.insert(source, loads);
         }
     }
 
--- a/crates/core/src/direct/endpoint_table/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_table/endpoint_state.rs
@@ -33,6 +33,9 @@
     /// Load that peers reported.
     pub(super) peers: Load,
     pub(super) sends: SendWindow,
+    /// Requests per second that this entry may send while the endpoint is cold, and the generation
+    /// of the members for which that was computed.
+    pub(super) cold_limit: Option<(u64, usize)>,
     /// Time at which this entry last sent a request to the endpoint.
     pub(super) last_sent: Timestamp,
     pub(super) cold_until: Timestamp,
@@ -143,6 +146,25 @@
         self.latency.slope() * (self.load().pending + tokens) as f64
     }
 
+    /// Returns the digest of the endpoint's id.
+    #[must_use]
+    pub const fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Returns the requests per second that this entry may send while the endpoint is cold, as
+    /// computed for this `generation` of the members.
+    #[must_use]
+    pub fn cold_limit(&self, generation: u64) -> Option<usize> {
+        let (computed, limit) = self.cold_limit?;
+        (computed == generation).then_some(limit)
+    }
+
+    /// Keeps the limit that was computed for a `generation` of the members.
+    pub const fn set_cold_limit(&mut self, generation: u64, limit: usize) {
+        self.cold_limit = Some((generation, limit));
+    }
+
     /// Returns the number of requests that this entry sent to the endpoint in the last second.
     pub fn recent_sends(&mut self, now: Timestamp) -> usize {
         self.sends.recent(now)
--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -1,198 +1,237 @@
-//! The other entries of the fleet, as known from their reports.
+//! The other entries of the fleet.
 //!
 //! There is no list of entries. Each entry is discovered through seeds and through the peers that
-//! others report. An unresponsive member may be dead or only unreachable, so its part of every
-//! limit stays reserved for [`MEMBER_RETENTION`], as it may still be spending.
+//! others know. What an entry knows of a peer comes from the peer's own reports or from a third
+//! entry that passes on the time of the peer's newest report, so it need not hear from every peer.
+//! An unresponsive member may be dead or only unreachable, so its part of every limit stays
+//! reserved for [`MEMBER_RETENTION`], as it may still be spending.
 
-use std::collections::{BTreeMap, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 use super::endpoint_table::digest;
-use super::store_progress::SectionStatus;
-use crate::request::BodyDigest;
-use crate::time::Timestamp;
+use super::report::{Echo, Identity, MemberStatus, Report};
+use crate::time::{Timestamp, whole_millis};
 
-/// Time without a report after which a member is unresponsive, unless reports are sent less often.
+/// Time without news of a member after which it is unresponsive, unless news come less often.
 const RESPONSE_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// Consecutive reports that may be lost before a member is unresponsive.
+/// Consecutive reports or lists that may be lost before a member is unresponsive.
 const MISSED_REPORTS: u32 = 3;
 
 /// Time for which the part of an unresponsive member stays reserved.
 const MEMBER_RETENTION: Duration = Duration::from_secs(20);
 
-/// Interval between two reports in a small fleet.
-const REPORT_INTERVAL: Duration = Duration::from_millis(40);
-
-/// Maximum number of reports that one entry sends per second.
-const REPORTS_PER_S: u32 = 120;
-
-/// Load of the reporter at one endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndpointLoad {
-    /// Digest of the endpoint's id.
-    pub endpoint: u64,
-    /// Requests of the reporter that run at the endpoint.
-    pub running: u16,
-    /// Prompt tokens of these requests that are not processed yet.
-    pub pending: u32,
-    /// Time between two events that the reporter observed there, in tenths of milliseconds; 0 if
-    /// none.
-    #[serde(rename = "tempo")]
-    pub event_interval: u16,
-}
+/// Time for which a restarted process divides limits by at least [`ASSUMED_MEMBERS`], as it has not
+/// discovered all entries yet.
+pub(super) const DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
 
-/// Load of the reporter for one service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServiceLoad {
-    /// Digest of the service's name.
-    pub service: u64,
-    /// Running requests.
-    pub running: u16,
-    /// Requests that wait for a slot and can still meet their objective.
-    pub waiting: u16,
-    /// Waiting requests of the highest rank among these.
-    pub urgent: u16,
-}
+/// Least number of entries that a restarted process assumes.
+pub(super) const ASSUMED_MEMBERS: usize = 330;
 
-/// Identifies the last report that the reporter received from the recipient.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Echo {
-    /// The recipient's process.
-    pub boot: u64,
-    /// Time of that report on the recipient's own clock, in microseconds.
-    pub sent: u64,
-}
+/// Least time after which a peer that does not answer this entry's reports counts as silent.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Time after which a silent peer is asked again.
+const SILENCE_RETRY: Duration = Duration::from_secs(5);
+
+/// Position of an entry in the order in which entries are chosen as aggregators and readers: those
+/// with the larger processor share first, then in an order that mixes data centres.
+pub(super) type Precedence = (Reverse<u16>, u64, SocketAddr);
 
-/// The report that an entry sends to each peer several times a second.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Report {
-    /// Identifies the reporting process.
-    pub boot: u64,
-    /// Time of the report on the reporter's own clock, in microseconds.
-    pub sent: u64,
-    /// The last report that the reporter received from the recipient.
-    pub echo: Option<Echo>,
-    /// Version of the configuration in force.
-    pub version: u64,
-    /// Milliseconds since that version was confirmed, if it ever was.
-    pub age: Option<u32>,
-    /// The reporter's knowledge of the store, by section.
-    #[serde(rename = "readings")]
-    pub sections: [SectionStatus; 2],
-    /// The reporter's load by endpoint.
-    pub loads: Vec<EndpointLoad>,
-    /// The reporter's load by service.
-    pub services: Vec<ServiceLoad>,
-    /// Units that the reporter has admitted since it started, less those that it returned, by
-    /// digest of the team.
-    pub spent: Vec<(u64, i64)>,
-    /// Crashes that the reporter counted, by request.
-    pub crashes: Vec<(BodyDigest, u32)>,
-    /// Peers that the reporter knows.
-    pub peers: Vec<SocketAddr>,
-    /// Whether the reporter is leaving.
-    pub leaving: bool,
+/// Returns the precedence of an entry.
+pub(super) fn precedence(address: SocketAddr, capacity: u16) -> Precedence {
+    (Reverse(capacity), digest(&address.to_string()), address)
 }
 
-/// A peer that has sent a report.
+/// Another entry.
 #[derive(Debug)]
-pub struct Member {
-    boot: u64,
+pub(super) struct Member {
+    identity: Identity,
+    /// Time of the newest known report on the member's own clock, in microseconds.
     sent: u64,
-    received: Timestamp,
-    spent: HashMap<u64, i64>,
-    services: Vec<ServiceLoad>,
-    leaving: bool,
-    /// Position in an order of all entries that mixes data centres.
-    order: u64,
+    /// Time of the newest report that this entry received from the member itself, on the member's
+    /// own clock, in microseconds.
+    received: u64,
+    /// When this entry first learned of the member's process.
+    known: Timestamp,
+    /// When this entry last learned of a newer report.
+    seen: Timestamp,
+    /// When the last report arrived from the member itself.
+    heard: Option<Timestamp>,
+    /// When the member last expected a report from this entry.
+    requested: Option<Timestamp>,
+    /// Since when this entry has expected reports from the member.
+    asked: Option<Timestamp>,
+    /// When this entry last told the member which entries the aggregators are.
+    introduced: Option<Timestamp>,
+    /// The member's report interval.
+    interval: Duration,
+    precedence: Precedence,
 }
 
 impl Member {
-    /// Returns whether a report arrived within `limit`.
+    fn new(address: SocketAddr, identity: Identity, sent: u64, now: Timestamp) -> Self {
+        Self {
+            identity,
+            sent,
+            received: 0,
+            known: now,
+            seen: now,
+            heard: None,
+            requested: None,
+            asked: None,
+            introduced: None,
+            interval: Duration::ZERO,
+            precedence: precedence(address, identity.capacity),
+        }
+    }
+
+    /// Returns whether there was news of the member within `limit`.
     fn is_responsive(&self, limit: Duration, now: Timestamp) -> bool {
-        now < self.received + limit
+        now < self.seen + limit
     }
-}
 
-/// Returns the position of an entry in an order that mixes data centres.
-fn order(address: SocketAddr) -> u64 {
-    digest(&address.to_string())
+    /// Returns the time from which the member counts as silent unless it answers this entry's
+    /// reports.
+    fn silent_from(&self) -> Timestamp {
+        let limit = SILENCE_LIMIT.max(self.interval * MISSED_REPORTS);
+        self.asked.map_or(Timestamp::NEVER, |asked| {
+            asked.max(self.heard.unwrap_or(asked)) + limit
+        })
+    }
+
+    fn is_silent(&self, now: Timestamp) -> bool {
+        self.silent_from() <= now
+    }
 }
 
-/// Changes since the reporter's previous report.
-#[derive(Debug, Default)]
-pub struct ReportChanges {
-    /// Units that the reporter has admitted since, by digest of the team.
-    pub spent: Vec<(u64, i64)>,
+/// What a report from a peer shows of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Observed {
     /// Whether the reporter was unknown or has restarted.
-    pub started: bool,
+    pub(super) started: bool,
 }
 
-/// The peers that have sent reports.
-#[derive(Debug, Default)]
+/// The known peers.
+#[derive(Debug)]
 pub struct Members {
+    own: SocketAddr,
     members: BTreeMap<SocketAddr, Member>,
-    /// Addresses that peers reported, with the time until which they are tried.
-    advertised: BTreeMap<SocketAddr, Timestamp>,
+    /// Increases with each change of the set of members.
+    generation: u64,
 }
 
 impl Members {
-    /// Applies a report. Returns `None` for one that is not newer than the last.
-    pub fn apply_report(
+    /// Creates the members as known by the entry at `own`: none yet.
+    #[must_use]
+    pub const fn new(own: SocketAddr) -> Self {
+        Self {
+            own,
+            members: BTreeMap::new(),
+            generation: 0,
+        }
+    }
+
+    /// Records a report that arrived from a member itself. Returns `None` for one that is not newer
+    /// than the last.
+    pub(super) fn observe(
         &mut self,
         from: SocketAddr,
         report: &Report,
         now: Timestamp,
-    ) -> Option<ReportChanges> {
-        let known = self.members.get(&from);
-        let same = known.filter(|member| member.boot == report.boot);
-        if same.is_some_and(|member| report.sent <= member.sent) {
-            return None;
-        }
-        let mut changes = ReportChanges {
-            started: same.is_none(),
-            ..ReportChanges::default()
-        };
-        let spent: HashMap<u64, i64> = report.spent.iter().copied().collect();
+    ) -> Option<Observed> {
+        let same = self
+            .members
+            .get_mut(&from)
+            .filter(|member| member.identity.boot == report.identity.boot);
+        let interval = Duration::from_millis(report.interval.into());
         if let Some(member) = same {
-            for (team, total) in &report.spent {
-                let before = member.spent.get(team).copied().unwrap_or(0);
-                if before != *total {
-                    changes.spent.push((*team, total - before));
-                }
+            if report.sent <= member.received {
+                return None;
             }
+            if member.identity.leaving != report.identity.leaving {
+                self.generation += 1;
+            }
+            member.identity = report.identity;
+            member.received = report.sent;
+            member.sent = member.sent.max(report.sent);
+            (member.seen, member.heard) = (now, Some(now));
+            member.interval = interval;
+            if report.expects {
+                member.requested = Some(now);
+            }
+            return Some(Observed { started: false });
         }
         let member = Member {
-            boot: report.boot,
-            sent: report.sent,
-            received: now,
-            spent,
-            services: report.services.clone(),
-            leaving: report.leaving,
-            order: known.map_or_else(|| order(from), |member| member.order),
+            received: report.sent,
+            heard: Some(now),
+            requested: report.expects.then_some(now),
+            interval,
+            ..Member::new(from, report.identity, report.sent, now)
         };
         self.members.insert(from, member);
-        self.advertised.remove(&from);
-        for peer in &report.peers {
-            if !self.members.contains_key(peer) {
-                self.advertised.insert(*peer, now + MEMBER_RETENTION);
+        self.generation += 1;
+        Some(Observed { started: true })
+    }
+
+    /// Applies what a peer knows of other members.
+    pub(super) fn learn(&mut self, statuses: &[MemberStatus], now: Timestamp) {
+        for status in statuses {
+            if status.address != self.own {
+                self.learn_one(status, now);
             }
         }
-        Some(changes)
+    }
+
+    fn learn_one(&mut self, status: &MemberStatus, now: Timestamp) {
+        let seen = now - Duration::from_millis(status.age.into());
+        let limit = self.response_limit();
+        match self.members.get_mut(&status.address) {
+            Some(member) if member.identity.boot == status.identity.boot => {
+                if status.sent > member.sent {
+                    if member.identity.leaving != status.identity.leaving {
+                        self.generation += 1;
+                    }
+                    member.identity = status.identity;
+                    member.sent = status.sent;
+                    member.seen = member.seen.max(seen);
+                }
+                return;
+            }
+            // The peer may not have learned of the member's newest process yet.
+            Some(member)
+                if status.identity.started <= member.identity.started
+                    && member.is_responsive(limit, now) =>
+            {
+                return;
+            }
+            Some(member) if seen <= member.seen => return,
+            Some(_) => {}
+            None if seen + MEMBER_RETENTION <= now => return,
+            None => {}
+        }
+        let member = Member {
+            seen,
+            ..Member::new(status.address, status.identity, status.sent, now)
+        };
+        self.members.insert(status.address, member);
+        self.generation += 1;
     }
 
     /// Removes the members whose retention has expired, and returns their addresses.
     pub fn remove_expired(&mut self, now: Timestamp) -> Vec<SocketAddr> {
-        self.advertised.retain(|_, until| now < *until);
         let limit = self.response_limit();
         let retention = MEMBER_RETENTION.max(limit * 2);
         let is_expired = |member: &Member| {
-            let retention = if member.leaving { limit } else { retention };
-            member.received + retention <= now
+            let retention = if member.identity.leaving {
+                limit
+            } else {
+                retention
+            };
+            member.seen + retention <= now
         };
         let expired: Vec<_> = self
             .members
@@ -201,6 +240,7 @@
             .map(|(a, _)| *a)
             .collect();
         self.members.retain(|_, member| !is_expired(member));
+        self.generation += u64::from(!expired.is_empty());
         expired
     }
 
@@ -219,24 +259,47 @@
         self.members.len() + 1
     }
 
-    /// Returns the index of this entry, at `own`, among all entries.
+    /// Returns a number that increases with each change of the set of members.
     #[must_use]
-    pub fn index(&self, own: SocketAddr) -> usize {
-        self.members.range(..own).count()
+    pub const fn generation(&self) -> u64 {
+        self.generation
     }
 
-    /// Returns the index of this entry, at `own`, among the responsive entries that are not
-    /// leaving, in an order that mixes data centres.
+    /// Returns whether an entry is known.
     #[must_use]
-    pub fn reader_rank(&self, own: SocketAddr, now: Timestamp) -> usize {
-        let limit = self.response_limit();
-        let own = (order(own), own);
-        let others = self.members.iter();
-        let stay = others.filter(|(_, member)| !member.leaving && member.is_responsive(limit, now));
-        stay.filter(|(address, member)| (member.order, **address) < own)
+    pub fn contains(&self, address: &SocketAddr) -> bool {
+        self.members.contains_key(address)
+    }
+
+    /// Returns the rank of this entry, among all entries, for one item. Ranks for different items
+    /// are independent, and a change of the members moves the rank of another entry by at most one.
+    #[must_use]
+    pub fn rank_for(&self, item: u64) -> usize {
+        let own = rank_key(item, self.own);
+        let others = self.members.keys();
+        others
+            .filter(|address| rank_key(item, **address) < own)
             .count()
     }
 
+    /// Returns the rank that this entry probably has for one item among `count` entries, most of
+    /// which it does not know.
+    #[must_use]
+    pub fn estimated_rank(&self, item: u64, count: usize) -> usize {
+        let position = rank_key(item, self.own) as f64 / u64::MAX as f64;
+        (position * count as f64) as usize
+    }
+
+    /// Returns the index of this entry among the responsive entries that are not leaving, in the
+    /// order of [`Precedence`].
+    #[must_use]
+    pub(super) fn reader_rank(&self, own: Precedence, now: Timestamp) -> usize {
+        let limit = self.response_limit();
+        let others = self.members.values();
+        let stay = others.filter(|m| !m.identity.leaving && m.is_responsive(limit, now));
+        stay.filter(|member| member.precedence < own).count()
+    }
+
     /// Returns the part of a shared rate that the responsive entries may spend.
     #[must_use]
     pub fn responsive_part(&self, now: Timestamp) -> f64 {
@@ -244,71 +307,156 @@
         1.0 - unresponsive as f64 / self.count() as f64
     }
 
-    /// Returns the last report that this entry received from a member.
+    /// Returns the newest report of a member that this entry knows of.
     #[must_use]
     pub fn echo(&self, address: SocketAddr) -> Option<Echo> {
         let member = self.members.get(&address)?;
         Some(Echo {
-            boot: member.boot,
+            boot: member.identity.boot,
             sent: member.sent,
         })
     }
 
-    /// Returns the running, waiting and urgent waiting requests of one service at all responsive
-    /// members.
+    /// Returns the members' addresses.
     #[must_use]
-    pub fn demand(&self, service: u64, now: Timestamp) -> (u32, u32, u32) {
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.members.keys().copied().collect()
+    }
+
+    /// Returns the members of a data centre that are responsive, answer this entry and are not
+    /// leaving, by precedence.
+    pub(super) fn candidates(&self, centre: u64, now: Timestamp) -> Vec<Precedence> {
         let limit = self.response_limit();
-        let responsive = self
-            .members
-            .values()
-            .filter(|m| m.is_responsive(limit, now));
-        let loads = responsive
-            .flat_map(|member| &member.services)
-            .filter(|load| load.service == service);
-        loads.fold((0, 0, 0), |(running, waiting, urgent), load| {
-            (
-                running + u32::from(load.running),
-                waiting + u32::from(load.waiting),
-                urgent + u32::from(load.urgent),
-            )
-        })
+        let is_candidate = |member: &&Member| {
+            member.identity.centre == centre
+                && !member.identity.leaving
+                && member.is_responsive(limit, now)
+                && !member.is_silent(now)
+        };
+        let candidates = self.members.values().filter(is_candidate);
+        let mut candidates: Vec<_> = candidates.map(|member| member.precedence).collect();
+        candidates.sort_unstable();
+        candidates
     }
 
-    /// Returns the addresses that reports go to: members, addresses that peers reported, and the
-    /// seeds.
-    #[must_use]
-    pub fn targets(&self, own: SocketAddr, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
-        let mut targets: Vec<_> = self
-            .members
-            .keys()
-            .chain(self.advertised.keys())
-            .chain(seeds)
-            .copied()
-            .collect();
-        targets.sort();
-        targets.dedup();
-        targets.retain(|target| *target != own);
-        targets
+    /// Returns the responsive members of a data centre.
+    pub(super) fn in_centre(&self, centre: u64, now: Timestamp) -> Vec<SocketAddr> {
+        let limit = self.response_limit();
+        let members = self.members.iter();
+        let inside = members
+            .filter(|(_, m)| m.identity.centre == centre && m.is_responsive(limit, now))
+            .map(|(address, _)| *address);
+        inside.collect()
     }
 
-    /// Returns the members' addresses.
-    #[must_use]
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.members.keys().copied().collect()
+    /// Returns the data centres of the members, without duplicates.
+    pub(super) fn centres(&self) -> Vec<u64> {
+        let mut centres: Vec<_> = self.members.values().map(|m| m.identity.centre).collect();
+        centres.sort_unstable();
+        centres.dedup();
+        centres
     }
 
-    /// Returns the time without a report after which a member is unresponsive. It grows with the
-    /// report interval of a large fleet.
-    fn response_limit(&self) -> Duration {
-        RESPONSE_LIMIT.max(self.report_interval() * MISSED_REPORTS)
+    /// Returns the digest of a member's data centre.
+    pub(super) fn centre_of(&self, address: &SocketAddr) -> Option<u64> {
+        self.members
+            .get(address)
+            .map(|member| member.identity.centre)
     }
 
-    /// Returns the interval between this entry's reports. It grows with the fleet, so that the
-    /// number of reports per second stays bounded.
-    #[must_use]
-    pub fn report_interval(&self) -> Duration {
-        let members = u32::try_from(self.count()).unwrap_or(u32::MAX);
-        REPORT_INTERVAL.max(Duration::from_secs(1) * members / REPORTS_PER_S)
+    /// Returns up to `count` members that have expected a report within `pause` and were told of the
+    /// aggregators longer ago than that, and records that they are told now.
+    pub(super) fn introduce(
+        &mut self,
+        excluded: &BTreeSet<SocketAddr>,
+        pause: Duration,
+        count: usize,
+        now: Timestamp,
+    ) -> Vec<SocketAddr> {
+        let is_due = |member: &Member| {
+            member.requested.is_some_and(|at| now < at + pause)
+                && member.introduced.is_none_or(|at| at + pause <= now)
+        };
+        let members = self.members.iter();
+        let due = members.filter(|(address, m)| !excluded.contains(address) && is_due(m));
+        let mut due: Vec<_> = due.map(|(a, member)| (member.introduced, *a)).collect();
+        due.sort_unstable();
+        due.truncate(count);
+        for (_, address) in &due {
+            if let Some(member) = self.members.get_mut(address) {
+                member.introduced = Some(now);
+            }
+        }
+        due.into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// Returns whether this entry first learned of a member within `limit`.
+    pub(super) fn is_new(&self, address: &SocketAddr, limit: Duration, now: Timestamp) -> bool {
+        let member = self.members.get(address);
+        member.is_some_and(|member| now < member.known + limit)
+    }
+
+    /// Returns the first `count` unresponsive members of a data centre, by precedence.
+    pub(super) fn lost_candidates(
+        &self,
+        centre: u64,
+        count: usize,
+        now: Timestamp,
+    ) -> Vec<SocketAddr> {
+        let limit = self.response_limit();
+        let members = self.members.values();
+        let lost = members.filter(|m| m.identity.centre == centre && !m.is_responsive(limit, now));
+        let mut lost: Vec<_> = lost.map(|member| member.precedence).collect();
+        lost.sort_unstable();
+        lost.truncate(count);
+        lost.into_iter().map(|(_, _, address)| address).collect()
+    }
+
+    /// Records that this entry expects reports from a member from now on. A silent one is expected
+    /// again after [`SILENCE_RETRY`].
+    pub(super) fn expect(&mut self, address: &SocketAddr, now: Timestamp) {
+        if let Some(member) = self.members.get_mut(address) {
+            member.asked.get_or_insert(now);
+        }
     }
+
+    /// Gives members that have been silent for long another chance.
+    pub(super) fn forgive_silent(&mut self, now: Timestamp) {
+        for member in self.members.values_mut() {
+            if member.asked.is_some() && member.silent_from() + SILENCE_RETRY <= now {
+                member.asked = None;
+            }
+        }
+    }
+
+    /// Returns the status of the members that `include` accepts, by address and data centre.
+    pub(super) fn statuses(
+        &self,
+        include: impl Fn(&SocketAddr, u64) -> bool,
+        now: Timestamp,
+    ) -> Vec<MemberStatus> {
+        let status = |(address, member): (&SocketAddr, &Member)| MemberStatus {
+            address: *address,
+            identity: member.identity,
+            sent: member.sent,
+            age: whole_millis(now.since(member.seen)),
+        };
+        let members = self.members.iter();
+        let included = members.filter(|(address, m)| include(address, m.identity.centre));
+        included.map(status).collect()
+    }
+
+    /// Returns the time without news after which a member is unresponsive. It grows with the time
+    /// between two lists of members in a large fleet.
+    pub(super) fn response_limit(&self) -> Duration {
+        RESPONSE_LIMIT.max(super::topology::list_interval(self.count()) * MISSED_REPORTS)
+    }
+}
+
+/// Returns the position of an entry in the order of one item.
+fn rank_key(item: u64, address: SocketAddr) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    (item, address).hash(&mut hasher);
+    hasher.finish()
 }
--- a/crates/core/src/direct/rate_limit.rs
+++ b/crates/core/src/direct/rate_limit.rs
@@ -18,6 +18,7 @@
 
 use derive_more::Display;
 
+use super::members::{ASSUMED_MEMBERS, DISCOVERY_TIME};
 use crate::time::Timestamp;
 
 /// Number of steps in which a window is counted.
@@ -39,20 +40,10 @@
 /// Part of a window's units below which a request is admitted like an urgent one.
 const SMALL_PART: f64 = 0.001;
 
-/// Number of entries that may spend the rest of a bucket at once. In a larger fleet each entry may
-/// spend only a part between two reports, since all of them may be spending.
-const BUCKET_SHARERS: f64 = 3.0;
-
-/// Level, as a part of a bucket's size, below which an entry may spend only its part.
+/// Level, as a part of a bucket's size, below which an entry may spend only its part between two
+/// reports, since all entries may be spending the same rest.
 const SCARCE_PART: f64 = 0.6;
 
-/// Time for which a restarted process assumes at least [`DISCOVERY_MEMBERS`] entries, as it has not
-/// discovered all of them yet.
-const DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
-
-/// Least number of entries that a restarted process assumes.
-const DISCOVERY_MEMBERS: f64 = 40.0;
-
 /// A request exceeds its team's rate and burst.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[display("over the team's rate; enough units will be available in {refill:?}")]
@@ -61,14 +52,25 @@
     pub refill: Duration,
 }
 
+/// Units of one step of the window.
+#[derive(Debug)]
+struct Step {
+    start: Timestamp,
+    units: i64,
+    /// Those that this entry admitted itself.
+    own: i64,
+}
+
 /// A team's use of its rate, in the team's units.
 #[derive(Debug)]
 pub struct RateLimiter {
     rate: u64,
     burst: u64,
     policy: RatePolicy,
-    steps: VecDeque<(Timestamp, i64)>,
+    steps: VecDeque<Step>,
     used: i64,
+    /// The part of `used` that this entry admitted itself.
+    own_used: i64,
     level: f64,
     filled: Timestamp,
     created: Timestamp,
@@ -76,6 +78,8 @@
     /// are counted.
     unreported: f64,
     unreported_since: Timestamp,
+    /// Whether this entry has drawn for a request since then.
+    drawn: bool,
 }
 
 /// The entries that share a team's rate.
@@ -85,8 +89,11 @@
     pub responsive_part: f64,
     /// Number of entries, including this one.
     pub members: usize,
-    /// Interval between two reports of an entry.
+    /// Time that a change at one entry takes to reach all others.
     pub interval: Duration,
+    /// A random number from 0 to 1, which decides whether this entry may admit a request of which
+    /// its part covers only a fraction.
+    pub chance: f64,
 }
 
 /// How rates are counted.
@@ -113,11 +120,13 @@
             policy,
             steps: VecDeque::new(),
             used: 0,
+            own_used: 0,
             level: 0.0,
             filled: now,
             created: now,
             unreported: 0.0,
             unreported_since: now,
+            drawn: false,
         };
         limiter.level = if policy.first_start {
             limiter.bucket_size()
@@ -161,37 +170,63 @@
     }
 
     fn expire_steps(&mut self, now: Timestamp) {
-        while let Some(&(start, units)) = self.steps.front()
-            && start + self.policy.window <= now
+        while let Some(step) = self.steps.front()
+            && step.start + self.policy.window <= now
         {
-            self.used -= units;
+            self.used -= step.units;
+            self.own_used -= step.own;
             self.steps.pop_front();
         }
     }
 
-    fn add(&mut self, units: i64, now: Timestamp) {
+    fn add(&mut self, units: i64, own: i64, now: Timestamp) {
         self.used += units;
+        self.own_used += own;
         let span = self.policy.window / WINDOW_STEPS;
         match self.steps.back_mut() {
-            Some((start, sum)) if now < *start + span => *sum += units,
-            _ => self.steps.push_back((now, units)),
+            Some(step) if now < step.start + span => {
+                step.units += units;
+                step.own += own;
+            }
+            _ => self.steps.push_back(Step {
+                start: now,
+                units,
+                own,
+            }),
         }
     }
 
-    /// Returns whether this entry has spent its part of a scarce bucket since its last report. One
-    /// request is always allowed.
+    /// Returns the part of the bucket that this entry may spend between two reports: its share of
+    /// what the team has used, and at least that of one entry among all.
+    fn own_part(&self, members: usize) -> f64 {
+        let equal = 1.0 / members.max(1) as f64;
+        let used = self.own_used.max(0) as f64 / self.used.max(1) as f64;
+        used.clamp(equal, 1.0)
+    }
+
+    /// Returns whether this entry has spent its part of a scarce bucket since its last report.
     fn is_part_spent(&mut self, need: f64, fleet: &FleetView, now: Timestamp) -> bool {
         if self.unreported_since + fleet.interval <= now {
-            (self.unreported_since, self.unreported) = (now, 0.0);
+            (self.unreported_since, self.unreported, self.drawn) = (now, 0.0, false);
         }
-        if self.unreported <= 0.0 || self.level > self.bucket_size() * SCARCE_PART {
+        if self.level > self.bucket_size() * SCARCE_PART {
             return false;
         }
         let discovering = !self.policy.first_start && now < self.created + DISCOVERY_TIME;
-        let members = (fleet.members as f64).max(if discovering { DISCOVERY_MEMBERS } else { 1.0 });
-        let part = (BUCKET_SHARERS / members).min(1.0);
+        let assumed = if discovering { ASSUMED_MEMBERS } else { 1 };
+        let part = self.own_part(fleet.members.max(assumed));
         // The unreported units have already been taken from the level.
-        self.unreported + need > (self.level + self.unreported) * part
+        let own_part = (self.level + self.unreported) * part;
+        if self.unreported + need <= own_part {
+            return false;
+        }
+        // The part of one entry in a large fleet is less than a request, so that only some entries
+        // may admit one. Each draws once between two reports.
+        if self.drawn || self.unreported > 0.0 {
+            return true;
+        }
+        self.drawn = true;
+        fleet.chance >= own_part / need
     }
 
     /// Takes `units` for a request of the given rank.
@@ -232,7 +267,7 @@
         }
         self.level -= units as f64;
         self.unreported += units as f64;
-        self.add(units, now);
+        self.add(units, units, now);
         Ok(())
     }
 
@@ -242,19 +277,26 @@
         if over <= 0 {
             return Duration::ZERO;
         }
-        for (start, units) in &self.steps {
-            left -= units;
+        for step in &self.steps {
+            left -= step.units;
             if left <= 0 {
-                return (*start + self.policy.window).since(now);
+                return (step.start + self.policy.window).since(now);
             }
         }
         self.policy.window
     }
 
-    /// Counts units that a peer admitted. Negative units were returned, by a peer or by this entry.
+    /// Counts units that peers admitted; negative units were returned.
     pub fn record(&mut self, units: i64, now: Timestamp) {
         self.expire_steps(now);
-        self.add(units, now);
+        self.add(units, 0, now);
         self.level -= units as f64;
     }
+
+    /// Returns units that this entry had admitted.
+    pub fn refund(&mut self, units: i64, now: Timestamp) {
+        self.expire_steps(now);
+        self.add(-units, -units, now);
+        self.level += units as f64;
+    }
 }
--- /dev/null
+++ b/crates/core/src/direct/report.rs
@@ -0,0 +1,134 @@
+//! The reports that entries send to each other.
+//!
+//! In a small fleet every entry reports to every other one. In a large fleet an entry reports to the
+//! aggregators of its data centre, which sum the reports and pass the sums on.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::store_progress::SectionStatus;
+use crate::request::BodyDigest;
+
+/// Which entries a report speaks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// The reporter alone.
+    Entry,
+    /// All entries in the reporter's data centre, including the reporter.
+    Centre,
+    /// All entries except the recipient.
+    Fleet,
+}
+
+/// The entries whose load one report holds. A newer report replaces an older one of its source.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Source {
+    /// One entry.
+    Entry(SocketAddr),
+    /// All entries of the data centre whose name has this digest.
+    Centre(u64),
+    /// All other entries.
+    Fleet,
+}
+
+/// Load of the reporter at one endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointLoad {
+    /// Digest of the endpoint's id.
+    pub endpoint: u64,
+    /// Requests of the reporter that run at the endpoint.
+    pub running: u16,
+    /// Prompt tokens of these requests that are not processed yet.
+    pub pending: u32,
+    /// Time between two events that the reporter observed there, in tenths of milliseconds; 0 if
+    /// none.
+    #[serde(rename = "tempo")]
+    pub event_interval: u16,
+}
+
+/// Load of the reporter for one service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceLoad {
+    /// Digest of the service's name.
+    pub service: u64,
+    /// Running requests.
+    pub running: u16,
+    /// Requests that wait for a slot and can still meet their objective.
+    pub waiting: u16,
+    /// Waiting requests of the highest rank among these.
+    pub urgent: u16,
+}
+
+/// Identifies the last report that the reporter received from the recipient.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The recipient's process.
+    pub boot: u64,
+    /// Time of that report on the recipient's own clock, in microseconds.
+    pub sent: u64,
+}
+
+/// What identifies an entry's process, and what its peers need to know to choose aggregators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    /// Identifies the process.
+    pub boot: u64,
+    /// Time at which the process started on its own clock, in microseconds.
+    pub started: u64,
+    /// Digest of the name of the entry's data centre.
+    pub centre: u64,
+    /// Processor share of the entry, in thousandths of a core.
+    pub capacity: u16,
+    /// Whether the process is leaving.
+    pub leaving: bool,
+}
+
+/// What a reporter knows of another entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// Address of the entry.
+    pub address: SocketAddr,
+    /// The entry's process.
+    pub identity: Identity,
+    /// Time of the newest report of the entry that the reporter knows of, on that entry's own
+    /// clock, in microseconds.
+    pub sent: u64,
+    /// Milliseconds since the reporter learned of that report.
+    pub age: u32,
+}
+
+/// The report that an entry sends to a peer several times a second.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Which entries the loads, units and crashes are of.
+    pub scope: Scope,
+    /// The reporting process.
+    pub identity: Identity,
+    /// Time of the report on the reporter's own clock, in microseconds.
+    pub sent: u64,
+    /// Milliseconds until the reporter's next report.
+    pub interval: u16,
+    /// Whether the reporter expects reports from the recipient.
+    pub expects: bool,
+    /// The last report that the reporter received from the recipient.
+    pub echo: Option<Echo>,
+    /// Version of the configuration in force.
+    pub version: u64,
+    /// Milliseconds since that version was confirmed, if it ever was.
+    pub age: Option<u32>,
+    /// The reporter's knowledge of the store, by section.
+    #[serde(rename = "readings")]
+    pub sections: [SectionStatus; 2],
+    /// Load by endpoint.
+    pub loads: Vec<EndpointLoad>,
+    /// Load by service.
+    pub services: Vec<ServiceLoad>,
+    /// Units admitted since the reporter started, less those that were returned, by digest of the
+    /// team.
+    pub spent: Vec<(u64, i64)>,
+    /// Counted crashes, by request.
+    pub crashes: Vec<(BodyDigest, u32)>,
+    /// Entries that the reporter knows; not in every report.
+    pub members: Vec<MemberStatus>,
+}
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -22,12 +22,15 @@
 
 use super::confirmation::Confirmation;
 use super::endpoint_table::{EndpointTable, Run};
-use super::members::Members;
+use super::members::{ASSUMED_MEMBERS, DISCOVERY_TIME, Members};
 use super::plan::{EndpointId, EndpointRecord, Plan, PlanTeam};
 use super::rate_limit::{FleetView, RateExceeded, RateLimiter};
+use super::report::{Identity, ServiceLoad, Source};
 use super::retry_budget::RetryBudget;
+use super::spending::Spending;
 use super::store_progress::StoreProgress;
 use super::suspects::Suspects;
+use super::topology::Topology;
 use super::wait_queue::{QueuePosition, WaitQueue};
 use crate::time::Timestamp;
 
@@ -42,11 +45,22 @@
 /// Longest wait for a slot of a short request that can no longer meet its objective.
 const LATE_WAIT_LIMIT: Duration = Duration::from_millis(1_600);
 
+/// Processor share of an entry whose share is not set, in thousandths of a core.
+const DEFAULT_CAPACITY: u16 = 1_000;
+
+/// Load by service that was reported of one source.
+#[derive(Debug)]
+struct Demand {
+    services: Vec<ServiceLoad>,
+    /// When the loads of the source are discarded unless it reports again.
+    expires: Timestamp,
+}
+
 /// State of a direct entry.
 #[derive(Debug)]
 pub struct Scheduler {
     own: SocketAddr,
-    boot: u64,
+    identity: Identity,
     centre: Arc<str>,
     seeds: Vec<SocketAddr>,
     bounds: Bounds,
@@ -56,14 +70,16 @@
     queues: BTreeMap<Arc<str>, WaitQueue>,
     budgets: HashMap<Arc<str>, RetryBudget>,
     rate_limiters: HashMap<u64, RateLimiter>,
-    spent: HashMap<u64, i64>,
+    spending: Spending,
     suspects: Suspects,
     /// Average slot time in seconds, by kind of request.
     slot_times: HashMap<Arc<str>, f64>,
     members: Members,
+    topology: Topology,
+    /// Load by service, by source of the report.
+    demand: HashMap<Source, Demand>,
     confirmation: Confirmation,
     store_progress: StoreProgress,
-    leaving: bool,
     random: ChaCha8Rng,
 }
 
@@ -78,9 +94,16 @@
         bounds: Bounds,
         boot: u64,
     ) -> Self {
+        let identity = Identity {
+            boot,
+            started: 0,
+            centre: super::endpoint_table::digest(&centre),
+            capacity: DEFAULT_CAPACITY,
+            leaving: false,
+        };
         Self {
             own,
-            boot,
+            identity,
             centre,
             seeds,
             bounds,
@@ -90,17 +113,33 @@
             queues: BTreeMap::new(),
             budgets: HashMap::new(),
             rate_limiters: HashMap::new(),
-            spent: HashMap::new(),
+            spending: Spending::default(),
             suspects: Suspects::default(),
             slot_times: HashMap::new(),
-            members: Members::default(),
+            members: Members::new(own),
+            topology: Topology::new(own, &identity),
+            demand: HashMap::new(),
             confirmation: Confirmation::default(),
             store_progress: StoreProgress::default(),
-            leaving: false,
             random: ChaCha8Rng::seed_from_u64(boot),
         }
     }
 
+    /// Sets the processor share of this entry, in thousandths of a core.
+    #[must_use]
+    pub fn with_capacity(mut self, capacity: u16) -> Self {
+        self.identity.capacity = capacity;
+        self.topology = Topology::new(self.own, &self.identity);
+        self
+    }
+
+    /// Sets the time at which this process started.
+    #[must_use]
+    pub const fn with_start(mut self, started: Timestamp) -> Self {
+        self.identity.started = started.as_micros();
+        self
+    }
+
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
@@ -201,12 +240,14 @@
         let fleet = FleetView {
             responsive_part: self.members.responsive_part(now),
             members: self.members.count(),
-            interval: self.members.report_interval(),
+            interval: self.topology.propagation(&self.members),
+            chance: self.random.random(),
         };
         let digest = super::endpoint_table::digest(&team.name);
         if let Some(limiter) = self.rate_limiters.get_mut(&digest) {
             limiter.take(units, rank, &fleet, now)?;
-            *self.spent.entry(digest).or_default() += i64::try_from(units).unwrap_or(i64::MAX / 4);
+            self.spending
+                .add_own(digest, i64::try_from(units).unwrap_or(i64::MAX / 4));
         }
         Ok(())
     }
@@ -216,8 +257,8 @@
         let digest = super::endpoint_table::digest(&team.name);
         let units = i64::try_from(units).unwrap_or(i64::MAX / 4);
         if let Some(limiter) = self.rate_limiters.get_mut(&digest) {
-            limiter.record(-units, now);
-            *self.spent.entry(digest).or_default() -= units;
+            limiter.refund(units, now);
+            self.spending.add_own(digest, -units);
         }
     }
 
@@ -228,7 +269,7 @@
 
     /// Takes a retry from the service's budget. Returns whether one was available.
     pub fn take_retry(&mut self, service: &Arc<str>, now: Timestamp) -> bool {
-        let members = self.members.count();
+        let members = self.assumed_members(now);
         self.budget(service).take(members, now)
     }
 
@@ -241,11 +282,30 @@
         streaming: bool,
         now: Timestamp,
     ) -> bool {
-        let members = self.members.count();
+        let members = self.assumed_members(now);
         self.budget(service).has_left(members, now)
             && self.has_alternative(service, excluded, streaming, now)
     }
 
+    /// Returns the number of entries that limits are divided by. A process that has just restarted
+    /// may not have discovered all of them yet.
+    fn assumed_members(&self, now: Timestamp) -> usize {
+        let known = self.members.count();
+        if self.is_discovering(now) {
+            known.max(ASSUMED_MEMBERS)
+        } else {
+            known
+        }
+    }
+
+    /// Returns whether this process may not have discovered all other entries yet.
+    const fn is_discovering(&self, now: Timestamp) -> bool {
+        let started = self.identity.started;
+        !self.bounds.rate_policy.first_start
+            && started > 0
+            && now.as_micros() < started + DISCOVERY_TIME.as_micros() as u64
+    }
+
     fn budget(&mut self, service: &Arc<str>) -> &mut RetryBudget {
         let bounds = &self.bounds;
         self.budgets.entry(Arc::clone(service)).or_insert_with(|| {
@@ -441,7 +501,7 @@
 
     /// Marks this process as leaving in its reports.
     pub const fn start_leaving(&mut self) {
-        self.leaving = true;
+        self.identity.leaving = true;
     }
 
     /// Returns counts for metrics and log lines.
@@ -452,6 +512,7 @@
             running: self.endpoints.running(),
             endpoints: self.endpoints.len(),
             members: self.members.count(),
+            role: self.topology.role(),
         }
     }
 }
--- a/crates/core/src/direct/scheduler/message.rs
+++ b/crates/core/src/direct/scheduler/message.rs
@@ -8,6 +8,7 @@
 use crate::direct::endpoint_table::Run;
 use crate::direct::plan::{EndpointId, EndpointRecord};
 use crate::direct::rate_limit::RatePolicy;
+use crate::direct::topology::Role;
 use crate::time::Timestamp;
 
 /// Identifies a placement request within its entry.
@@ -114,6 +115,8 @@
     pub endpoints: usize,
     /// Known entries, including this one.
     pub members: usize,
+    /// This entry's part in the exchange of reports.
+    pub role: Role,
 }
 
 /// Limits that all entries enforce together.
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -10,6 +10,7 @@
 
 use super::{Outcome, Placement, PlacementRequest, Scheduler};
 use crate::direct::endpoint_table::{EndpointState, digest};
+use crate::direct::members::ASSUMED_MEMBERS;
 use crate::direct::plan::EndpointId;
 use crate::direct::send_window::split_limit;
 use crate::time::Timestamp;
@@ -166,18 +167,12 @@
         if f64::from(free) <= reserved * f64::from(all) {
             return false;
         }
-        self.is_within_share(request, free, all, now)
+        self.is_within_share(request, free, all)
     }
 
     /// Returns whether this entry stays within its share of the slots while requests wait at peers.
-    fn is_within_share(
-        &self,
-        request: &PlacementRequest,
-        free: u32,
-        slots: u32,
-        now: Timestamp,
-    ) -> bool {
-        let (running, waiting, urgent) = self.members.demand(digest(&request.service), now);
+    fn is_within_share(&self, request: &PlacementRequest, free: u32, slots: u32) -> bool {
+        let (running, waiting, urgent) = self.peer_demand(digest(&request.service));
         if waiting == 0 {
             return true;
         }
@@ -212,7 +207,6 @@
         let service = self.plan.services.get(&request.service);
         let capacity = service.map_or(0.0, |service| service.cold_capacity);
         let cold_limit = capacity * self.bounds.cold_factor + self.bounds.cold_extra;
-        let (members, index) = (self.members.count(), self.members.index(self.own));
         let left = request.objective.since(now).as_secs_f64() * 1_000.0;
         let mut found: Option<(EndpointId, f64, f64)> = None;
         let has_slot =
@@ -227,10 +221,7 @@
                 continue;
             }
             if capacity > 0.0 && is_cold {
-                // The entry that the split starts from differs by endpoint, so that the remainder
-                // of the split does not always go to the same entries.
-                let own_index = (index + digest(&id) as usize % members) % members;
-                let own_limit = split_limit(cold_limit * COLD_USED_PART, members, own_index);
+                let own_limit = self.cold_limit(&id, cold_limit * COLD_USED_PART, now);
                 if self.endpoints.get_mut(&id)?.recent_sends(now) >= own_limit {
                     continue;
                 }
@@ -243,6 +234,28 @@
         found.map(|(id, expected, _)| (id, expected))
     }
 
+    /// Returns how many requests this entry may send in a second to a cold endpoint for which the
+    /// fleet may send `limit`. Each endpoint ranks the entries in an order of its own, so that two
+    /// entries that know different members seldom both count themselves in.
+    fn cold_limit(&mut self, id: &EndpointId, limit: f64, now: Timestamp) -> usize {
+        let discovering = self.is_discovering(now);
+        let Some(state) = self.endpoints.get_mut(id) else {
+            return 0;
+        };
+        if discovering {
+            let rank = self.members.estimated_rank(state.digest(), ASSUMED_MEMBERS);
+            return split_limit(limit, ASSUMED_MEMBERS, rank);
+        }
+        let generation = self.members.generation();
+        if let Some(own_limit) = state.cold_limit(generation) {
+            return own_limit;
+        }
+        let rank = self.members.rank_for(state.digest());
+        let own_limit = split_limit(limit, self.members.count(), rank);
+        state.set_cold_limit(generation, own_limit);
+        own_limit
+    }
+
     /// Returns the estimated number of events of the answer.
     fn events(&self, request: &PlacementRequest) -> f64 {
         let service = self.plan.services.get(&request.service);
--- a/crates/core/src/direct/scheduler/reports.rs
+++ b/crates/core/src/direct/scheduler/reports.rs
@@ -3,16 +3,28 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::Scheduler;
+use super::{Demand, Scheduler};
 use crate::direct::endpoint_table::digest;
-use crate::direct::members::{Report, ServiceLoad};
+use crate::direct::load_sum::LoadSum;
+use crate::direct::report::{Report, Scope, ServiceLoad, Source};
+use crate::direct::spending::ReportedCounters;
 use crate::direct::store_progress::{Section, StoreProgress};
+use crate::direct::topology::{Role, Target};
 use crate::time::{Timestamp, whole_millis};
 
 /// Age of the configuration's confirmation from which an entry reads the store itself, regardless
 /// of its peers' reports.
 const CONFIRMATION_AGE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Least time after which the loads of a source that no longer reports are discarded.
+const LOAD_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Consecutive reports of a source that may be lost before its loads are discarded.
+const MISSED_REPORTS: u32 = 3;
+
+/// Time for which a starting entry waits for its seeds before it takes itself for the only one.
+const SEED_ANSWER_TIME: Duration = Duration::from_millis(1_500);
+
 /// Effect of a peer's report.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ReportEffect {
@@ -22,20 +34,51 @@
     pub newer: bool,
 }
 
-impl Scheduler {
-    /// Returns the addresses that reports go to.
-    #[must_use]
-    pub fn targets(&self) -> Vec<SocketAddr> {
-        self.members.targets(self.own, &self.seeds)
+/// The loads that an aggregator sums.
+struct Sums {
+    /// All entries of its own data centre, including itself.
+    centre: LoadSum,
+    /// All entries.
+    fleet: LoadSum,
+}
+
+impl Sums {
+    fn new(scheduler: &Scheduler, own: &Report) -> Self {
+        let mut sums = Self {
+            centre: LoadSum::default(),
+            fleet: LoadSum::default(),
+        };
+        sums.centre.add(&own.loads, &own.services);
+        sums.fleet.add(&own.loads, &own.services);
+        for (source, demand) in &scheduler.demand {
+            let endpoints = scheduler.endpoints.reported(source);
+            if matches!(source, Source::Entry(_)) {
+                sums.centre.add(endpoints, &demand.services);
+            }
+            sums.fleet.add(endpoints, &demand.services);
+        }
+        sums
     }
+}
 
+impl Scheduler {
     /// Returns the interval between two reports.
     #[must_use]
     pub fn report_interval(&self) -> Duration {
-        self.members.report_interval()
+        self.topology.interval(&self.members)
+    }
+
+    /// Returns the reports that this entry sends now, with their recipients.
+    pub fn reports(&mut self, now: Timestamp) -> Vec<(SocketAddr, Report)> {
+        self.update_role(now);
+        let own = self.report(now);
+        let sums = (self.topology.role() == Role::Aggregator).then(|| Sums::new(self, &own));
+        let targets = self.topology.targets(&mut self.members, &self.seeds, now);
+        let message = |target: Target| (target.address, self.report_to(&own, &sums, target, now));
+        targets.into_iter().map(message).collect()
     }
 
-    /// Returns a report without the fields that differ by recipient.
+    /// Returns the report of this entry alone, without the fields that differ by recipient.
     #[must_use]
     pub fn report(&self, now: Timestamp) -> Report {
         let services = self.plan.services.keys().map(|service| {
@@ -55,9 +98,13 @@
             }
         });
         let age = self.confirmation.age(now).map(whole_millis);
+        let interval = self.report_interval().as_millis();
         Report {
-            boot: self.boot,
+            scope: Scope::Entry,
+            identity: self.identity,
             sent: now.as_micros(),
+            interval: u16::try_from(interval).unwrap_or(u16::MAX),
+            expects: true,
             echo: None,
             version: self.confirmation.version(),
             age,
@@ -66,14 +113,9 @@
             services: services
                 .filter(|load| load.running > 0 || load.waiting > 0)
                 .collect(),
-            spent: self
-                .spent
-                .iter()
-                .map(|(team, units)| (*team, *units))
-                .collect(),
-            crashes: self.suspects.reported(now),
-            peers: self.members.addresses(),
-            leaving: self.leaving,
+            spent: self.spending.counters(Scope::Entry, self.own),
+            crashes: self.suspects.reported(Scope::Entry, None, now),
+            members: Vec::new(),
         }
     }
 
@@ -86,6 +128,48 @@
         }
     }
 
+    /// Returns the report for one recipient, with the loads of the scope that it needs.
+    fn report_to(
+        &self,
+        own: &Report,
+        sums: &Option<Sums>,
+        target: Target,
+        now: Timestamp,
+    ) -> Report {
+        let base = Report {
+            members: target.members,
+            expects: target.expects,
+            ..self.addressed(own, target.address)
+        };
+        let Some(sums) = sums.as_ref().filter(|_| target.scope != Scope::Entry) else {
+            return base;
+        };
+        let recipient = Source::Entry(target.address);
+        let (loads, services) = match target.scope {
+            Scope::Entry | Scope::Centre => (
+                sums.centre.endpoints_without(&[]),
+                sums.centre.services_without(&[]),
+            ),
+            Scope::Fleet => {
+                let demand = self.demand.get(&recipient);
+                let services = demand.map_or(&[][..], |demand| &demand.services);
+                let endpoints = self.endpoints.reported(&recipient);
+                (
+                    sums.fleet.endpoints_without(endpoints),
+                    sums.fleet.services_without(services),
+                )
+            }
+        };
+        Report {
+            scope: target.scope,
+            loads,
+            services,
+            spent: self.spending.counters(target.scope, target.address),
+            crashes: self.suspects.reported(target.scope, Some(recipient), now),
+            ..base
+        }
+    }
+
     /// Applies a peer's report. A report that is older than the last one has no effect.
     pub fn apply_report(
         &mut self,
@@ -93,15 +177,15 @@
         report: Report,
         now: Timestamp,
     ) -> ReportEffect {
-        let Some(changes) = self.members.apply_report(from, &report, now) else {
+        let generation = self.members.generation();
+        self.members.learn(&report.members, now);
+        let observed = self.members.observe(from, &report, now);
+        if self.members.generation() != generation {
+            self.update_role(now);
+        }
+        let Some(observed) = observed else {
             return ReportEffect::default();
         };
-        for (team, units) in &changes.spent {
-            if let Some(limiter) = self.rate_limiters.get_mut(team) {
-                limiter.record(*units, now);
-            }
-        }
-        self.suspects.apply_report(from, &report.crashes, now);
         let mut newer = report.version > self.confirmation.version();
         for section in Section::ALL {
             newer |=
@@ -109,7 +193,7 @@
                     .apply_status(section, report.sections[section as usize], now);
         }
         if let (Some(age), Some(echo)) = (report.age, report.echo)
-            && echo.boot == self.boot
+            && echo.boot == self.identity.boot
         {
             let age = Duration::from_millis(age.into());
             self.confirmation.confirm_by_peer(
@@ -118,13 +202,97 @@
                 Timestamp::from_micros(echo.sent),
             );
         }
-        self.endpoints.apply_report(from, report.loads);
+        if let Some(source) = self.accepted_source(from, &report) {
+            self.apply_source(source, from, report, now);
+        }
         ReportEffect {
-            started: changes.started,
+            started: observed.started,
             newer,
         }
     }
 
+    /// Returns the source whose load a report replaces, unless this entry gets that load from
+    /// another source too.
+    fn accepted_source(&self, from: SocketAddr, report: &Report) -> Option<Source> {
+        let own_centre = report.identity.centre == self.identity.centre;
+        match (self.topology.role(), report.scope) {
+            (Role::Mesh, Scope::Entry) => Some(Source::Entry(from)),
+            (Role::Member, Scope::Fleet) => Some(Source::Fleet),
+            (Role::Member, Scope::Entry) if !self.demand.contains_key(&Source::Fleet) => {
+                Some(Source::Entry(from))
+            }
+            (Role::Aggregator, Scope::Entry) if own_centre => Some(Source::Entry(from)),
+            (Role::Aggregator, Scope::Centre) if !own_centre => {
+                Some(Source::Centre(report.identity.centre))
+            }
+            _ => None,
+        }
+    }
+
+    fn apply_source(&mut self, source: Source, from: SocketAddr, report: Report, now: Timestamp) {
+        if source == Source::Fleet && !self.demand.contains_key(&source) {
+            self.drop_sources(|_| true);
+        }
+        let started = Timestamp::from_micros(report.identity.started);
+        let uptime = Timestamp::from_micros(report.sent).since(started);
+        let spent = self.spending.apply(&ReportedCounters {
+            source,
+            from,
+            boot: report.identity.boot,
+            young: report.identity.started > 0 && uptime < self.bounds.rate_policy.window,
+            spent: &report.spent,
+        });
+        for (team, units) in spent {
+            if let Some(limiter) = self.rate_limiters.get_mut(&team) {
+                limiter.record(units, now);
+            }
+        }
+        self.suspects.apply_report(source, &report.crashes, now);
+        self.endpoints.apply_report(source, report.loads);
+        let interval = Duration::from_millis(report.interval.into());
+        let demand = Demand {
+            services: report.services,
+            expires: now + LOAD_LIMIT.max(interval * MISSED_REPORTS),
+        };
+        self.demand.insert(source, demand);
+    }
+
+    /// Returns the running, waiting and urgent waiting requests of one service at all peers.
+    pub(super) fn peer_demand(&self, service: u64) -> (u32, u32, u32) {
+        let loads = self.demand.values().flat_map(|demand| &demand.services);
+        let of_service = loads.filter(|load| load.service == service);
+        of_service.fold((0, 0, 0), |(running, waiting, urgent), load| {
+            (
+                running + u32::from(load.running),
+                waiting + u32::from(load.waiting),
+                urgent + u32::from(load.urgent),
+            )
+        })
+    }
+
+    /// Determines this entry's role. A new role receives its loads from other sources.
+    fn update_role(&mut self, now: Timestamp) {
+        let leaving = self.identity.leaving;
+        if !self.topology.update_role(&self.members, leaving, now) {
+            return;
+        }
+        let role = self.topology.role();
+        self.drop_sources(|source| match source {
+            Source::Entry(_) => role == Role::Member,
+            Source::Centre(_) => role != Role::Aggregator,
+            Source::Fleet => role != Role::Member,
+        });
+    }
+
+    fn drop_sources(&mut self, is_dropped: impl Fn(&Source) -> bool) {
+        let dropped: Vec<_> = self.demand.keys().copied().filter(is_dropped).collect();
+        for source in dropped {
+            self.demand.remove(&source);
+            self.endpoints.apply_report(source, Vec::new());
+            self.suspects.forget(source);
+        }
+    }
+
     /// Returns how far this entry has read the store.
     #[must_use]
     pub const fn store_progress(&self) -> &StoreProgress {
@@ -150,24 +318,50 @@
     /// Returns how long this entry may wait before it reads a section of the store.
     #[must_use]
     pub fn read_delay(&self, section: Section, now: Timestamp) -> Duration {
-        // Peers' confirmations count from the time of this entry's own message, which is long ago
-        // in a large fleet.
-        let reader_rank = if self.confirmation.is_current(CONFIRMATION_AGE_LIMIT, now) {
-            self.members.reader_rank(self.own, now)
-        } else {
+        let reader_rank = if self.is_confirmation_old(now) {
             0
+        } else if self.is_alone_at_start(section, now) {
+            usize::MAX
+        } else {
+            self.members.reader_rank(self.topology.precedence(), now)
         };
+        let propagation = self.topology.propagation(&self.members);
         self.store_progress
-            .read_delay(section, reader_rank, self.report_interval(), now)
+            .read_delay(section, reader_rank, propagation, now)
+    }
+
+    /// Returns whether the configuration's confirmation is so old that this entry reads the store
+    /// whatever its peers report. Peers' confirmations count from the time of this entry's own
+    /// report.
+    fn is_confirmation_old(&self, now: Timestamp) -> bool {
+        self.confirmation.version() > 0
+            && !self.confirmation.is_current(CONFIRMATION_AGE_LIMIT, now)
     }
 
-    /// Discards the load of peers that no longer report and removes those whose retention has
+    /// Returns whether this entry has read a section of the store once and waits for the first
+    /// answers of its seeds. Many entries may start at once, and only a few are to read on.
+    fn is_alone_at_start(&self, section: Section, now: Timestamp) -> bool {
+        let has_seeds = self.seeds.iter().any(|seed| *seed != self.own);
+        let starting =
+            now.as_micros() < self.identity.started + SEED_ANSWER_TIME.as_micros() as u64;
+        has_seeds
+            && starting
+            && self.members.count() == 1
+            && self.store_progress.is_confirmed(section)
+    }
+
+    /// Discards the load of sources that no longer report and removes the peers whose retention has
     /// expired. Returns the removed peers.
     pub fn expire_peers(&mut self, now: Timestamp) -> Vec<SocketAddr> {
-        let unresponsive: Vec<_> = self.members.unresponsive(now).collect();
+        let overdue = self.demand.iter().filter(|(_, d)| d.expires <= now);
+        let overdue: Vec<_> = overdue.map(|(source, _)| *source).collect();
+        for source in overdue {
+            self.demand.remove(&source);
+            self.endpoints.apply_report(source, Vec::new());
+        }
         let expired = self.members.remove_expired(now);
-        for peer in unresponsive.iter().chain(&expired) {
-            self.endpoints.apply_report(*peer, Vec::new());
+        for peer in &expired {
+            self.spending.forget(*peer);
         }
         expired
     }
--- a/crates/core/src/direct/store_progress.rs
+++ b/crates/core/src/direct/store_progress.rs
@@ -148,6 +148,12 @@
         self.sections[section as usize].revision
     }
 
+    /// Returns whether the known revision of a section was ever confirmed to be the newest.
+    #[must_use]
+    pub const fn is_confirmed(&self, section: Section) -> bool {
+        self.sections[section as usize].confirmed.is_some()
+    }
+
     /// Returns the status of both sections, for reports.
     #[must_use]
     pub fn status(&self, now: Timestamp) -> [SectionStatus; 2] {
--- a/crates/core/src/direct/suspects.rs
+++ b/crates/core/src/direct/suspects.rs
@@ -5,9 +5,9 @@
 //! that a caller's own resends do not crash every endpoint.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::report::{Scope, Source};
 use crate::request::BodyDigest;
 use crate::time::Timestamp;
 
@@ -36,8 +36,8 @@
 #[derive(Debug, Default)]
 pub struct Suspects {
     own: HashMap<BodyDigest, Crashes>,
-    /// Counts that each peer reported.
-    peers: HashMap<(BodyDigest, SocketAddr), Crashes>,
+    /// Counts that were reported, by their source.
+    peers: HashMap<(BodyDigest, Source), Crashes>,
 }
 
 impl Suspects {
@@ -61,34 +61,47 @@
         self.count(digest, now)
     }
 
-    /// Applies the counts that a peer reported.
-    pub fn apply_report(
-        &mut self,
-        peer: SocketAddr,
-        reported: &[(BodyDigest, u32)],
-        now: Timestamp,
-    ) {
+    /// Applies the counts that were reported of a source.
+    pub fn apply_report(&mut self, source: Source, reported: &[(BodyDigest, u32)], now: Timestamp) {
         if self.peers.len() >= SUSPECT_LIMIT {
             self.peers
                 .retain(|_, crashes| now < crashes.last + RETENTION);
         }
         for &(digest, count) in reported {
             self.peers
-                .insert((digest, peer), Crashes { count, last: now });
+                .insert((digest, source), Crashes { count, last: now });
         }
     }
 
-    /// Returns the counts to report to peers.
+    /// Returns the counts for a report of the given scope, without those of `recipient`.
     #[must_use]
-    pub fn reported(&self, now: Timestamp) -> Vec<(BodyDigest, u32)> {
-        let fresh = self
-            .own
-            .iter()
-            .filter(|(_, crashes)| now < crashes.last + REPORT_TIME);
-        fresh
-            .map(|(digest, crashes)| (*digest, crashes.count))
-            .take(REPORTED_LIMIT)
-            .collect()
+    pub fn reported(
+        &self,
+        scope: Scope,
+        recipient: Option<Source>,
+        now: Timestamp,
+    ) -> Vec<(BodyDigest, u32)> {
+        let is_fresh = |crashes: &Crashes| now < crashes.last + REPORT_TIME;
+        let mut counts: HashMap<BodyDigest, u32> = HashMap::new();
+        for (digest, crashes) in self.own.iter().filter(|(_, crashes)| is_fresh(crashes)) {
+            *counts.entry(*digest).or_default() += crashes.count;
+        }
+        for ((digest, source), crashes) in &self.peers {
+            let included = match source {
+                Source::Entry(_) => scope != Scope::Entry,
+                Source::Centre(_) => scope == Scope::Fleet,
+                Source::Fleet => false,
+            };
+            if included && Some(*source) != recipient && is_fresh(crashes) {
+                *counts.entry(*digest).or_default() += crashes.count;
+            }
+        }
+        counts.into_iter().take(REPORTED_LIMIT).collect()
+    }
+
+    /// Forgets the counts of a source that reports no longer.
+    pub fn forget(&mut self, source: Source) {
+        self.peers.retain(|(_, other), _| *other != source);
     }
 
     /// Clears the crashes of a request that ran to its end.
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -5,6 +5,8 @@
 mod confirmation;
 mod endpoints;
 mod event_interval;
+mod fleet_network;
+mod large_fleet;
 mod members;
 mod overload;
 mod rate_limit;
--- /dev/null
+++ b/crates/core/tests/core/direct/fleet_network.rs
@@ -0,0 +1,343 @@
+//! A large fleet of direct entries whose reports travel through a network that delays and drops
+//! them, and a store that counts its calls.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use comfreyhaven_core::Timestamp;
+use comfreyhaven_core::direct::{Bounds, Plan, RatePolicy, Report, Scheduler, Section};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{at, bounds, plan, rate_policy};
+
+/// Data centres of the fleet.
+pub const CENTRES: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+/// Processor shares of entries in thousandths of a core: a few strong entries, and many thin ones.
+const STRONG: u16 = 500;
+const THIN: u16 = 90;
+
+/// One entry in this many is strong.
+const STRONG_EVERY: usize = 7;
+
+/// Time for which entries of one start differ, in milliseconds.
+const START_SPREAD: u64 = 300;
+
+/// Network delay.
+const DELAY: Duration = Duration::from_millis(2);
+
+/// Interval at which entries check whether to read the store, in milliseconds.
+const CHECK_INTERVAL: u64 = 50;
+
+/// Time for which a watch of the endpoints waits.
+const WATCH_TIME: Duration = Duration::from_millis(2_000);
+
+pub fn entry_address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (index / 200) as u8, (index % 200) as u8 + 1], 7_600))
+}
+
+#[derive(Debug)]
+enum Event {
+    Start(usize),
+    Send(usize),
+    Read(usize),
+    Arrive {
+        from: SocketAddr,
+        to: usize,
+        report: Box<Report>,
+    },
+}
+
+/// The fleet and its network.
+pub struct FleetNetwork {
+    pub entries: Vec<Option<Scheduler>>,
+    indices: HashMap<SocketAddr, usize>,
+    /// Entries are unreachable for those of another group.
+    pub groups: Vec<u8>,
+    pub loss: f64,
+    /// Whether the store answers.
+    pub store_up: bool,
+    /// Version of the configuration, which is also its revision.
+    pub version: u64,
+    pub store_calls: usize,
+    /// Until when each entry's watch of the endpoints waits for a change.
+    watched: Vec<Timestamp>,
+    /// Reports that each entry has sent.
+    pub sent: Vec<usize>,
+    /// Incarnation of each entry, which its events belong to.
+    starts: Vec<u64>,
+    /// Rate of the team in units per second, and units by which a window may be exceeded.
+    rate: u64,
+    slack: f64,
+    events: BTreeMap<(Timestamp, u64), (u64, Event)>,
+    next: u64,
+    pub now: u64,
+    random: ChaCha8Rng,
+}
+
+impl FleetNetwork {
+    /// Creates a fleet of `count` entries, all of which start within [`START_SPREAD`].
+    pub fn new(count: usize) -> Self {
+        let mut fleet = Self {
+            entries: (0..count).map(|_| None).collect(),
+            indices: (0..count)
+                .map(|index| (entry_address(index), index))
+                .collect(),
+            groups: vec![0; count],
+            loss: 0.01,
+            store_up: true,
+            version: 10,
+            store_calls: 0,
+            watched: vec![Timestamp::ZERO; count],
+            sent: vec![0; count],
+            starts: vec![0; count],
+            rate: 1_000,
+            slack: 0.0,
+            events: BTreeMap::new(),
+            next: 0,
+            now: 0,
+            random: ChaCha8Rng::seed_from_u64(5),
+        };
+        fleet.start_all();
+        fleet
+    }
+
+    /// Sets the rate of the team, which no entry has started with yet.
+    pub fn with_rate(mut self, rate: u64, slack: f64) -> Self {
+        (self.rate, self.slack) = (rate, slack);
+        self
+    }
+
+    fn plan(&self) -> Arc<Plan> {
+        let mut plan = Plan::clone(&plan(self.version));
+        plan.teams = vec![Arc::new(super::team(self.rate))];
+        Arc::new(plan)
+    }
+
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns the running entries.
+    pub fn running(&self) -> impl Iterator<Item = (usize, &Scheduler)> {
+        let entries = self.entries.iter().enumerate();
+        entries.filter_map(|(index, entry)| Some((index, entry.as_ref()?)))
+    }
+
+    pub fn centre(index: usize) -> &'static str {
+        CENTRES[index % CENTRES.len()]
+    }
+
+    fn start_all(&mut self) {
+        for index in 0..self.len() {
+            let after = self.random.random_range(0..START_SPREAD);
+            self.start(index, after);
+        }
+    }
+
+    /// Starts an entry after `after` milliseconds.
+    pub fn start(&mut self, index: usize, after: u64) {
+        self.starts[index] += 1;
+        self.schedule(at(self.now + after), index, Event::Start(index));
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        self.entries[index] = None;
+        self.starts[index] += 1;
+    }
+
+    pub fn kill_all(&mut self) {
+        for index in 0..self.len() {
+            self.kill(index);
+        }
+    }
+
+    pub fn restart_all(&mut self) {
+        self.start_all();
+    }
+
+    fn schedule(&mut self, time: Timestamp, owner: usize, event: Event) {
+        self.next += 1;
+        let start = self.starts[owner];
+        self.events.insert((time, self.next), (start, event));
+    }
+
+    /// Runs for `millis` and calls `step` every 10 ms.
+    pub fn run_with(&mut self, millis: u64, mut step: impl FnMut(&mut Self)) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += 10;
+            while let Some((&(time, _), _)) = self.events.first_key_value()
+                && time <= at(self.now)
+            {
+                if let Some(((time, _), (start, event))) = self.events.pop_first() {
+                    self.handle(event, start, time);
+                }
+            }
+            step(self);
+        }
+    }
+
+    pub fn run(&mut self, millis: u64) {
+        self.run_with(millis, |_| {});
+    }
+
+    fn handle(&mut self, event: Event, start: u64, now: Timestamp) {
+        match event {
+            Event::Start(index) if self.starts[index] == start => self.boot(index, now),
+            Event::Send(index) if self.starts[index] == start => self.send(index, now),
+            Event::Read(index) if self.starts[index] == start => self.read(index, now),
+            Event::Arrive { from, to, report } => self.arrive(from, to, *report, now),
+            Event::Start(_) | Event::Send(_) | Event::Read(_) => {}
+        }
+    }
+
+    fn boot(&mut self, index: usize, now: Timestamp) {
+        let bounds = Bounds {
+            rate_policy: RatePolicy {
+                slack: self.slack,
+                ..rate_policy(self.starts[index] == 1)
+            },
+            ..bounds()
+        };
+        let seeds = (0..3).map(entry_address).collect();
+        let capacity = if index.is_multiple_of(STRONG_EVERY) {
+            STRONG
+        } else {
+            THIN
+        };
+        let boot = self.starts[index] * 1_000_000 + index as u64 + 1;
+        let scheduler = Scheduler::new(
+            entry_address(index),
+            Self::centre(index).into(),
+            seeds,
+            bounds,
+            boot,
+        )
+        .with_capacity(capacity)
+        .with_start(now);
+        self.watched[index] = Timestamp::ZERO;
+        self.entries[index] = Some(scheduler);
+        self.schedule(now, index, Event::Read(index));
+        self.schedule(now + DELAY, index, Event::Send(index));
+    }
+
+    fn read(&mut self, index: usize, now: Timestamp) {
+        self.schedule(
+            now + Duration::from_millis(CHECK_INTERVAL),
+            index,
+            Event::Read(index),
+        );
+        let plan = self.plan();
+        let Some(entry) = &mut self.entries[index] else {
+            return;
+        };
+        for section in Section::ALL {
+            let watches = section == Section::Endpoints && now < self.watched[index];
+            if watches || !entry.read_delay(section, now).is_zero() {
+                continue;
+            }
+            if section == Section::Endpoints {
+                self.watched[index] = now + WATCH_TIME;
+            }
+            self.store_calls += 1;
+            entry.store_progress_mut().record_read(section, now);
+            if self.store_up {
+                entry.configure(Arc::clone(&plan), now);
+                entry.record_store_answer(section, self.version, now);
+                entry.confirm(self.version, now);
+            }
+        }
+    }
+
+    fn send(&mut self, index: usize, now: Timestamp) {
+        let Some(entry) = &mut self.entries[index] else {
+            return;
+        };
+        let reports = entry.reports(now);
+        entry.expire_peers(now);
+        let interval = entry.report_interval();
+        self.sent[index] += reports.len();
+        self.schedule(now + interval, index, Event::Send(index));
+        for (address, report) in reports {
+            let Some(&to) = self.indices.get(&address) else {
+                continue;
+            };
+            if self.groups[to] == self.groups[index] && !self.random.random_bool(self.loss) {
+                let event = Event::Arrive {
+                    from: entry_address(index),
+                    to,
+                    report: Box::new(report),
+                };
+                self.schedule(now + DELAY, to, event);
+            }
+        }
+    }
+
+    fn arrive(&mut self, from: SocketAddr, to: usize, report: Report, now: Timestamp) {
+        let effect = match &mut self.entries[to] {
+            Some(entry) => entry.apply_report(from, report, now),
+            None => return,
+        };
+        if effect.newer
+            && let Some(sender) = &self.entries[self.indices[&from]]
+            && let Some(entry) = &self.entries[to]
+        {
+            let snapshot = sender.snapshot(entry.plan().version, 0, now);
+            if let Some(entry) = &mut self.entries[to] {
+                entry.apply_snapshot(snapshot, now);
+            }
+        }
+    }
+
+    /// Returns the greatest age of a running entry's confirmation.
+    pub fn oldest_confirmation(&self) -> Duration {
+        let now = at(self.now);
+        let ages = self
+            .running()
+            .map(|(_, entry)| entry.confirmation().age(now).unwrap_or(Duration::MAX));
+        ages.max().unwrap_or_default()
+    }
+
+    /// Adds the same endpoint to every running entry.
+    pub fn add_endpoint(&mut self, id: &str, slots: u32, cold: Duration) {
+        let now = at(self.now);
+        for entry in self.entries.iter_mut().flatten() {
+            let record = comfreyhaven_core::direct::EndpointRecord {
+                cold,
+                sequence: 2,
+                ..super::endpoint_record(id, slots)
+            };
+            entry.upsert_endpoint(record, now);
+        }
+    }
+
+    /// Returns the requests that an entry believes to run at an endpoint.
+    pub fn running_at(&self, index: usize, id: &str) -> u32 {
+        let entry = self.entries[index].as_ref();
+        let state = entry.and_then(|entry| entry.endpoints().get(id));
+        state.map_or(0, |state| state.load().running)
+    }
+
+    /// Publishes a configuration and returns the milliseconds until every running entry has it.
+    pub fn publish(&mut self, limit: u64) -> u64 {
+        self.version += 3;
+        let started = self.now;
+        while self.now < started + limit {
+            self.run(10);
+            let version = self.version;
+            if self.running().all(|(_, e)| e.plan().version == version) {
+                break;
+            }
+        }
+        self.now - started
+    }
+}
+
+/// Returns the team that all entries share.
+pub fn shared_team(entry: &Scheduler) -> Arc<comfreyhaven_core::direct::PlanTeam> {
+    Arc::clone(&entry.plan().teams[0])
+}
--- a/crates/core/tests/core/direct/rate_limit.rs
+++ b/crates/core/tests/core/direct/rate_limit.rs
@@ -16,6 +16,7 @@
     responsive_part: 1.0,
     members: 1,
     interval: Duration::from_millis(40),
+    chance: 0.0,
 };
 
 /// Takes units whenever they are available, at steps of 10 ms, and records each take.
@@ -104,6 +105,7 @@
                 responsive_part: 1.0,
                 members: count,
                 interval: Duration::from_millis(250),
+                chance: 0.0,
             },
             unreported: vec![0; count],
         }
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -35,6 +35,7 @@
     context: Rc<Context>,
     stop: CancellationToken,
 ) {
+    send_to_peers(&socket, &context).await;
     loop {
         let interval = context.scheduler.borrow().report_interval();
         let waiting = async {
@@ -59,13 +60,7 @@
 }
 
 async fn send_to_peers(socket: &UdpSocket, context: &Context) {
-    let messages: Vec<(SocketAddr, Report)> = {
-        let scheduler = context.scheduler.borrow();
-        let report = scheduler.report(clock::now());
-        let targets = scheduler.targets();
-        let addressed = |to| (to, scheduler.addressed(&report, to));
-        targets.into_iter().map(addressed).collect()
-    };
+    let messages = context.scheduler.borrow_mut().reports(clock::now());
     for (to, report) in messages {
         match rmp_serde::to_vec(&report) {
             Ok(bytes) => {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -95,6 +95,7 @@
         addresses,
         bounds,
         time_limits,
+        capacity,
         ..
     } = settings;
     let front = bind(addresses.front).await?;
@@ -115,7 +116,9 @@
         addresses.seeds,
         bounds,
         boot,
-    );
+    )
+    .with_capacity(capacity)
+    .with_start(clock::now());
     let tasks = TaskTracker::new();
     let context = Context::new(scheduler, dialect, time_limits, metrics, tasks.clone());
     let (stop, finish) = (CancellationToken::new(), CancellationToken::new());
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -30,6 +30,8 @@
     pub addresses: Addresses,
     /// Bounds that all entries of the fleet keep together.
     pub bounds: Bounds,
+    /// Processor share of this entry, in thousandths of a core.
+    pub capacity: u16,
     /// Time limits of this entry.
     pub time_limits: TimeLimits,
     /// Address of the platform's store.
@@ -136,6 +138,7 @@
 
     fn read(file: &Ini) -> Result<Self, SettingsError> {
         const SOCKET: &str = "an address and a port, as in 10.0.0.1:80";
+        const CORES: &str = "the processor cores of this entry, as in 0.5";
         let entry = Reader {
             file,
             section: "entry",
@@ -163,6 +166,10 @@
                 .into(),
         };
         let store = entry.value("store", SOCKET)?;
+        let cores = match entry.text("processor cores", CORES) {
+            Ok(_) => entry.number("processor cores")?,
+            Err(_) => 1.0,
+        };
         let log_filter = entry
             .text("log", "a log filter, as in info")
             .unwrap_or("info")
@@ -196,6 +203,7 @@
         Ok(Self {
             addresses,
             bounds,
+            capacity: (cores * 1_000.0).clamp(1.0, f64::from(u16::MAX)) as u16,
             time_limits,
             store,
             log_filter,
