--- a/crates/core/src/direct/store_progress.rs
+++ b/crates/core/src/direct/store_progress.rs
@@ -21,6 +21,10 @@
 /// as of the time at which it was sent, so a shorter interval lets entries bridge a longer outage.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Least interval between two watches of the endpoints by one reader. While many endpoints start or
+/// leave, a watch returns at once with the next change.
+const WATCH_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Age of the configuration's confirmation from which other entries read the store too. The time of
 /// [`MISSED_REPORTS`] reports is added.
 const STAND_IN_AGE: Duration = Duration::from_millis(750);
@@ -188,14 +192,14 @@
         read_delay.max(reader_delay)
     }
 
-    /// Returns how long a reader waits for its next read. Watches of the endpoints follow each
-    /// other without a delay.
+    /// Returns how long a reader waits for its next read.
     fn reader_delay(&self, section: Section, now: Timestamp) -> Duration {
+        let interval = match section {
+            Section::Configuration => CONFIRM_INTERVAL,
+            Section::Endpoints => WATCH_INTERVAL,
+        };
         let read_at = self.sections[section as usize].read_at;
-        match (section, read_at) {
-            (Section::Configuration, Some(read_at)) => (read_at + CONFIRM_INTERVAL).since(now),
-            _ => Duration::ZERO,
-        }
+        read_at.map_or(Duration::ZERO, |read_at| (read_at + interval).since(now))
     }
 
     /// Returns how long an entry that is not a reader waits for the readers.
--- a/crates/core/tests/core/direct/store_progress.rs
+++ b/crates/core/tests/core/direct/store_progress.rs
@@ -150,6 +150,25 @@
     }
 }
 
+/// Guards against a call for each change while all endpoints start: each watch returned at once, and
+/// the two readers of a large fleet made 600 calls in 14 s.
+#[test]
+fn watches_that_return_at_once_do_not_follow_each_other_without_a_pause() {
+    let mut entry = scheduler(1, &[]);
+    entry.confirm(1, at(0));
+    let mut watches = 0;
+    for now in (0..2_000).step_by(10).map(at) {
+        if entry.read_delay(Section::Endpoints, now).is_zero() {
+            entry
+                .store_progress_mut()
+                .record_read(Section::Endpoints, now);
+            entry.record_store_answer(Section::Endpoints, 20, now);
+            watches += 1;
+        }
+    }
+    assert!((4..=6).contains(&watches), "{watches} watches in 2 s");
+}
+
 #[test]
 fn a_new_configuration_reaches_every_entry_soon() {
     let mut fleet = Fleet::new(25, 0.1);
