--- a/crates/core/src/direct/scheduler/reports.rs
+++ b/crates/core/src/direct/scheduler/reports.rs
@@ -8,7 +8,7 @@
 use crate::direct::load_sum::LoadSum;
 use crate::direct::report::{Report, Scope, ServiceLoad, Source};
 use crate::direct::spending::ReportedCounters;
-use crate::direct::store_progress::{Section, StoreProgress};
+use crate::direct::store_progress::{Section, StoreProgress, retry_delay};
 use crate::direct::topology::{Role, Target};
 use crate::time::{Timestamp, whole_millis};
 
@@ -331,6 +331,13 @@
             .read_delay(section, reader_rank, isolated, propagation, now)
     }
 
+    /// Returns how long this entry waits after `failures` reads of the store in a row have failed.
+    #[must_use]
+    pub fn read_retry_delay(&self, failures: u32, now: Timestamp) -> Duration {
+        let rank = self.members.reader_rank(self.topology.precedence(), now);
+        retry_delay(rank, failures)
+    }
+
     /// Returns whether the configuration's confirmation is so old that this entry reads the store
     /// whatever its peers report. Peers' confirmations count from the time of this entry's own
     /// report.
--- a/crates/core/src/direct/scheduler/snapshot.rs
+++ b/crates/core/src/direct/scheduler/snapshot.rs
@@ -10,7 +10,7 @@
 use crate::direct::endpoint_table::digest;
 use crate::direct::plan::{EndpointRecord, Plan};
 use crate::direct::store_progress::Section;
-use crate::time::Timestamp;
+use crate::time::{Timestamp, whole_millis};
 
 /// The state of the store that an entry sends to a peer which knows less of it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -26,6 +26,9 @@
     pub closed: Vec<Arc<str>>,
     /// The store's revision of the newest known change, by section.
     pub revisions: [u64; 2],
+    /// Version of the configuration in force, and milliseconds since it was last confirmed, if it
+    /// ever was.
+    pub confirmed: (u64, Option<u32>),
 }
 
 impl Scheduler {
@@ -39,11 +42,21 @@
             known: self.endpoints.digests(),
             closed: self.closed.iter().cloned().collect(),
             revisions: Section::ALL.map(|section| self.store_progress.revision(section)),
+            confirmed: (
+                self.confirmation.version(),
+                self.confirmation.age(now).map(whole_millis),
+            ),
         }
     }
 
-    /// Applies what is newer in a peer's snapshot. Returns whether the configuration was replaced.
-    pub fn apply_snapshot(&mut self, snapshot: Snapshot, now: Timestamp) -> bool {
+    /// Applies what is newer in a peer's snapshot, which this entry requested at `requested`. Returns
+    /// whether the configuration was replaced.
+    pub fn apply_snapshot(
+        &mut self,
+        snapshot: Snapshot,
+        requested: Timestamp,
+        now: Timestamp,
+    ) -> bool {
         let mut configured = false;
         if let Some(plan) = snapshot.plan {
             let version = plan.version;
@@ -52,6 +65,10 @@
                 self.confirmation.adopt(version);
             }
         }
+        if let (version, Some(age)) = snapshot.confirmed {
+            let age = Duration::from_millis(age.into());
+            self.confirmation.confirm_by_peer(version, age, requested);
+        }
         let [configuration, endpoints] = snapshot.revisions;
         if self
             .store_progress
--- a/crates/core/src/direct/store_progress.rs
+++ b/crates/core/src/direct/store_progress.rs
@@ -47,6 +47,26 @@
 /// Age of a confirmation from which any entry may read the store, regardless of the fleet's size.
 const STAND_IN_LIMIT: Duration = Duration::from_millis(2_000);
 
+/// First and longest delay after a failed read by one of the entries that always read the store.
+const READER_RETRY_DELAYS: (Duration, Duration) =
+    (Duration::from_millis(60), Duration::from_millis(400));
+
+/// First and longest delay after a failed read by any other entry. While the store is down for all,
+/// every entry finds its confirmation old.
+const STAND_IN_RETRY_DELAYS: (Duration, Duration) =
+    (Duration::from_millis(400), Duration::from_millis(1_600));
+
+/// Returns the delay after `failures` reads in a row have failed, by the entry at `rank`.
+pub(super) fn retry_delay(rank: usize, failures: u32) -> Duration {
+    let (first, longest) = if rank < READERS {
+        READER_RETRY_DELAYS
+    } else {
+        STAND_IN_RETRY_DELAYS
+    };
+    let doublings = failures.saturating_sub(1).min(8);
+    (first * 2_u32.pow(doublings)).min(longest)
+}
+
 /// A section of the store, which is read and watched separately.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/core/tests/core/direct/confirmation.rs
+++ b/crates/core/tests/core/direct/confirmation.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::Confirmation;
+use comfreyhaven_core::direct::{Confirmation, Section};
 
 use super::{at, scheduler};
 
@@ -80,3 +80,18 @@
         "an older version must not replace a newer one"
     );
 }
+
+/// Guards against refusing keyed requests at every change of the configuration: an entry that had
+/// fetched the new version from a peer waited for the peer's next report until it was confirmed.
+#[test]
+fn a_snapshot_confirms_its_configuration_as_of_the_request_for_it() {
+    let (mut reader, mut other) = (scheduler(1, &[2]), scheduler(2, &[1]));
+    reader.configure(super::plan(9), at(100));
+    reader.confirm(9, at(100));
+    reader.record_store_answer(Section::Configuration, 9, at(100));
+    let snapshot = reader.snapshot(1, 0, at(300));
+    assert!(other.apply_snapshot(snapshot, at(290), at(310)));
+    let age = other.confirmation().age(at(310));
+    assert_eq!(age, Some(Duration::from_millis(220)));
+    assert!(other.confirmation().is_current(LIMIT, at(310)));
+}
--- a/crates/core/tests/core/direct/fleet_network.rs
+++ b/crates/core/tests/core/direct/fleet_network.rs
@@ -65,6 +65,8 @@
     pub store_calls: usize,
     /// Until when each entry's watch of the endpoints waits for a change.
     watched: Vec<Timestamp>,
+    /// How many reads of each entry have failed in a row, and until when it pauses.
+    failed: Vec<(u32, Timestamp)>,
     /// Reports that each entry has sent.
     pub sent: Vec<usize>,
     /// Incarnation of each entry, which its events belong to.
@@ -92,6 +94,7 @@
             version: 10,
             store_calls: 0,
             watched: vec![Timestamp::ZERO; count],
+            failed: vec![(0, Timestamp::ZERO); count],
             sent: vec![0; count],
             starts: vec![0; count],
             rate: 1_000,
@@ -220,6 +223,7 @@
         .with_capacity(capacity)
         .with_start(now);
         self.watched[index] = Timestamp::ZERO;
+        self.failed[index] = (0, Timestamp::ZERO);
         self.entries[index] = Some(scheduler);
         self.schedule(now, index, Event::Read(index));
         self.schedule(now + DELAY, index, Event::Send(index));
@@ -236,8 +240,9 @@
             return;
         };
         for section in Section::ALL {
-            let watches = section == Section::Endpoints && now < self.watched[index];
-            if watches || !entry.read_delay(section, now).is_zero() {
+            let waits = now < self.failed[index].1
+                || section == Section::Endpoints && now < self.watched[index];
+            if waits || !entry.read_delay(section, now).is_zero() {
                 continue;
             }
             if section == Section::Endpoints {
@@ -245,7 +250,10 @@
             }
             self.store_calls += 1;
             entry.store_progress_mut().record_read(section, now);
+            self.failed[index].0 += 1;
+            self.failed[index].1 = now + entry.read_retry_delay(self.failed[index].0, now);
             if self.store_up {
+                self.failed[index] = (0, now);
                 entry.configure(Arc::clone(&plan), now);
                 entry.record_store_answer(section, self.version, now);
                 entry.confirm(self.version, now);
@@ -288,7 +296,7 @@
         {
             let snapshot = sender.snapshot(entry.plan().version, 0, now);
             if let Some(entry) = &mut self.entries[to] {
-                entry.apply_snapshot(snapshot, now);
+                entry.apply_snapshot(snapshot, now, now);
             }
         }
     }
--- a/crates/core/tests/core/direct/large_fleet.rs
+++ b/crates/core/tests/core/direct/large_fleet.rs
@@ -157,6 +157,31 @@
     }
 }
 
+/// Guards against every entry of a large fleet calling a store that is down, several times a second:
+/// all of them find their confirmation old. The fleet is current again soon after the outage.
+#[test]
+fn an_outage_of_the_store_causes_few_calls() {
+    for count in [100, 300] {
+        let mut fleet = FleetNetwork::new(count);
+        fleet.run(SETTLING_TIME);
+        fleet.store_up = false;
+        let before = fleet.store_calls;
+        fleet.run(5_000);
+        let calls = fleet.store_calls - before;
+        assert!(
+            calls <= 5 * count,
+            "{count} entries made {calls} calls in 5 s"
+        );
+        fleet.store_up = true;
+        fleet.run(1_500);
+        let oldest = fleet.oldest_confirmation();
+        assert!(
+            oldest < Duration::from_secs(2),
+            "{count} entries: {oldest:?}"
+        );
+    }
+}
+
 /// Guards against each entry that is cut off from all others reading as often as one that reads for
 /// the fleet. On a simulated day (large scale-2), 36 such entries made 1,900 calls in 12 s.
 #[test]
--- a/crates/core/tests/core/direct/store_progress.rs
+++ b/crates/core/tests/core/direct/store_progress.rs
@@ -106,7 +106,7 @@
             if effect.newer {
                 let held = self.entries[to].plan().version;
                 let snapshot = self.entries[from].snapshot(held, 0, now);
-                self.entries[to].apply_snapshot(snapshot, now);
+                self.entries[to].apply_snapshot(snapshot, now, now);
             }
         }
         for index in 0..self.entries.len() {
@@ -250,7 +250,7 @@
     one.upsert_endpoint(endpoint_record("e4", 4), at(0));
     one.mark_unlisted("e1", at(900));
     one.record_store_answer(Section::Endpoints, 20, at(0));
-    two.apply_snapshot(one.snapshot(0, 0, at(100)), at(100));
+    two.apply_snapshot(one.snapshot(0, 0, at(100)), at(100), at(100));
     assert_eq!(two.endpoints().ids().len(), 4);
     assert!(
         two.endpoints()
@@ -265,7 +265,7 @@
     assert_eq!(two.remove_expired(at(900)), ["e1".into()]);
     // A snapshot without a newer revision changes nothing.
     one.mark_unlisted("e2", at(1_000));
-    two.apply_snapshot(one.snapshot(0, 20, at(950)), at(950));
+    two.apply_snapshot(one.snapshot(0, 20, at(950)), at(950), at(950));
     assert!(!two.endpoints().get("e2").expect("listed").is_unlisted());
 }
 
@@ -277,7 +277,7 @@
     }
     one.record_store_answer(Section::Endpoints, 20, at(0));
     assert_eq!(one.snapshot(0, 0, at(1)).endpoints.len(), 3);
-    two.apply_snapshot(one.snapshot(0, 0, at(1)), at(1));
+    two.apply_snapshot(one.snapshot(0, 0, at(1)), at(1), at(1));
     assert!(one.snapshot(0, 20, at(1)).endpoints.is_empty());
     let leaving = EndpointRecord {
         leaving: true,
@@ -291,7 +291,7 @@
     one.record_store_answer(Section::Endpoints, 23, at(11));
     let snapshot = one.snapshot(0, 20, at(12));
     assert_eq!(snapshot.endpoints.len(), 2);
-    two.apply_snapshot(snapshot, at(12));
+    two.apply_snapshot(snapshot, at(12), at(12));
     two.remove_expired(at(12));
     let names: Vec<_> = two
         .endpoints()
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -123,6 +123,8 @@
     fetching: Cell<bool>,
     /// Whether each section of the store has been read once, successfully or not.
     sections_read: Cell<[bool; 2]>,
+    /// Whether the last read of the configuration failed.
+    store_lost: Cell<bool>,
     change: Notify,
     /// The longest deadline received for each route. A much shorter one shows that the request
     /// spent the difference on its way here.
@@ -152,6 +154,7 @@
             leaving: Cell::new(false),
             fetching: Cell::new(false),
             sections_read: Cell::default(),
+            store_lost: Cell::new(false),
             change: Notify::new(),
             longest_deadlines: RefCell::default(),
         })
@@ -233,6 +236,17 @@
         self.sections_read.get() == [true; 2]
     }
 
+    /// Records whether the last read of the configuration failed.
+    pub fn set_store_lost(&self, lost: bool) {
+        self.store_lost.set(lost);
+    }
+
+    /// Returns whether the last read of the configuration failed.
+    #[must_use]
+    pub fn is_store_lost(&self) -> bool {
+        self.store_lost.get()
+    }
+
     /// Signals that this entry has read a change, which its next report should announce early.
     pub fn notify_change(&self) {
         self.change.notify_one();
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -30,9 +30,6 @@
 /// How long one watch of the endpoints waits. A dead connection is detected only after this time.
 const ENDPOINT_WAIT: Duration = Duration::from_millis(2_000);
 
-/// First and longest delay after a failed call.
-const RETRY_DELAYS: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
-
 /// Follows one section of the store.
 pub(crate) struct Follower<S> {
     context: Rc<Context>,
@@ -72,6 +69,12 @@
                 }
                 continue;
             }
+            if self.section == Section::Endpoints && self.context.is_store_lost() {
+                // Reads of the configuration find out when the store is back.
+                self.failures = self.failures.max(1);
+                tokio::time::sleep(CHECK_INTERVAL).await;
+                continue;
+            }
             self.context
                 .scheduler
                 .borrow_mut()
@@ -126,6 +129,9 @@
     }
 
     fn record_success(&mut self) {
+        if self.section == Section::Configuration {
+            self.context.set_store_lost(false);
+        }
         if std::mem::take(&mut self.failures) > 0 {
             log::info!(section:% = self.section; "the store answers again");
             self.recovered = Some(clock::now());
@@ -136,9 +142,12 @@
         if self.failures == 0 {
             log::warn!(section:% = self.section; "the store is lost: {error}");
         }
-        let delay = RETRY_DELAYS.0 * 2_u32.saturating_pow(self.failures.min(4));
         self.failures += 1;
-        delay.min(RETRY_DELAYS.1)
+        if self.section == Section::Configuration {
+            self.context.set_store_lost(true);
+        }
+        let scheduler = self.context.scheduler.borrow();
+        scheduler.read_retry_delay(self.failures, clock::now())
     }
 
     /// Returns until when an endpoint that is no longer listed stays usable.
--- a/crates/direct/src/snapshot.rs
+++ b/crates/direct/src/snapshot.rs
@@ -74,6 +74,7 @@
         let revision = scheduler.store_progress().revision(Section::Endpoints);
         format!("{SNAPSHOT_PATH}{}/{revision}", scheduler.plan().version)
     };
+    let requested = clock::now();
     let snapshot = match tokio::time::timeout(FETCH_TIMEOUT, request(from, &known)).await {
         Ok(Ok(snapshot)) => snapshot,
         Ok(Err(error)) => return log::info!(peer:% = from; "cannot fetch snapshot: {error}"),
@@ -82,7 +83,7 @@
     let [configuration, endpoints] = snapshot.revisions;
     log::info!(peer:% = from, configuration = configuration, endpoints = endpoints; "snapshot fetched from a peer");
     let mut scheduler = context.scheduler.borrow_mut();
-    if scheduler.apply_snapshot(snapshot, clock::now()) {
+    if scheduler.apply_snapshot(snapshot, requested, clock::now()) {
         let version = scheduler.plan().version;
         log::info!(version = version, peer:% = from; "configuration in force, from a peer");
     }
