A newer endpoint at an address replaces the older one; reservations name their endpoint

Ruled out: full engines (the rejections were of restarted ones only), reservations that had expired.

Change: a record with a later start at an address removes the endpoint that had the address before, and an older record does not bring it back. The call for a reservation names the endpoint that it is meant for.

Test: endpoints::a_newer_endpoint_at_the_same_address_replaces_the_older_one.

--- a/crates/core/src/direct/endpoint_table.rs
+++ b/crates/core/src/direct/endpoint_table.rs
@@ -7,6 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -65,6 +66,8 @@
     endpoints: BTreeMap<EndpointId, EndpointState>,
     services: HashMap<Arc<str>, Vec<EndpointId>>,
     digests: HashMap<u64, EndpointId>,
+    /// The endpoint that started last at each address.
+    addresses: HashMap<SocketAddr, EndpointId>,
     baselines: HashMap<Arc<str>, ServiceBaseline>,
     /// Endpoints without observed answers, by service. Their estimates follow the service's
     /// baseline.
@@ -97,6 +100,9 @@
             return;
         }
         self.remove(&record.id);
+        if !self.take_address(&record) {
+            return;
+        }
         let id = Arc::clone(&record.id);
         let digest = digest(&id);
         self.incarnations += 1;
@@ -146,10 +152,36 @@
         self.endpoints.insert(id, state);
     }
 
+    /// Makes a new endpoint the one at its address, and removes the one that had it before: that has
+    /// ended, although its record may still be listed. Returns false if a later one has it already.
+    fn take_address(&mut self, record: &EndpointRecord) -> bool {
+        let holder = self.addresses.get(&record.address).cloned();
+        let started = holder
+            .as_ref()
+            .and_then(|holder| Some(self.endpoints.get(holder)?.record.started_ms));
+        if started.is_some_and(|started| started > record.started_ms) {
+            return false;
+        }
+        if let Some(holder) = holder.filter(|_| started < Some(record.started_ms)) {
+            self.remove(&holder);
+        }
+        let id = Arc::clone(&record.id);
+        self.addresses.insert(record.address, id);
+        true
+    }
+
     /// Removes an endpoint and its state.
     pub fn remove(&mut self, id: &str) {
         if let Some(state) = self.endpoints.remove(id) {
             self.digests.remove(&state.digest);
+            let address = state.record.address;
+            if self
+                .addresses
+                .get(&address)
+                .is_some_and(|holder| **holder == *id)
+            {
+                self.addresses.remove(&address);
+            }
             let service = &state.record.service;
             if let Some(ids) = self.services.get_mut(service) {
                 ids.retain(|other| **other != *id);
--- a/crates/core/tests/core/direct/endpoints.rs
+++ b/crates/core/tests/core/direct/endpoints.rs
@@ -186,3 +186,24 @@
         Some("fast")
     );
 }
+
+/// Guards against requests to endpoints that have crashed and returned under another id: their old
+/// records stay listed for seconds. On a simulated day (large scale-1) 45 endpoints returned like
+/// this, and 6,400 of 70,000 requests were rejected by another incarnation.
+#[test]
+fn a_newer_endpoint_at_the_same_address_replaces_the_older_one() {
+    let mut scheduler = scheduler(1, &[]);
+    let record = |id: &str, started_ms| EndpointRecord {
+        started_ms,
+        ..endpoint_record(id, 4)
+    };
+    scheduler.upsert_endpoint(record("old", 10), at(0));
+    scheduler.upsert_endpoint(record("new", 20), at(100));
+    let names = |scheduler: &Scheduler| -> Vec<String> {
+        let ids = scheduler.endpoints().ids();
+        ids.iter().map(ToString::to_string).collect()
+    };
+    assert_eq!(names(&scheduler), ["new"]);
+    scheduler.upsert_endpoint(record("old", 10), at(200));
+    assert_eq!(names(&scheduler), ["new"], "the old record came back");
+}
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -166,6 +166,13 @@
                     slot.end(Ending::Full);
                     continue;
                 }
+                Err(NotReserved::Misdirected) => {
+                    self.sends += 1;
+                    self.log_outcome("rejected", &placement.record);
+                    slot.end(Ending::Broken);
+                    self.context.upstream.close(&endpoint);
+                    SendFault::NotRun
+                }
                 Err(NotReserved::Failed(error)) => {
                     self.sends += 1;
                     self.handle_unsent(&error, &placement.record, slot)
--- a/crates/direct/src/dispatch/reserve.rs
+++ b/crates/direct/src/dispatch/reserve.rs
@@ -11,6 +11,7 @@
 use hyper::{Method, Request, StatusCode, Uri};
 
 use super::Dispatch;
+use super::send::set_header;
 use crate::clock;
 use crate::upstream::SendError;
 
@@ -21,6 +22,8 @@
 pub(super) enum NotReserved {
     /// The endpoint has no free slot.
     Full,
+    /// Another endpoint answers at the address.
+    Misdirected,
     /// The endpoint could not be reached.
     Failed(SendError),
 }
@@ -45,6 +48,7 @@
         match status {
             StatusCode::OK => Ok((self.context.dialect.reservation.decode)(&body)),
             StatusCode::SERVICE_UNAVAILABLE => Err(NotReserved::Full),
+            StatusCode::MISDIRECTED_REQUEST => Err(NotReserved::Misdirected),
             // The endpoint does not know the call.
             _ => Ok(None),
         }
@@ -61,9 +65,9 @@
         *request.uri_mut() = Uri::from_static(call.path);
         let headers = request.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if let Ok(host) = HeaderValue::from_str(&placement.record.address.to_string()) {
-            headers.insert(HOST, host);
-        }
+        let record = &placement.record;
+        set_header(headers, &HOST, &record.address.to_string());
+        set_header(headers, &self.context.dialect.instance, &record.id);
         request
     }
 }
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -280,7 +280,7 @@
     }
 }
 
-fn set_header(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
+pub(super) fn set_header(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
     match HeaderValue::from_str(value) {
         Ok(value) => drop(headers.insert(name, value)),
         Err(error) => log::warn!("cannot set header {name}: {error}"),
