--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -42,7 +42,9 @@
 }
 
 enum SendFault {
-    /// The request has not run.
+    /// The endpoint has not received the request.
+    Unsent,
+    /// The endpoint received the request and has not run it.
     NotRun,
     /// The request may have run.
     Unknown,
@@ -60,6 +62,8 @@
     objective: Timestamp,
     excluded: Vec<EndpointId>,
     sends: u32,
+    /// Whether an endpoint may have received the request.
+    arrived: bool,
     /// Number of sends that may have run the request.
     possible_runs: u32,
     /// Total time the request has waited for a slot.
@@ -95,6 +99,7 @@
             service,
             excluded: Vec::new(),
             sends: 0,
+            arrived: false,
             possible_runs: 0,
             waited: Duration::ZERO,
             first_byte: 0,
@@ -171,7 +176,7 @@
                     self.log_outcome("rejected", &placement.record);
                     slot.end(Ending::Broken);
                     self.context.upstream.close(&endpoint);
-                    SendFault::NotRun
+                    SendFault::Unsent
                 }
                 Err(NotReserved::Failed(error)) => {
                     self.sends += 1;
@@ -181,20 +186,17 @@
             *sending = false;
             self.excluded.push(endpoint);
             let may_retry = match &fault {
-                SendFault::NotRun => self.sends < SEND_LIMIT,
+                SendFault::Unsent | SendFault::NotRun => self.sends < SEND_LIMIT,
                 SendFault::Unknown | SendFault::Failed(_) => {
                     self.possible_runs += 1;
                     let route = &self.incoming.head.route;
                     route.retry.is_allowed() && self.possible_runs < route.max_attempts
                 }
             };
-            let now = clock::now();
-            let in_time = now + MIN_SEND_TIME < self.deadline;
-            let retry = may_retry && in_time && {
-                let mut scheduler = self.context.scheduler.borrow_mut();
-                scheduler.take_retry(&self.service, now)
-            };
-            let not_run = matches!(fault, SendFault::NotRun) && self.possible_runs == 0;
+            self.arrived |= !matches!(fault, SendFault::Unsent);
+            let not_run =
+                matches!(fault, SendFault::Unsent | SendFault::NotRun) && self.possible_runs == 0;
+            let retry = may_retry && self.take_retry();
             if let SendFault::Failed(response) = fault {
                 failed = Some(response);
             }
@@ -209,6 +211,17 @@
         }
     }
 
+    /// Returns whether there is time and budget for another send. The first send that reaches an
+    /// endpoint is no retry.
+    fn take_retry(&self) -> bool {
+        let now = clock::now();
+        if self.deadline <= now + MIN_SEND_TIME {
+            return false;
+        }
+        let mut scheduler = self.context.scheduler.borrow_mut();
+        !self.arrived || scheduler.take_retry(&self.service, now)
+    }
+
     /// Waits for a slot at an endpoint.
     async fn place(&mut self) -> PlacementOutcome {
         let started = clock::now();
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -169,7 +169,7 @@
         slot: SlotGuard,
     ) -> SendFault {
         self.log_break("unsent", error, record, slot);
-        SendFault::NotRun
+        SendFault::Unsent
     }
 
     fn log_break(
