--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -39,11 +39,22 @@
 
 /// Position of an entry in the order in which entries are chosen as aggregators and readers: those
 /// with the larger processor share first, then in an order that mixes data centres.
-pub(super) type Precedence = (Reverse<u16>, u64, SocketAddr);
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Precedence {
+    /// Processor share, in thousandths of a core.
+    pub(super) capacity: Reverse<u16>,
+    digest: u64,
+    pub(super) address: SocketAddr,
+}
 
-/// Returns the precedence of an entry.
-pub(super) fn precedence(address: SocketAddr, capacity: u16) -> Precedence {
-    (Reverse(capacity), digest(&address.to_string()), address)
+impl Precedence {
+    pub(super) fn new(address: SocketAddr, capacity: u16) -> Self {
+        Self {
+            capacity: Reverse(capacity),
+            digest: digest(&address.to_string()),
+            address,
+        }
+    }
 }
 
 /// Another entry.
@@ -85,7 +96,7 @@
             asked: None,
             introduced: None,
             interval: Duration::ZERO,
-            precedence: precedence(address, identity.capacity),
+            precedence: Precedence::new(address, identity.capacity),
         }
     }
 
@@ -417,12 +428,12 @@
         let mut lost: Vec<_> = lost.map(|member| member.precedence).collect();
         lost.sort_unstable();
         lost.truncate(count);
-        lost.into_iter().map(|(_, _, address)| address).collect()
+        lost.into_iter().map(|lost| lost.address).collect()
     }
 
     /// Records that this entry expects reports from a member from now on. A silent one is expected
     /// again after [`SILENCE_RETRY`].
-    pub(super) fn expect(&mut self, address: &SocketAddr, now: Timestamp) {
+    pub(super) fn expect_reports(&mut self, address: &SocketAddr, now: Timestamp) {
         if let Some(member) = self.members.get_mut(address) {
             member.asked.get_or_insert(now);
         }
--- a/crates/core/src/direct/scheduler/snapshot.rs
+++ b/crates/core/src/direct/scheduler/snapshot.rs
@@ -26,9 +26,10 @@
     pub closed: Vec<Arc<str>>,
     /// The store's revision of the newest known change, by section.
     pub revisions: [u64; 2],
-    /// Version of the configuration in force, and milliseconds since it was last confirmed, if it
-    /// ever was.
-    pub confirmed: (u64, Option<u32>),
+    /// Version of the configuration in force.
+    pub version: u64,
+    /// Milliseconds since that version was last confirmed, if it ever was.
+    pub age: Option<u32>,
 }
 
 impl Scheduler {
@@ -42,10 +43,8 @@
             known: self.endpoints.digests(),
             closed: self.closed.iter().cloned().collect(),
             revisions: Section::ALL.map(|section| self.store_progress.revision(section)),
-            confirmed: (
-                self.confirmation.version(),
-                self.confirmation.age(now).map(whole_millis),
-            ),
+            version: self.confirmation.version(),
+            age: self.confirmation.age(now).map(whole_millis),
         }
     }
 
@@ -65,9 +64,10 @@
                 self.confirmation.adopt(version);
             }
         }
-        if let (version, Some(age)) = snapshot.confirmed {
+        if let Some(age) = snapshot.age {
             let age = Duration::from_millis(age.into());
-            self.confirmation.confirm_by_peer(version, age, requested);
+            self.confirmation
+                .confirm_by_peer(snapshot.version, age, requested);
         }
         let [configuration, endpoints] = snapshot.revisions;
         if self
--- a/crates/core/src/direct/topology.rs
+++ b/crates/core/src/direct/topology.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::members::{Members, Precedence, precedence};
+use super::members::{Members, Precedence};
 use super::report::{Identity, MemberStatus, Scope};
 use crate::time::Timestamp;
 
@@ -98,7 +98,8 @@
     own: Precedence,
     centre: u64,
     role: Role,
-    targets: usize,
+    /// Number of recipients of the last reports.
+    target_count: usize,
     /// When the members were last listed, and their generation then.
     listed: Option<(Timestamp, u64)>,
     /// When seeds and lost entries were last probed.
@@ -108,10 +109,10 @@
 impl Topology {
     pub(super) fn new(address: SocketAddr, identity: &Identity) -> Self {
         Self {
-            own: precedence(address, identity.capacity),
+            own: Precedence::new(address, identity.capacity),
             centre: identity.centre,
             role: Role::Mesh,
-            targets: 0,
+            target_count: 0,
             listed: None,
             probed: None,
         }
@@ -157,8 +158,8 @@
             }
             Role::Member => ENTRY_INTERVAL,
             Role::Aggregator => {
-                let cores = f64::from(self.own.0.0).max(1.0) / 1_000.0;
-                let seconds = self.targets as f64 / (AGGREGATE_REPORTS_PER_S * cores);
+                let cores = f64::from(self.own.capacity.0).max(1.0) / 1_000.0;
+                let seconds = self.target_count as f64 / (AGGREGATE_REPORTS_PER_S * cores);
                 let interval = Duration::from_secs_f64(seconds);
                 interval.clamp(AGGREGATE_INTERVAL, AGGREGATE_INTERVAL_MAX)
             }
@@ -191,7 +192,7 @@
             targets.push(self.introduction(address, members, now));
         }
         self.add_probes(&mut targets, members, seeds, now);
-        self.targets = targets.len();
+        self.target_count = targets.len();
         targets
     }
 
@@ -228,8 +229,8 @@
         let aggregators = candidates.into_iter().take(AGGREGATORS);
         // Entries that start report to a seed, which may not be an aggregator.
         let news = members.statuses(|address, _| members.is_new(address, NEWS_TIME, now), now);
-        let targets = aggregators.map(|(_, _, address)| {
-            members.expect(&address, now);
+        let targets = aggregators.map(|Precedence { address, .. }| {
+            members.expect_reports(&address, now);
             Target {
                 address,
                 scope: Scope::Entry,
@@ -251,12 +252,12 @@
             .candidates(self.centre, now)
             .into_iter()
             .take(AGGREGATORS - 1)
-            .map(|(_, _, address)| address)
+            .map(|candidate| candidate.address)
             .collect();
         let mut targets = Vec::new();
         for address in members.in_centre(self.centre, now) {
             let scope = if fellows.contains(&address) {
-                members.expect(&address, now);
+                members.expect_reports(&address, now);
                 Scope::Entry
             } else {
                 Scope::Fleet
@@ -273,9 +274,9 @@
                 continue;
             }
             let candidates = members.candidates(centre, now);
-            let list = self.list_for(centre, due, members, now);
-            for (_, _, address) in candidates.into_iter().take(AGGREGATORS) {
-                members.expect(&address, now);
+            let list = self.news_for(centre, due, members, now);
+            for Precedence { address, .. } in candidates.into_iter().take(AGGREGATORS) {
+                members.expect_reports(&address, now);
                 targets.push(Target {
                     address,
                     scope: Scope::Centre,
@@ -289,7 +290,7 @@
 
     /// Returns the members that the aggregators of another data centre are told of: those of this
     /// one, and those of theirs that are new here.
-    fn list_for(
+    fn news_for(
         &self,
         centre: u64,
         due: bool,
@@ -317,7 +318,12 @@
                 AGGREGATORS
             };
             let candidates = members.candidates(centre, now);
-            introduced.extend(candidates.into_iter().take(count).map(|(_, _, a)| a));
+            introduced.extend(
+                candidates
+                    .into_iter()
+                    .take(count)
+                    .map(|candidate| candidate.address),
+            );
         }
         Target {
             address,
@@ -347,7 +353,7 @@
         self.probed = Some(now);
         let unknown = seeds
             .iter()
-            .filter(|seed| **seed != self.own.2 && !members.contains(seed));
+            .filter(|seed| **seed != self.own.address && !members.contains(seed));
         let mut probes: Vec<_> = unknown.copied().collect();
         if self.role == Role::Aggregator {
             for centre in members.centres() {
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{Ending, EndpointId, EndpointRecord, PlacementRequest};
+use comfreyhaven_core::direct::{
+    Ending, EndpointId, EndpointRecord, PlacementRefusal, PlacementRequest,
+};
 use comfreyhaven_core::refusal::RefusalKind;
 use hyper::{Response, StatusCode};
 
@@ -133,27 +135,7 @@
             let (placement, slot) = match self.place().await {
                 PlacementOutcome::Placed(placement, slot) => (placement, slot),
                 PlacementOutcome::Refused(refusal) => {
-                    if let Some(response) = failed {
-                        return Ok(response);
-                    }
-                    let text: &'static str = refusal.reason.into();
-                    let totals = self.context.scheduler.borrow().totals();
-                    log::info!(
-                        request = self.incoming.head.id_text(),
-                        cause = text,
-                        waited = clock::millis(self.waited),
-                        retry = clock::millis(refusal.retry_after),
-                        waiting = totals.waiting,
-                        running = totals.running,
-                        members = totals.members;
-                        "turned away"
-                    );
-                    let kind = if self.possible_runs > 0 {
-                        RefusalKind::OutcomeUnknown
-                    } else {
-                        RefusalKind::Overloaded
-                    };
-                    return Ok(self.refuse(kind, Some(refusal.retry_after)));
+                    return Ok(failed.unwrap_or_else(|| self.refuse_unplaced(&refusal)));
                 }
             };
             let endpoint = placement.record.id.clone();
@@ -211,6 +193,28 @@
         }
     }
 
+    /// Answers a request for which the scheduler has found no slot.
+    fn refuse_unplaced(&self, refusal: &PlacementRefusal) -> Response<AnswerBody> {
+        let text: &'static str = refusal.reason.into();
+        let totals = self.context.scheduler.borrow().totals();
+        log::info!(
+            request = self.incoming.head.id_text(),
+            cause = text,
+            waited = clock::millis(self.waited),
+            retry = clock::millis(refusal.retry_after),
+            waiting = totals.waiting,
+            running = totals.running,
+            members = totals.members;
+            "turned away"
+        );
+        let kind = if self.possible_runs > 0 {
+            RefusalKind::OutcomeUnknown
+        } else {
+            RefusalKind::Overloaded
+        };
+        self.refuse(kind, Some(refusal.retry_after))
+    }
+
     /// Returns whether there is time and budget for another send. The first send that reaches an
     /// endpoint is no retry.
     fn take_retry(&self) -> bool {
