--- a/crates/core/src/direct/endpoint_table.rs
+++ b/crates/core/src/direct/endpoint_table.rs
@@ -36,11 +36,11 @@
 /// Fewest events of an answer from which an interval is derived.
 const EVENTS_MIN: u32 = 4;
 
-/// Returns a digest that identifies a name in reports between entries of one version.
+/// Returns a digest that identifies a name or an address in reports between entries of one version.
 #[must_use]
-pub fn digest(name: &str) -> u64 {
+pub fn digest<T: Hash + ?Sized>(value: &T) -> u64 {
     let mut hasher = DefaultHasher::new();
-    name.hash(&mut hasher);
+    value.hash(&mut hasher);
     hasher.finish()
 }
 
--- a/crates/core/src/direct/load_sum.rs
+++ b/crates/core/src/direct/load_sum.rs
@@ -22,9 +22,7 @@
         for load in endpoints {
             let sum = self.endpoints.entry(load.endpoint).or_insert(EndpointLoad {
                 endpoint: load.endpoint,
-                running: 0,
-                pending: 0,
-                event_interval: 0,
+                ..EndpointLoad::default()
             });
             if load.event_interval > 0 && (sum.event_interval == 0 || load.running > sum.running) {
                 sum.event_interval = load.event_interval;
@@ -35,9 +33,7 @@
         for load in services {
             let sum = self.services.entry(load.service).or_insert(ServiceLoad {
                 service: load.service,
-                running: 0,
-                waiting: 0,
-                urgent: 0,
+                ..ServiceLoad::default()
             });
             sum.running = sum.running.saturating_add(load.running);
             sum.waiting = sum.waiting.saturating_add(load.waiting);
--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -105,6 +105,21 @@
         now < self.seen + limit
     }
 
+    /// Returns the member's address.
+    pub(super) const fn address(&self) -> SocketAddr {
+        self.precedence.address
+    }
+
+    /// Returns the digest of the member's data centre.
+    pub(super) const fn centre(&self) -> u64 {
+        self.identity.centre
+    }
+
+    /// Returns whether this entry first learned of the member within `limit`.
+    pub(super) fn is_new(&self, limit: Duration, now: Timestamp) -> bool {
+        now < self.known + limit
+    }
+
     /// Returns the time from which the member counts as silent unless it answers this entry's
     /// reports.
     fn silent_from(&self) -> Timestamp {
@@ -409,12 +424,6 @@
         due.into_iter().map(|(_, address)| address).collect()
     }
 
-    /// Returns whether this entry first learned of a member within `limit`.
-    pub(super) fn is_new(&self, address: &SocketAddr, limit: Duration, now: Timestamp) -> bool {
-        let member = self.members.get(address);
-        member.is_some_and(|member| now < member.known + limit)
-    }
-
     /// Returns the first `count` unresponsive members of a data centre, by precedence.
     pub(super) fn lost_candidates(
         &self,
@@ -448,34 +457,37 @@
         }
     }
 
-    /// Returns the status of the members that `include` accepts, by address and data centre.
+    /// Returns the status of the members that `include` accepts.
     pub(super) fn statuses(
         &self,
-        include: impl Fn(&SocketAddr, u64) -> bool,
+        include: impl Fn(&Member) -> bool,
         now: Timestamp,
     ) -> Vec<MemberStatus> {
-        let status = |(address, member): (&SocketAddr, &Member)| MemberStatus {
-            address: *address,
+        let status = |member: &Member| MemberStatus {
+            address: member.address(),
             identity: member.identity,
             sent: member.sent,
             age: whole_millis(now.since(member.seen)),
         };
-        let members = self.members.iter();
-        let included = members.filter(|(address, m)| include(address, m.identity.centre));
+        let members = self.members.values();
+        let included = members.filter(|member| include(member));
         included.map(status).collect()
     }
 
     /// Returns the time without news after which a member is unresponsive. It grows with the time
     /// between two lists of members in a large fleet.
     pub(super) fn response_limit(&self) -> Duration {
-        RESPONSE_LIMIT.max(super::topology::list_interval(self.count()) * MISSED_REPORTS)
+        loss_limit(super::topology::list_interval(self.count()))
     }
 }
 
 /// Returns the position of an entry in the order of one item.
 fn rank_key(item: u64, address: SocketAddr) -> u64 {
-    use std::hash::{DefaultHasher, Hash, Hasher};
-    let mut hasher = DefaultHasher::new();
-    (item, address).hash(&mut hasher);
-    hasher.finish()
+    digest(&(item, address))
+}
+
+/// Returns the time without news of something after which it counts as lost, if news come every
+/// `interval`.
+pub(super) fn loss_limit(interval: Duration) -> Duration {
+    RESPONSE_LIMIT.max(interval * MISSED_REPORTS)
 }
--- a/crates/core/src/direct/report.rs
+++ b/crates/core/src/direct/report.rs
@@ -33,7 +33,7 @@
 }
 
 /// Load of the reporter at one endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointLoad {
     /// Digest of the endpoint's id.
     pub endpoint: u64,
@@ -48,7 +48,7 @@
 }
 
 /// Load of the reporter for one service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceLoad {
     /// Digest of the service's name.
     pub service: u64,
--- a/crates/core/src/direct/scheduler/reports.rs
+++ b/crates/core/src/direct/scheduler/reports.rs
@@ -6,7 +6,8 @@
 use super::{Demand, Scheduler};
 use crate::direct::endpoint_table::digest;
 use crate::direct::load_sum::LoadSum;
-use crate::direct::report::{Report, Scope, ServiceLoad, Source};
+use crate::direct::members::loss_limit;
+use crate::direct::report::{EndpointLoad, Report, Scope, ServiceLoad, Source};
 use crate::direct::spending::ReportedCounters;
 use crate::direct::store_progress::{Section, StoreProgress, retry_delay};
 use crate::direct::topology::{Role, Target};
@@ -16,12 +17,6 @@
 /// of its peers' reports.
 const CONFIRMATION_AGE_LIMIT: Duration = Duration::from_secs(2);
 
-/// Least time after which the loads of a source that no longer reports are discarded.
-const LOAD_LIMIT: Duration = Duration::from_millis(1_500);
-
-/// Consecutive reports of a source that may be lost before its loads are discarded.
-const MISSED_REPORTS: u32 = 3;
-
 /// Time for which a starting entry waits for its seeds before it takes itself for the only one.
 const SEED_ANSWER_TIME: Duration = Duration::from_millis(1_500);
 
@@ -36,28 +31,31 @@
 
 /// The loads that an aggregator sums.
 struct Sums {
-    /// All entries of its own data centre, including itself.
-    centre: LoadSum,
+    /// Load by endpoint of all entries of its own data centre, including itself.
+    endpoints: Vec<EndpointLoad>,
+    /// Load by service of the same entries.
+    services: Vec<ServiceLoad>,
     /// All entries.
     fleet: LoadSum,
 }
 
 impl Sums {
     fn new(scheduler: &Scheduler, own: &Report) -> Self {
-        let mut sums = Self {
-            centre: LoadSum::default(),
-            fleet: LoadSum::default(),
-        };
-        sums.centre.add(&own.loads, &own.services);
-        sums.fleet.add(&own.loads, &own.services);
+        let (mut centre, mut fleet) = (LoadSum::default(), LoadSum::default());
+        centre.add(&own.loads, &own.services);
+        fleet.add(&own.loads, &own.services);
         for (source, demand) in &scheduler.demand {
             let endpoints = scheduler.endpoints.reported(source);
             if matches!(source, Source::Entry(_)) {
-                sums.centre.add(endpoints, &demand.services);
+                centre.add(endpoints, &demand.services);
             }
-            sums.fleet.add(endpoints, &demand.services);
+            fleet.add(endpoints, &demand.services);
+        }
+        Self {
+            endpoints: centre.endpoints_without(&[]),
+            services: centre.services_without(&[]),
+            fleet,
         }
-        sums
     }
 }
 
@@ -154,10 +152,7 @@
                 sums.fleet.services_without(services),
             )
         } else {
-            (
-                sums.centre.endpoints_without(&[]),
-                sums.centre.services_without(&[]),
-            )
+            (sums.endpoints.clone(), sums.services.clone())
         };
         Report {
             scope: target.scope,
@@ -251,7 +246,7 @@
         let interval = Duration::from_millis(report.interval.into());
         let demand = Demand {
             services: report.services,
-            expires: now + LOAD_LIMIT.max(interval * MISSED_REPORTS),
+            expires: now + loss_limit(interval),
         };
         self.demand.insert(source, demand);
     }
@@ -286,12 +281,16 @@
     fn drop_sources(&mut self, is_dropped: impl Fn(&Source) -> bool) {
         let dropped: Vec<_> = self.demand.keys().copied().filter(is_dropped).collect();
         for source in dropped {
-            self.demand.remove(&source);
-            self.endpoints.apply_report(source, Vec::new());
+            self.drop_load(source);
             self.suspects.forget(source);
         }
     }
 
+    fn drop_load(&mut self, source: Source) {
+        self.demand.remove(&source);
+        self.endpoints.apply_report(source, Vec::new());
+    }
+
     /// Returns how far this entry has read the store.
     #[must_use]
     pub const fn store_progress(&self) -> &StoreProgress {
@@ -322,7 +321,7 @@
         } else if self.is_alone_at_start(section, now) {
             usize::MAX
         } else {
-            self.members.reader_rank(self.topology.precedence(), now)
+            self.reader_rank(now)
         };
         let propagation = self.topology.propagation(&self.members);
         let isolated = self.members.is_isolated(now);
@@ -333,8 +332,11 @@
     /// Returns how long this entry waits after `failures` reads of the store in a row have failed.
     #[must_use]
     pub fn read_retry_delay(&self, failures: u32, now: Timestamp) -> Duration {
-        let rank = self.members.reader_rank(self.topology.precedence(), now);
-        retry_delay(rank, failures)
+        retry_delay(self.reader_rank(now), failures)
+    }
+
+    fn reader_rank(&self, now: Timestamp) -> usize {
+        self.members.reader_rank(self.topology.precedence(), now)
     }
 
     /// Returns whether the configuration's confirmation is so old that this entry reads the store
@@ -363,8 +365,7 @@
         let overdue = self.demand.iter().filter(|(_, d)| d.expires <= now);
         let overdue: Vec<_> = overdue.map(|(source, _)| *source).collect();
         for source in overdue {
-            self.demand.remove(&source);
-            self.endpoints.apply_report(source, Vec::new());
+            self.drop_load(source);
         }
         let expired = self.members.remove_expired(now);
         for peer in &expired {
--- a/crates/core/src/direct/topology.rs
+++ b/crates/core/src/direct/topology.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::members::{Members, Precedence};
+use super::members::{Member, Members, Precedence};
 use super::report::{Identity, MemberStatus, Scope};
 use crate::time::Timestamp;
 
@@ -211,7 +211,7 @@
 
     fn mesh_targets(&mut self, members: &Members, now: Timestamp) -> Vec<Target> {
         let list = if self.is_list_due(members, now) {
-            members.statuses(|_, _| true, now)
+            members.statuses(|_| true, now)
         } else {
             Vec::new()
         };
@@ -228,7 +228,7 @@
         let candidates = members.candidates(self.centre, now);
         let aggregators = candidates.into_iter().take(AGGREGATORS);
         // Entries that start report to a seed, which may not be an aggregator.
-        let news = members.statuses(|address, _| members.is_new(address, NEWS_TIME, now), now);
+        let news = members.statuses(|member| member.is_new(NEWS_TIME, now), now);
         let targets = aggregators.map(|Precedence { address, .. }| {
             members.expect_reports(&address, now);
             Target {
@@ -244,7 +244,7 @@
     fn aggregator_targets(&mut self, members: &mut Members, now: Timestamp) -> Vec<Target> {
         let due = self.is_list_due(members, now);
         let all = if due {
-            members.statuses(|_, _| true, now)
+            members.statuses(|_| true, now)
         } else {
             Vec::new()
         };
@@ -300,8 +300,9 @@
         if !due {
             return Vec::new();
         }
-        let include = |address: &SocketAddr, of: u64| {
-            of == self.centre || (of == centre && members.is_new(address, NEWS_TIME, now))
+        let include = |member: &Member| {
+            member.centre() == self.centre
+                || (member.centre() == centre && member.is_new(NEWS_TIME, now))
         };
         members.statuses(include, now)
     }
@@ -329,7 +330,7 @@
             address,
             scope: Scope::Entry,
             expects: false,
-            members: members.statuses(|address, _| introduced.contains(address), now),
+            members: members.statuses(|member| introduced.contains(&member.address()), now),
         }
     }
 
@@ -360,7 +361,7 @@
                 probes.extend(members.lost_candidates(centre, AGGREGATORS, now));
             }
         }
-        let list = members.statuses(|_, centre| centre == self.centre, now);
+        let list = members.statuses(|member| member.centre() == self.centre, now);
         targets.extend(probes.into_iter().map(|address| Target {
             address,
             scope: Scope::Entry,
--- a/crates/core/tests/core/direct/large_fleet.rs
+++ b/crates/core/tests/core/direct/large_fleet.rs
@@ -7,6 +7,7 @@
 use comfreyhaven_core::direct::{Ending, Outcome, Placement, Role, Scheduler, Ticket};
 
 use super::fleet_network::{FleetNetwork, shared_team};
+use super::rate_limit::busiest_window;
 use super::{at, placement_request};
 
 const SIZES: [usize; 3] = [30, 100, 300];
@@ -360,17 +361,6 @@
     refused
 }
 
-/// Returns the units of the busiest window of 8 s.
-fn busiest_window(spent: &[(u64, u64)]) -> u64 {
-    let window = |(start, _): &(u64, u64)| -> u64 {
-        let inside = spent
-            .iter()
-            .filter(|(at, _)| (*start..start + 8_000).contains(at));
-        inside.map(|(_, units)| units).sum()
-    };
-    spent.iter().map(window).max().unwrap_or(0)
-}
-
 /// Entries that have just restarted do not know how many share the budget of retries.
 #[test]
 fn restarted_entries_stay_within_the_budget_of_retries() {
--- a/crates/core/tests/core/direct/rate_limit.rs
+++ b/crates/core/tests/core/direct/rate_limit.rs
@@ -29,7 +29,7 @@
 }
 
 /// Returns the units of the busiest window of 8 s.
-fn busiest_window(spent: &[(u64, u64)]) -> u64 {
+pub fn busiest_window(spent: &[(u64, u64)]) -> u64 {
     let window = |(start, _): &(u64, u64)| {
         let inside = spent
             .iter()
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -155,9 +155,7 @@
                 }
                 Err(NotReserved::Misdirected) => {
                     self.sends += 1;
-                    self.log_outcome("rejected", &placement.record);
-                    slot.end(Ending::Broken);
-                    self.context.upstream.close(&endpoint);
+                    self.leave_misdirected(&placement.record, slot);
                     SendFault::Unsent
                 }
                 Err(NotReserved::Failed(error)) => {
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -192,21 +192,23 @@
         slot: SlotGuard,
         record: &EndpointRecord,
     ) -> SendFault {
-        self.log_outcome("rejected", record);
-        let misdirected = reply.response.status() == StatusCode::MISDIRECTED_REQUEST;
-        slot.end(if misdirected {
-            Ending::Broken
-        } else {
-            Ending::Rejected
-        });
-        if misdirected {
-            self.context.upstream.close(&record.id);
+        if reply.response.status() == StatusCode::MISDIRECTED_REQUEST {
+            self.leave_misdirected(record, slot);
         } else {
+            self.log_outcome("rejected", record);
+            slot.end(Ending::Rejected);
             self.drain(reply);
         }
         SendFault::NotRun
     }
 
+    /// Leaves an address at which another endpoint answers.
+    pub(super) fn leave_misdirected(&self, record: &EndpointRecord, slot: SlotGuard) {
+        self.log_outcome("rejected", record);
+        slot.end(Ending::Broken);
+        self.context.upstream.close(&record.id);
+    }
+
     /// Reads and discards the rest of an answer, so that its connection can be reused.
     fn drain(&self, reply: Reply) {
         let upstream = self.context.upstream.clone();
