Log and count the builds of streams, and the requests that take a stream up

On call, a stream that held events of two builds could not be told from a sound one, and a request that takes a stream up not from a new one. Lines about a send now name the endpoint's build, a new line names the stream and the event from which the caller goes on, and a counter counts these requests.

The build is the field version of an endpoint's record.

--- a/crates/core/src/direct/plan.rs
+++ b/crates/core/src/direct/plan.rs
@@ -193,6 +193,8 @@
     pub address: SocketAddr,
     /// Data centre of the endpoint.
     pub centre: Arc<str>,
+    /// Version of the endpoint's software. A stream may go on only at the build that began it.
+    pub build: Arc<str>,
     /// Requests that the endpoint runs at once.
     pub slots: u32,
     /// Whether the endpoint has announced that it leaves.
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -95,6 +95,7 @@
         service: SERVICE.into(),
         address: SocketAddr::from(([10, 1, 0, 1], 80)),
         centre: "a".into(),
+        build: "v1".into(),
         slots,
         leaving: false,
         cold: Duration::ZERO,
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -37,6 +37,9 @@
     pub seal: HeaderName,
     /// Number of the last event of a stream that the caller has received.
     pub resume: HeaderName,
+    /// Id of the caller's attempt that brought the first event of the stream that a request takes
+    /// up.
+    pub taken_up: HeaderName,
     /// Authorization scheme of the callers' keys.
     pub scheme: &'static str,
     /// Headers that only this system may set; they are removed from callers' requests.
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -142,7 +142,7 @@
 
     pub(super) fn log_outcome(&self, outcome: &str, record: &EndpointRecord) {
         self.count_send(outcome);
-        log::info!(request = self.incoming.head.id_text(), endpoint:% = record.id, send = self.sends; "{outcome}");
+        log::info!(request = self.incoming.head.id_text(), endpoint:% = record.id, build:% = record.build, send = self.sends; "{outcome}");
     }
 
     fn handle_error(
@@ -242,6 +242,7 @@
         log::info!(
             request = self.incoming.head.id_text(),
             endpoint:% = record.id,
+            build:% = record.build,
             status = parts.status.as_u16(),
             send = self.sends;
             "answered"
--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -54,6 +54,7 @@
         log::info!(
             request = dispatch.incoming.head.id_text(),
             endpoint:% = source.record.id,
+            build:% = source.record.build,
             send = dispatch.sends,
             length = dispatch.incoming.head.length,
             expected = dispatch.first_byte,
@@ -262,6 +263,7 @@
     log::info!(
         request = dispatch.incoming.head.id_text(),
         endpoint:% = source.record.id,
+        build:% = source.record.build,
         route:% = dispatch.incoming.head.route.name,
         waited = clock::millis(dispatch.waited),
         expected = dispatch.first_byte,
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -158,6 +158,16 @@
     {
         return refuse(context, &parts, RefusalKind::NoEndpoint, None);
     }
+    if let Some(resumption) = &head.resumption {
+        let resumptions = &context.metrics.resumptions;
+        resumptions.with_label_values(&["unrecorded"]).inc();
+        log::info!(
+            request = head.id_text(),
+            stream = resumption.stream_text(),
+            last = resumption.last_text();
+            "takes a stream up"
+        );
+    }
     let service = context
         .scheduler
         .borrow_mut()
--- a/crates/direct/src/incoming.rs
+++ b/crates/direct/src/incoming.rs
@@ -34,6 +34,31 @@
     "expect",
 ];
 
+/// What a request states of the stream that it takes up after a broken answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Resumption {
+    /// Id of the caller's attempt that brought the first event, if stated.
+    pub(crate) stream: Option<HeaderValue>,
+    /// The last event that the caller has received, as stated.
+    pub(crate) last: Option<HeaderValue>,
+}
+
+impl Resumption {
+    /// Returns the id of the stream as text, for log lines.
+    pub(crate) fn stream_text(&self) -> &str {
+        text(self.stream.as_ref())
+    }
+
+    /// Returns the last event as text, for log lines.
+    pub(crate) fn last_text(&self) -> &str {
+        text(self.last.as_ref())
+    }
+}
+
+fn text(value: Option<&HeaderValue>) -> &str {
+    value.and_then(|value| value.to_str().ok()).unwrap_or("-")
+}
+
 /// The parsed head of a request.
 #[derive(Debug)]
 pub(crate) struct Head {
@@ -44,6 +69,8 @@
     /// Expected number of tokens of the answer.
     pub(crate) length: u64,
     pub(crate) deadline: Duration,
+    /// The stream that the request takes up, if any.
+    pub(crate) resumption: Option<Resumption>,
     /// Headers for the endpoint, without those that are set for each send.
     pub(crate) headers: HeaderMap,
 }
@@ -132,10 +159,27 @@
         team: team.cloned(),
         cost,
         deadline,
+        resumption: resumption(&parts.headers, route, dialect)?,
         headers: forwarded(&parts.headers, key, dialect),
     })
 }
 
+/// Returns which stream a request takes up. A stream from which the caller has received no event
+/// begins anew.
+fn resumption(
+    headers: &HeaderMap,
+    route: &Route,
+    dialect: &Dialect,
+) -> Result<Option<Resumption>, RefusalKind> {
+    let stream = single(headers, &dialect.taken_up)?;
+    let last = single(headers, &dialect.resume)?;
+    let begins = stream.is_none() && last.is_none_or(|last| last.as_bytes().trim_ascii() == b"0");
+    Ok((route.streaming && !begins).then(|| Resumption {
+        stream: stream.cloned(),
+        last: last.cloned(),
+    }))
+}
+
 /// Reads the body, which may have `limit` bytes.
 pub(crate) async fn body(body: Incoming, limit: usize) -> Result<Bytes, RefusalKind> {
     if body.size_hint().lower() > limit as u64 {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -15,6 +15,8 @@
     pub answers: IntCounterVec,
     /// Sends to endpoints by outcome.
     pub sends: IntCounterVec,
+    /// Requests that take a stream up, by what was known of its origin.
+    pub resumptions: IntCounterVec,
     /// Seconds that requests waited for a slot.
     pub waits: Histogram,
     /// Seconds from a request's arrival to the first byte of its answer.
@@ -60,6 +62,11 @@
                 "Requests sent to endpoints by outcome",
                 &["outcome"],
             )?,
+            resumptions: counter(
+                "comfreyhaven_resumptions_total",
+                "Requests that take a stream up, by what was known of its origin",
+                &["origin"],
+            )?,
             waits: histogram(
                 "comfreyhaven_wait_seconds",
                 "Time that requests waited for a place",
