Log the end of every admitted request

Now each admitted request has one line at its end: `interrupted` (sends, runs, events, silent) and `caller gone` (sends, waited) are new. A caller's connection that ends by an error, not by its idle limit, has a line too.

--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -4,6 +4,7 @@
 mod send;
 mod stream;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -74,6 +75,22 @@
     first_byte: u64,
     /// Time to the last byte that the last placement estimated, in milliseconds.
     last_byte: u64,
+    /// Whether the end of the request has been logged.
+    ended: Cell<bool>,
+}
+
+/// A request that is dropped before its end was abandoned by its caller.
+impl Drop for Dispatch {
+    fn drop(&mut self) {
+        if !self.ended.get() {
+            log::info!(
+                request = self.incoming.head.id_text(),
+                sends = self.sends,
+                waited = clock::millis(clock::now().since(self.incoming.arrived));
+                "caller gone"
+            );
+        }
+    }
 }
 
 impl Dispatch {
@@ -106,6 +123,7 @@
             waited: Duration::ZERO,
             first_byte: 0,
             last_byte: 0,
+            ended: Cell::new(false),
         }
     }
 
@@ -256,6 +274,7 @@
     }
 
     fn count_answer(&self, status: StatusCode, cause: &str) {
+        self.ended.set(true);
         let answers = &self.context.metrics.answers;
         answers.with_label_values(&[status.as_str(), cause]).inc();
     }
--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -50,6 +50,7 @@
 
     /// Logs the end of a stream that did not complete.
     fn log_end(&self, dispatch: &Dispatch, source: &Source, outcome: &str) {
+        dispatch.ended.set(true);
         dispatch.count_send(outcome);
         log::info!(
             request = dispatch.incoming.head.id_text(),
@@ -64,6 +65,18 @@
             "{outcome}"
         );
     }
+
+    /// Logs that the caller's stream was cut off, because it could not be resumed.
+    fn log_interruption(&self, dispatch: &Dispatch) {
+        log::info!(
+            request = dispatch.incoming.head.id_text(),
+            sends = dispatch.sends,
+            runs = dispatch.possible_runs,
+            events = self.events,
+            silent = clock::millis(clock::now().since(self.last_event));
+            "interrupted"
+        );
+    }
 }
 
 /// A streamed answer from one endpoint.
@@ -242,12 +255,11 @@
             Next::Broken | Next::Stalled => {
                 let resumed = tokio::select! {
                     resumed = resume(&mut dispatch, source, last, &upcoming) => resumed,
-                    () = sender.closed() => {
-                        return log::info!(request = dispatch.incoming.head.id_text(); "caller gone");
-                    }
+                    () = sender.closed() => return,
                 };
                 let Some(resumed) = resumed else {
                     dispatch.count_answer(StatusCode::OK, "broken");
+                    stats.log_interruption(&dispatch);
                     drop(sender.send(Err(AnswerInterrupted)).await);
                     return;
                 };
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -102,8 +102,10 @@
             connection.await
         }
     };
-    if let Err(error) = ended {
-        log::debug!("a caller's connection failed: {error}");
+    match ended {
+        Err(error) if error.is_timeout() => log::debug!("an idle connection of a caller is closed"),
+        Err(error) => log::info!("a caller's connection failed: {error}"),
+        Ok(()) => {}
     }
 }
 
