A stream goes on only at endpoints of the build that began it, within its answer

The build that brought the first event is now required of all later placements of the request: availability, free slots, estimates, the check before a stalled endpoint is left, and the queue. A stream that waits for its build keeps no request of other builds waiting, and takes precedence over requests that have not begun. If no endpoint of the build serves, the stream is not moved. An endpoint that returns under its id with another build is another incarnation.

--- a/crates/core/src/direct/endpoint_table.rs
+++ b/crates/core/src/direct/endpoint_table.rs
@@ -86,6 +86,7 @@
         if let Some(state) = self.endpoints.get_mut(&record.id)
             && state.record.started_ms == record.started_ms
             && state.record.service == record.service
+            && state.record.build == record.build
             && state.record.address == record.address
         {
             if record.sequence < state.record.sequence {
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -264,10 +264,9 @@
         }
         let position = QueuePosition::new(&request, late);
         let queue = self.queues.get(&request.service);
-        let ahead = queue.map_or(0, |queue| queue.ahead_of(&position));
-        if ahead == 0
-            && let Some(placed) = self.place(&request, late, now)
-        {
+        let build = request.build.as_deref();
+        let is_behind = queue.is_some_and(|queue| queue.is_behind(&position, build));
+        if !is_behind && let Some(placed) = self.place(&request, late, now) {
             return Some(placed);
         }
         if late && self.wait_limit(&request) <= now {
@@ -319,7 +318,8 @@
         now: Timestamp,
     ) {
         let positions = self.queues.get(service).map(WaitQueue::positions);
-        let mut full = false;
+        // Builds without a slot; none stands for requests that any build may run.
+        let mut full: Vec<Option<Arc<str>>> = Vec::new();
         for position in positions.unwrap_or_default() {
             let Some(request) = self
                 .queues
@@ -329,16 +329,19 @@
                 continue;
             };
             let overdue = self.is_overdue(&position, request, now);
-            if full && !overdue {
+            let is_full = full.contains(&request.build);
+            if is_full && !overdue {
                 continue;
             }
             let request = request.clone();
-            let placed = if full {
+            let placed = if is_full {
                 None
             } else {
                 self.place(&request, position.is_late(), now)
             };
-            full |= placed.is_none();
+            if placed.is_none() && !is_full {
+                full.push(request.build.clone());
+            }
             let refused = || overdue.then(|| self.refuse(&request, Reason::Overloaded, now));
             if let Some(outcome) = placed.or_else(refused) {
                 outcomes.push((request.ticket, outcome));
--- a/crates/core/src/direct/scheduler/limits.rs
+++ b/crates/core/src/direct/scheduler/limits.rs
@@ -60,18 +60,19 @@
         self.budget(service).take(members, now)
     }
 
-    /// Returns whether the budget allows a retry now and an endpoint outside of `excluded` has a
-    /// free slot.
+    /// Returns whether the budget allows a retry now and an endpoint outside of `excluded`, of the
+    /// required build, has a free slot.
     pub fn may_retry(
         &mut self,
         service: &Arc<str>,
+        build: Option<&str>,
         excluded: &[EndpointId],
         streaming: bool,
         now: Timestamp,
     ) -> bool {
         let members = self.assumed_members(now);
         self.budget(service).has_left(members, now)
-            && self.has_alternative(service, excluded, streaming, now)
+            && self.has_alternative(service, build, excluded, streaming, now)
     }
 
     /// Returns the number of entries that limits are divided by. A process that has just restarted
--- a/crates/core/src/direct/scheduler/message.rs
+++ b/crates/core/src/direct/scheduler/message.rs
@@ -22,6 +22,8 @@
     pub ticket: Ticket,
     /// Name of the service that the request is for.
     pub service: Arc<str>,
+    /// The build that has to run the request, if it goes on with a stream.
+    pub build: Option<Arc<str>>,
     /// Kind of the request: the name of its route.
     pub kind: Arc<str>,
     /// Urgency of the team, which takes precedence over that of the route; zero is the most urgent.
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -73,6 +73,7 @@
         let best = self
             .endpoints
             .of_service(&request.service)
+            .filter(|state| has_build(state, request.build.as_deref()))
             .map(idle)
             .min_by(f64::total_cmp);
         left < best.unwrap_or(0.0)
@@ -81,7 +82,7 @@
     /// Returns whether the service has no usable endpoint.
     pub(super) fn has_no_endpoint(&self, request: &PlacementRequest, now: Timestamp) -> bool {
         let mut endpoints = self.endpoints.of_service(&request.service);
-        !endpoints.any(|state| self.is_available(state, &request.excluded, now))
+        !endpoints.any(|state| self.is_available_to(request, state, now))
     }
 
     fn is_available(&self, state: &EndpointState, excluded: &[EndpointId], now: Timestamp) -> bool {
@@ -91,16 +92,29 @@
             && !excluded.contains(&record.id)
     }
 
-    /// Returns whether an endpoint that is neither excluded nor avoided has a free slot.
+    fn is_available_to(
+        &self,
+        request: &PlacementRequest,
+        state: &EndpointState,
+        now: Timestamp,
+    ) -> bool {
+        has_build(state, request.build.as_deref())
+            && self.is_available(state, &request.excluded, now)
+    }
+
+    /// Returns whether an endpoint of the required build that is neither excluded nor avoided has
+    /// a free slot.
     pub(super) fn has_alternative(
         &self,
         service: &str,
+        build: Option<&str>,
         excluded: &[EndpointId],
         streaming: bool,
         now: Timestamp,
     ) -> bool {
         self.endpoints.of_service(service).any(|state| {
-            self.is_available(state, excluded, now)
+            has_build(state, build)
+                && self.is_available(state, excluded, now)
                 && !state.is_avoided(now)
                 && state.load().running < Self::slots(state, streaming)
         })
@@ -113,8 +127,7 @@
         request: &'a PlacementRequest,
         now: Timestamp,
     ) -> impl Iterator<Item = &'a EndpointState> {
-        let available =
-            move |state: &&EndpointState| self.is_available(state, &request.excluded, now);
+        let available = move |state: &&EndpointState| self.is_available_to(request, state, now);
         let endpoints = || {
             self.endpoints
                 .of_service(&request.service)
@@ -186,6 +199,10 @@
         if free == 0 {
             return false;
         }
+        // A stream that has begun takes precedence over all that have not.
+        if request.build.is_some() {
+            return true;
+        }
         let reserved = match (request.is_short(), late) {
             (true, _) => 0.0,
             (false, true) => LATE_RESERVE,
@@ -325,3 +342,8 @@
         (expected, cost)
     }
 }
+
+/// Returns whether an endpoint is of the required build, if one is required.
+fn has_build(state: &EndpointState, required: Option<&str>) -> bool {
+    required.is_none_or(|build| *state.record().build == *build)
+}
--- a/crates/core/src/direct/wait_queue.rs
+++ b/crates/core/src/direct/wait_queue.rs
@@ -155,8 +155,10 @@
             .count()
     }
 
-    /// Returns the number of requests that are served before `position`.
-    pub(super) fn ahead_of(&self, position: &QueuePosition) -> usize {
-        self.requests.range(..*position).count()
+    /// Returns whether a request that waits for the same endpoints is served before `position`.
+    /// Requests that require a build wait for its endpoints only, and keep no others waiting.
+    pub(super) fn is_behind(&self, position: &QueuePosition, build: Option<&str>) -> bool {
+        let mut ahead = self.requests.range(..*position);
+        ahead.any(|(_, other)| other.build.as_deref() == build)
     }
 }
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -1,5 +1,6 @@
 //! Tests of the direct entry: its components alone, and several entries over simulated endpoints.
 
+mod builds;
 mod cold;
 mod components;
 mod confirmation;
@@ -108,6 +109,7 @@
     PlacementRequest {
         ticket: Ticket(ticket),
         service: SERVICE.into(),
+        build: None,
         kind: format!("rank-{rank}").into(),
         average_time: Duration::ZERO,
         team_rank: 0,
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -29,6 +29,9 @@
 /// Time that must remain before the deadline for another send to be useful.
 const MIN_SEND_TIME: Duration = Duration::from_millis(60);
 
+/// How long a stream that has begun may wait for a slot at its build.
+const RESUME_WAIT: Duration = Duration::from_millis(600);
+
 /// Retry delay sent to callers when no endpoint could be reached.
 const RETRY_DELAY: Duration = Duration::from_millis(700);
 
@@ -60,6 +63,8 @@
     context: Rc<Context>,
     incoming: IncomingRequest,
     service: Arc<str>,
+    /// The build that began the stream, once an event has arrived.
+    build: Option<Arc<str>>,
     /// When the caller's deadline or the route's timeout ends, whichever is earlier.
     deadline: Timestamp,
     objective: Timestamp,
@@ -116,6 +121,7 @@
             context,
             incoming,
             service,
+            build: None,
             excluded: Vec::new(),
             sends: 0,
             arrived: false,
@@ -246,9 +252,14 @@
     async fn place(&mut self) -> PlacementOutcome {
         let started = clock::now();
         let head = &self.incoming.head;
+        let objective = match &self.build {
+            Some(_) => self.objective.max(started + RESUME_WAIT),
+            None => self.objective,
+        };
         let request = PlacementRequest {
             ticket: self.context.ticket(),
             service: Arc::clone(&self.service),
+            build: self.build.clone(),
             kind: Arc::clone(&head.route.name),
             average_time: Duration::ZERO,
             team_rank: head.team_rank(),
@@ -257,7 +268,7 @@
             length: head.length,
             streaming: head.route.streaming,
             arrived: self.incoming.arrived,
-            objective: self.objective,
+            objective,
             deadline: self.deadline,
             event_gap: head.route.event_gap,
             excluded: self.excluded.clone(),
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -86,7 +86,8 @@
         let mut excluded = self.excluded.clone();
         excluded.push(record.id.clone());
         let mut scheduler = self.context.scheduler.borrow_mut();
-        scheduler.may_retry(&self.service, &excluded, route.streaming, now)
+        let build = self.build.as_deref();
+        scheduler.may_retry(&self.service, build, &excluded, route.streaming, now)
     }
 
     /// Returns how long the endpoint of the last placement may take to start its answer.
--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -1,6 +1,7 @@
 //! A streamed answer: forwards complete events as they arrive, and resumes the stream at another
 //! endpoint if the route allows that.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
@@ -210,6 +211,9 @@
         }
     };
     source.slot.record_first_byte();
+    if matches!(first, Next::Event(_)) {
+        dispatch.build = Some(Arc::clone(&source.record.build));
+    }
     let waited = clock::now().since(dispatch.incoming.arrived);
     dispatch.context.metrics.first.observe(waited.as_secs_f64());
     let (response, sender) = answer::streaming(head.status(), answer_headers(head.headers()));
