Decide where a stream that its caller takes up goes on

Rule: a stream may go on only at the build that began it, also over a caller's tries at other entries. The decisions, without I/O, and not used yet:

stream_origins keeps service and build by the digest of the stream's id, bounded in number and time. origin_lookup asks the entries that may hold an origin, all at once, again after 45 ms, for 150 ms at most. rendezvous chooses four holders among the members that respond, and nine to ask among all known ones, so that views which differ by a few members agree. build_history knows which builds were listed in the last 30 s: a stream of unknown origin goes on only if this entry and most of those asked have seen one build and none has seen another.

core direct::origins: nine tests at 1, 3, 30 and 100 entries with 0, 2 and 20 in 100 datagrams lost, kills of the beginning entry and of a third, members known differently; all pass.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -5,15 +5,18 @@
 //! start soonest, waits in the entry while all endpoints are full, and is refused at once if it
 //! cannot start in time. Entries exchange load reports and share no other state.
 
+mod build_history;
 mod confirmation;
 mod endpoint_table;
 mod event_interval;
 mod latency_model;
 mod load_sum;
 mod members;
+mod origin_lookup;
 mod plan;
 mod process_lag;
 mod rate_limit;
+mod rendezvous;
 mod report;
 mod retry_budget;
 mod scheduler;
@@ -21,15 +24,18 @@
 mod spending;
 pub mod stall;
 mod store_progress;
+mod stream_origins;
 mod suspects;
 mod topology;
 mod wait_queue;
 
+pub use build_history::{BuildHistory, SeenBuilds};
 pub use confirmation::Confirmation;
 pub use endpoint_table::{EndpointState, EndpointTable, Load, Run, digest};
 pub use event_interval::EventInterval;
 pub use latency_model::LatencyModel;
 pub use members::Members;
+pub use origin_lookup::{LookupResult, LookupStep, OriginMessage, OriginSource};
 pub use plan::{
     Access, EndpointId, EndpointRecord, Plan, PlanTeam, RetryPolicy, Route, ServicePlan, Unit,
     WeightedService,
@@ -44,5 +50,6 @@
 };
 pub use send_window::{SendWindow, split_limit};
 pub use store_progress::{Section, SectionStatus, StoreProgress};
+pub use stream_origins::{Origin, StreamDigest, StreamOrigins};
 pub use suspects::Suspects;
 pub use topology::Role;
--- a/crates/core/src/direct/endpoint_table.rs
+++ b/crates/core/src/direct/endpoint_table.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::build_history::BuildHistory;
 use super::event_interval::EventInterval;
 use super::plan::{EndpointId, EndpointRecord};
 use super::report::{EndpointLoad, Source};
@@ -74,6 +75,7 @@
     unobserved: HashMap<Arc<str>, BTreeSet<EndpointId>>,
     reports: HashMap<Source, Vec<EndpointLoad>>,
     incarnations: u64,
+    builds: BuildHistory,
     /// Endpoints that changed at a revision of the store that is not known yet.
     changed: Vec<EndpointId>,
 }
@@ -83,6 +85,7 @@
     /// replaces the state of the endpoint.
     pub fn upsert(&mut self, record: EndpointRecord, now: Timestamp) {
         let cold = now + record.cold;
+        self.builds.record(&record.service, &record.build, now);
         if let Some(state) = self.endpoints.get_mut(&record.id)
             && state.record.started_ms == record.started_ms
             && state.record.service == record.service
@@ -100,8 +103,8 @@
             state.record = record;
             return;
         }
-        self.remove(&record.id);
-        if !self.take_address(&record) {
+        self.remove(&record.id, now);
+        if !self.take_address(&record, now) {
             return;
         }
         let id = Arc::clone(&record.id);
@@ -155,7 +158,7 @@
 
     /// Makes a new endpoint the one at its address, and removes the one that had it before: that has
     /// ended, although its record may still be listed. Returns false if a later one has it already.
-    fn take_address(&mut self, record: &EndpointRecord) -> bool {
+    fn take_address(&mut self, record: &EndpointRecord, now: Timestamp) -> bool {
         let holder = self.addresses.get(&record.address).cloned();
         let started = holder
             .as_ref()
@@ -164,16 +167,18 @@
             return false;
         }
         if let Some(holder) = holder.filter(|_| started < Some(record.started_ms)) {
-            self.remove(&holder);
+            self.remove(&holder, now);
         }
         let id = Arc::clone(&record.id);
         self.addresses.insert(record.address, id);
         true
     }
 
-    /// Removes an endpoint and its state.
-    pub fn remove(&mut self, id: &str) {
+    /// Removes an endpoint, which may have run requests until `until`, and its state.
+    pub fn remove(&mut self, id: &str, until: Timestamp) {
         if let Some(state) = self.endpoints.remove(id) {
+            let record = &state.record;
+            self.builds.record(&record.service, &record.build, until);
             self.digests.remove(&state.digest);
             let address = state.record.address;
             if self
@@ -197,7 +202,7 @@
     /// announced that it leaves is removed at once.
     pub fn mark_unlisted(&mut self, id: &str, until: Timestamp) {
         match self.endpoints.get_mut(id) {
-            Some(state) if state.record.leaving => self.remove(id),
+            Some(state) if state.record.leaving => self.remove(id, until),
             Some(state) => {
                 state.expires = state.expires.min(until);
                 state.mark_changed(&mut self.changed);
@@ -211,11 +216,17 @@
         let expired = self.endpoints.values().filter(|state| state.expires <= now);
         let ids: Vec<_> = expired.map(|state| Arc::clone(&state.record.id)).collect();
         for id in &ids {
-            self.remove(id);
+            self.remove(id, now);
         }
         ids
     }
 
+    /// Returns the builds that were listed in the recent past.
+    #[must_use]
+    pub const fn builds(&self) -> &BuildHistory {
+        &self.builds
+    }
+
     /// Returns the ids of all endpoints.
     #[must_use]
     pub fn ids(&self) -> Vec<EndpointId> {
--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use super::endpoint_table::digest;
+use super::rendezvous::{first_for, rank_key};
 use super::report::{Echo, Identity, MemberStatus, Report};
 use crate::time::{Timestamp, whole_millis};
 
@@ -324,6 +325,15 @@
         (position * count as f64) as usize
     }
 
+    /// Returns the first `count` members for one item that are responsive and not leaving. Entries
+    /// that know the same members find the same ones.
+    pub(super) fn holders(&self, item: u64, count: usize, now: Timestamp) -> Vec<SocketAddr> {
+        let limit = self.response_limit();
+        let members = self.members.values();
+        let able = members.filter(|m| !m.identity.leaving && m.is_responsive(limit, now));
+        first_for(item, able.map(Member::address), count)
+    }
+
     /// Returns the index of this entry among the responsive entries that are not leaving, in the
     /// order of [`Precedence`].
     #[must_use]
@@ -481,11 +491,6 @@
     }
 }
 
-/// Returns the position of an entry in the order of one item.
-fn rank_key(item: u64, address: SocketAddr) -> u64 {
-    digest(&(item, address))
-}
-
 /// Returns the time without news of something after which it counts as lost, if news come every
 /// `interval`.
 pub(super) fn loss_limit(interval: Duration) -> Duration {
--- /dev/null
+++ b/crates/core/src/direct/origin_lookup.rs
@@ -0,0 +1,205 @@
+//! Finds the origin of a stream that this entry does not know, by asking the stream's holders.
+//!
+//! Datagrams get lost and holders may be dead, so all holders are asked at once, and those that
+//! have not answered are asked again. One holder that knows the origin suffices.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use strum::IntoStaticStr;
+
+use super::build_history::SeenBuilds;
+use super::stream_origins::{Origin, StreamDigest};
+use crate::time::Timestamp;
+
+/// Entries that are told the origin of a stream, besides the one that began it.
+pub(super) const HOLDERS: usize = 4;
+
+/// Entries that are asked for an origin. They are more than [`HOLDERS`], since the entry that began
+/// the stream may have known other members, and may have passed over some that did not respond.
+pub(super) const ASKED: usize = 9;
+
+/// Time after which the entries that have not answered are asked again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(45);
+
+/// Time after which a lookup ends.
+const LOOKUP_TIME: Duration = Duration::from_millis(150);
+
+/// A message between entries about the origin of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OriginMessage {
+    /// The recipient is to keep an origin.
+    #[serde(rename = "b")]
+    Began {
+        /// The stream.
+        stream: StreamDigest,
+        /// Where it began.
+        origin: Origin,
+        /// Milliseconds until the stream's deadline.
+        lifetime: u32,
+    },
+    /// Asks for an origin.
+    #[serde(rename = "q")]
+    Query {
+        /// The stream.
+        stream: StreamDigest,
+        /// The service that the stream must have begun at, if there is only one.
+        service: Option<Arc<str>>,
+    },
+    /// Answers a query: the origin is known.
+    #[serde(rename = "k")]
+    Known {
+        /// The stream.
+        stream: StreamDigest,
+        /// Where it began.
+        origin: Origin,
+        /// Milliseconds until the stream's deadline.
+        lifetime: u32,
+    },
+    /// Answers a query: the origin is not known.
+    #[serde(rename = "u")]
+    Unknown {
+        /// The stream.
+        stream: StreamDigest,
+        /// What the sender has seen of the service's builds.
+        seen: SeenBuilds,
+    },
+}
+
+/// From where an origin is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum OriginSource {
+    /// This entry kept it.
+    Memory,
+    /// A holder kept it.
+    Peer,
+    /// No other build can have begun the stream.
+    OnlyBuild,
+}
+
+/// The result of a lookup.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LookupResult {
+    /// The stream began there.
+    Known(Origin, OriginSource),
+    /// No entry that answered knows the origin.
+    Unknown,
+}
+
+/// What a lookup does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LookupStep {
+    /// These entries are to be sent a query; the lookup goes on at `until`, or with an answer.
+    Ask {
+        /// Recipients of the query; none while answers are awaited.
+        peers: Vec<SocketAddr>,
+        /// The query.
+        query: OriginMessage,
+        /// When the lookup goes on without an answer.
+        until: Timestamp,
+    },
+    /// The lookup has ended.
+    Done(LookupResult),
+}
+
+/// One search for an origin.
+#[derive(Debug)]
+pub(super) struct OriginLookup {
+    pub(super) stream: StreamDigest,
+    service: Option<Arc<str>>,
+    /// What this entry has seen of the service's builds.
+    own: SeenBuilds,
+    /// The entries asked, with their answers.
+    asked: BTreeMap<SocketAddr, Option<SeenBuilds>>,
+    found: Option<(Origin, OriginSource)>,
+    deadline: Timestamp,
+    ask_at: Timestamp,
+}
+
+impl OriginLookup {
+    pub(super) fn new(
+        stream: StreamDigest,
+        service: Option<Arc<str>>,
+        own: SeenBuilds,
+        peers: Vec<SocketAddr>,
+        now: Timestamp,
+    ) -> Self {
+        Self {
+            stream,
+            service,
+            own,
+            asked: peers.into_iter().map(|peer| (peer, None)).collect(),
+            found: None,
+            deadline: now + LOOKUP_TIME,
+            ask_at: now,
+        }
+    }
+
+    pub(super) fn find(&mut self, origin: Origin, source: OriginSource) {
+        self.found.get_or_insert((origin, source));
+    }
+
+    /// Records that an entry does not know the origin.
+    pub(super) fn record_unknown(&mut self, from: SocketAddr, seen: SeenBuilds) {
+        if let Some(answer) = self.asked.get_mut(&from) {
+            *answer = Some(seen);
+        }
+    }
+
+    pub(super) fn step(&mut self, now: Timestamp) -> LookupStep {
+        if let Some((origin, source)) = self.found.clone() {
+            return LookupStep::Done(LookupResult::Known(origin, source));
+        }
+        let unanswered = self.asked.iter().filter(|(_, answer)| answer.is_none());
+        let unanswered: Vec<_> = unanswered.map(|(peer, _)| *peer).collect();
+        if unanswered.is_empty() || self.deadline <= now {
+            return LookupStep::Done(self.unfound());
+        }
+        let peers = if self.ask_at <= now {
+            self.ask_at = now + RETRY_INTERVAL;
+            unanswered
+        } else {
+            Vec::new()
+        };
+        LookupStep::Ask {
+            peers,
+            query: OriginMessage::Query {
+                stream: self.stream,
+                service: self.service.clone(),
+            },
+            until: self.ask_at.min(self.deadline),
+        }
+    }
+
+    /// Decides without an origin. An entry that most others do not answer may be cut off and know
+    /// old builds only.
+    fn unfound(&self) -> LookupResult {
+        let answers: Vec<_> = self.asked.values().flatten().collect();
+        let mut seen = answers.iter().copied().chain([&self.own]);
+        let only = seen.clone().find_map(|seen| match seen {
+            SeenBuilds::One(build) => Some(build),
+            SeenBuilds::Unsure | SeenBuilds::Several => None,
+        });
+        let agrees = |seen: &SeenBuilds| match seen {
+            SeenBuilds::One(build) => Some(build) == only,
+            SeenBuilds::Unsure => true,
+            SeenBuilds::Several => false,
+        };
+        match (&self.service, only) {
+            (Some(service), Some(build))
+                if answers.len() * 2 >= self.asked.len() && seen.all(agrees) =>
+            {
+                let origin = Origin {
+                    service: Arc::clone(service),
+                    build: Arc::clone(build),
+                };
+                LookupResult::Known(origin, OriginSource::OnlyBuild)
+            }
+            _ => LookupResult::Unknown,
+        }
+    }
+}
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -3,6 +3,7 @@
 
 mod limits;
 mod message;
+mod origins;
 mod placement;
 mod reports;
 mod snapshot;
@@ -24,12 +25,14 @@
 use super::confirmation::Confirmation;
 use super::endpoint_table::{EndpointTable, Run};
 use super::members::Members;
+use super::origin_lookup::OriginLookup;
 use super::plan::{EndpointId, EndpointRecord, Plan};
 use super::rate_limit::RateLimiter;
 use super::report::{Identity, ServiceLoad, Source};
 use super::retry_budget::RetryBudget;
 use super::spending::Spending;
 use super::store_progress::StoreProgress;
+use super::stream_origins::StreamOrigins;
 use super::suspects::Suspects;
 use super::topology::Topology;
 use super::wait_queue::{QueuePosition, WaitQueue};
@@ -81,6 +84,8 @@
     demand: HashMap<Source, Demand>,
     confirmation: Confirmation,
     store_progress: StoreProgress,
+    origins: StreamOrigins,
+    lookups: BTreeMap<Ticket, OriginLookup>,
     random: ChaCha8Rng,
 }
 
@@ -122,6 +127,8 @@
             demand: HashMap::new(),
             confirmation: Confirmation::default(),
             store_progress: StoreProgress::default(),
+            origins: StreamOrigins::default(),
+            lookups: BTreeMap::new(),
             random: ChaCha8Rng::seed_from_u64(boot),
         }
     }
--- /dev/null
+++ b/crates/core/src/direct/scheduler/origins.rs
@@ -0,0 +1,140 @@
+//! The origins of streams: which entries keep them, and how they are found.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Scheduler, Ticket};
+use crate::direct::build_history::SeenBuilds;
+use crate::direct::origin_lookup::{
+    ASKED, HOLDERS, LookupResult, LookupStep, OriginLookup, OriginMessage, OriginSource,
+};
+use crate::direct::rendezvous::first_for;
+use crate::direct::stream_origins::{Origin, StreamDigest};
+use crate::time::{Timestamp, whole_millis};
+
+impl Scheduler {
+    /// Records where a stream began. Returns the message that tells its holders, and the holders.
+    /// They are to be told before the caller receives the first event.
+    pub fn begin_stream(
+        &mut self,
+        stream: StreamDigest,
+        origin: Origin,
+        lifetime: Duration,
+        now: Timestamp,
+    ) -> (OriginMessage, Vec<SocketAddr>) {
+        self.origins.record(stream, origin.clone(), lifetime, now);
+        let holders = self.members.holders(stream.0, HOLDERS, now);
+        let lifetime = whole_millis(lifetime);
+        let message = OriginMessage::Began {
+            stream,
+            origin,
+            lifetime,
+        };
+        (message, holders)
+    }
+
+    /// Starts a lookup of the origin of a stream. `services` are those at which it may have begun.
+    /// A request that does not name its stream has none. The lookup is ended by
+    /// [`Scheduler::end_lookup`].
+    pub fn start_lookup(
+        &mut self,
+        ticket: Ticket,
+        stream: Option<StreamDigest>,
+        services: &[Arc<str>],
+        now: Timestamp,
+    ) {
+        let service = match services {
+            [service] => Some(Arc::clone(service)),
+            _ => None,
+        };
+        let own = service
+            .as_ref()
+            .map_or(SeenBuilds::Unsure, |service| self.seen_builds(service, now));
+        // Without its stream a request can only be asked about the builds that others have seen.
+        let key = stream.unwrap_or(StreamDigest(ticket.0));
+        let peers = first_for(key.0, self.members.addresses().into_iter(), ASKED);
+        let mut lookup = OriginLookup::new(key, service, own, peers, now);
+        if let Some(origin) = stream.and_then(|stream| self.origins.get(stream, now)) {
+            lookup.find(origin.clone(), OriginSource::Memory);
+        }
+        self.lookups.insert(ticket, lookup);
+    }
+
+    /// Returns what a lookup does next.
+    pub fn step_lookup(&mut self, ticket: Ticket, now: Timestamp) -> LookupStep {
+        match self.lookups.get_mut(&ticket) {
+            Some(lookup) => lookup.step(now),
+            None => LookupStep::Done(LookupResult::Unknown),
+        }
+    }
+
+    /// Ends a lookup.
+    pub fn end_lookup(&mut self, ticket: Ticket) {
+        self.lookups.remove(&ticket);
+    }
+
+    /// Applies a message of a peer about an origin. Returns the answer to a query.
+    pub fn apply_origin_message(
+        &mut self,
+        from: SocketAddr,
+        message: OriginMessage,
+        now: Timestamp,
+    ) -> Option<OriginMessage> {
+        match message {
+            OriginMessage::Began {
+                stream,
+                origin,
+                lifetime,
+            } => {
+                let lifetime = Duration::from_millis(lifetime.into());
+                self.origins.record(stream, origin, lifetime, now);
+                None
+            }
+            OriginMessage::Query { stream, service } => {
+                Some(self.answer_query(stream, service.as_deref(), now))
+            }
+            OriginMessage::Known {
+                stream,
+                origin,
+                lifetime,
+            } => {
+                for lookup in self.lookups.values_mut().filter(|l| l.stream == stream) {
+                    lookup.find(origin.clone(), OriginSource::Peer);
+                }
+                let lifetime = Duration::from_millis(lifetime.into());
+                self.origins.record(stream, origin, lifetime, now);
+                None
+            }
+            OriginMessage::Unknown { stream, seen } => {
+                for lookup in self.lookups.values_mut().filter(|l| l.stream == stream) {
+                    lookup.record_unknown(from, seen.clone());
+                }
+                None
+            }
+        }
+    }
+
+    fn answer_query(
+        &self,
+        stream: StreamDigest,
+        service: Option<&str>,
+        now: Timestamp,
+    ) -> OriginMessage {
+        if let Some(origin) = self.origins.get(stream, now) {
+            return OriginMessage::Known {
+                stream,
+                origin: origin.clone(),
+                lifetime: whole_millis(self.origins.remaining(stream, now)),
+            };
+        }
+        let seen = service.map_or(SeenBuilds::Unsure, |service| self.seen_builds(service, now));
+        OriginMessage::Unknown { stream, seen }
+    }
+
+    fn seen_builds(&self, service: &str, now: Timestamp) -> SeenBuilds {
+        let listed = self.endpoints.of_service(service);
+        let listed = listed.map(|state| &state.record().build);
+        self.endpoints.builds().seen(service, listed, now)
+    }
+}
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -9,6 +9,7 @@
 mod fleet_network;
 mod large_fleet;
 mod members;
+mod origins;
 mod overload;
 mod rate_limit;
 mod simulation;
