Leave a silent endpoint only when another one has begun to answer

Cause: after the timeout of a stalled endpoint its connection was closed first, and then another endpoint was looked for. Where there was no slot, or the other one rejected the request or failed, nothing was left. The class: giving up what one has before its replacement is secured.

Change: the request is sent to the other endpoint while the first connection stays open, and the first one that begins to answer is kept. First sends, retries and resumed streams go through one loop in dispatch::attempt. An endpoint counts as one that may have run the request from the send on, so that the counts hold also when a send is given up midway. A 500 that is followed by a retry no longer counts as an answer in the metrics.

--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -59,7 +59,14 @@
         self.release(ending);
     }
 
-    fn release(&mut self, ending: Ending) {
+    /// Records that the endpoint failed although the run goes on.
+    pub fn record_failure(&self) {
+        let mut scheduler = self.context.scheduler.borrow_mut();
+        scheduler.record_failure(&self.run, clock::now());
+    }
+
+    /// Releases the slot, if it is not released yet, and records how the run ended.
+    pub fn release(&mut self, ending: Ending) {
         if !std::mem::replace(&mut self.ended, true) {
             let now = clock::now();
             self.context
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -1,27 +1,26 @@
 //! Handles one request: places it, sends it, retries it if the route allows that, and answers it.
 
+mod attempt;
 mod reserve;
 mod send;
+mod source;
 mod stream;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{
-    Ending, EndpointId, EndpointRecord, PlacementRefusal, PlacementRequest,
-};
+use comfreyhaven_core::direct::{EndpointId, EndpointRecord, PlacementRefusal, PlacementRequest};
 use comfreyhaven_core::refusal::RefusalKind;
 use hyper::{Response, StatusCode};
 
 use crate::answer::{self, AnswerBody};
 use crate::clock;
-use crate::context::{Context, PlacementOutcome, SlotGuard};
+use crate::context::{Context, PlacementOutcome};
 use crate::incoming::IncomingRequest;
-use crate::upstream::Reply;
-use reserve::NotReserved;
+use attempt::{Begun, Failure};
 
 /// Maximum number of sends of one request, including rejected ones.
 const SEND_LIMIT: u32 = 5;
@@ -32,30 +31,15 @@
 /// Retry delay sent to callers when no endpoint could be reached.
 const RETRY_DELAY: Duration = Duration::from_millis(700);
 
-/// Classification of an endpoint's answer.
-enum AnswerKind {
-    /// The endpoint did not run the request.
-    Rejected,
-    /// A sealed answer with a success status.
-    Success,
-    /// A sealed answer with any other status.
-    Failure,
-    /// The answer belongs to another request or has no seal.
-    Foreign,
-}
-
-enum SendFault {
-    /// The endpoint has not received the request.
-    Unsent,
-    /// The endpoint received the request and has not run it.
-    NotRun,
-    /// The request may have run.
-    Unknown,
-    /// The endpoint ran the request and failed with this answer.
-    Failed(Response<AnswerBody>),
+/// Times that the last placement of a request estimated, in milliseconds from its placement.
+#[derive(Debug, Clone, Copy, Default)]
+struct Estimate {
+    first_byte: u64,
+    last_byte: u64,
 }
 
-/// One admitted request and the state of its sends.
+/// One admitted request and the state of its sends, of which two may be under way: one at an
+/// endpoint that is silent, and one at another endpoint.
 pub(crate) struct Dispatch {
     context: Rc<Context>,
     incoming: IncomingRequest,
@@ -63,18 +47,16 @@
     /// When the caller's deadline or the route's timeout ends, whichever is earlier.
     deadline: Timestamp,
     objective: Timestamp,
-    excluded: Vec<EndpointId>,
-    sends: u32,
-    /// Whether an endpoint may have received the request.
-    arrived: bool,
-    /// Number of sends that may have run the request.
-    possible_runs: u32,
+    excluded: RefCell<Vec<EndpointId>>,
+    sends: Cell<u32>,
+    /// Number of sends that may have reached an endpoint.
+    arrivals: Cell<u32>,
+    /// Number of endpoints that run the request or may have run it, including those that have not
+    /// answered yet.
+    possible_runs: Cell<u32>,
     /// Total time the request has waited for a slot.
-    waited: Duration,
-    /// Time to the first byte that the last placement estimated, in milliseconds.
-    first_byte: u64,
-    /// Time to the last byte that the last placement estimated, in milliseconds.
-    last_byte: u64,
+    waited: Cell<Duration>,
+    estimate: Cell<Estimate>,
     /// Whether the end of the request has been logged.
     ended: Cell<bool>,
 }
@@ -85,7 +67,7 @@
         if !self.ended.get() {
             log::info!(
                 request = self.incoming.head.id_text(),
-                sends = self.sends,
+                sends = self.sends.get(),
                 waited = clock::millis(clock::now().since(self.incoming.arrived));
                 "caller gone"
             );
@@ -116,96 +98,42 @@
             context,
             incoming,
             service,
-            excluded: Vec::new(),
-            sends: 0,
-            arrived: false,
-            possible_runs: 0,
-            waited: Duration::ZERO,
-            first_byte: 0,
-            last_byte: 0,
+            excluded: RefCell::default(),
+            sends: Cell::new(0),
+            arrivals: Cell::new(0),
+            possible_runs: Cell::new(0),
+            waited: Cell::default(),
+            estimate: Cell::default(),
             ended: Cell::new(false),
         }
     }
 
     /// Sends the request until there is an answer or the deadline passes.
-    pub(crate) async fn run(mut self) -> Response<AnswerBody> {
+    pub(crate) async fn run(self) -> Response<AnswerBody> {
         let left = self.deadline.since(clock::now());
-        let mut sending = false;
-        let answered = tokio::time::timeout(left, self.send_until_answered(&mut sending)).await;
-        match answered {
-            Ok(Ok(response)) => response,
-            Ok(Err((reply, slot, record))) => stream::start(self, reply, slot, record).await,
-            Err(_) if self.possible_runs > 0 || sending => {
+        let begun = tokio::time::timeout(left, self.begin(None)).await;
+        match begun {
+            Ok(Ok(Begun::Complete(response))) | Ok(Err(Failure::Failed(response))) => {
+                self.count_answer(response.status(), "endpoint");
+                response
+            }
+            Ok(Ok(Begun::Stream(start))) => stream::start(self, *start).await,
+            Ok(Err(failure)) => self.refuse_failed(&failure),
+            Err(_) if self.possible_runs.get() > 0 => {
                 self.refuse(RefusalKind::DeadlineExceeded, None)
             }
             Err(_) => self.refuse(RefusalKind::Overloaded, Some(RETRY_DELAY)),
         }
     }
 
-    /// Sends the request until there is a complete answer. A streamed answer is returned as the
-    /// error, as soon as its head has arrived.
-    async fn send_until_answered(
-        &mut self,
-        sending: &mut bool,
-    ) -> Result<Response<AnswerBody>, (Reply, SlotGuard, EndpointRecord)> {
-        let mut failed = None;
-        loop {
-            let (placement, slot) = match self.place().await {
-                PlacementOutcome::Placed(placement, slot) => (placement, slot),
-                PlacementOutcome::Refused(refusal) => {
-                    return Ok(failed.unwrap_or_else(|| self.refuse_unplaced(&refusal)));
-                }
-            };
-            let endpoint = placement.record.id.clone();
-            let fault = match self.reserve(&placement).await {
-                Ok(reservation) => {
-                    *sending = true;
-                    self.sends += 1;
-                    match self.send(&placement, slot, reservation).await? {
-                        Ok(response) => return Ok(response),
-                        Err(fault) => fault,
-                    }
-                }
-                Err(NotReserved::Full) => {
-                    self.log_outcome("full", &placement.record);
-                    slot.end(Ending::Full);
-                    continue;
-                }
-                Err(NotReserved::Misdirected) => {
-                    self.sends += 1;
-                    self.leave_misdirected(&placement.record, slot);
-                    SendFault::Unsent
-                }
-                Err(NotReserved::Failed(error)) => {
-                    self.sends += 1;
-                    self.handle_unsent(&error, &placement.record, slot)
-                }
-            };
-            *sending = false;
-            self.excluded.push(endpoint);
-            let may_retry = match &fault {
-                SendFault::Unsent | SendFault::NotRun => self.sends < SEND_LIMIT,
-                SendFault::Unknown | SendFault::Failed(_) => {
-                    self.possible_runs += 1;
-                    let route = &self.incoming.head.route;
-                    route.retry.is_allowed() && self.possible_runs < route.max_attempts
-                }
-            };
-            self.arrived |= !matches!(fault, SendFault::Unsent);
-            let not_run =
-                matches!(fault, SendFault::Unsent | SendFault::NotRun) && self.possible_runs == 0;
-            let retry = may_retry && self.take_retry();
-            if let SendFault::Failed(response) = fault {
-                failed = Some(response);
-            }
-            if retry {
-                continue;
+    /// Answers a request that no endpoint has answered.
+    fn refuse_failed(&self, failure: &Failure) -> Response<AnswerBody> {
+        match failure {
+            Failure::Refused(refusal) => self.refuse_unplaced(refusal),
+            _ if self.possible_runs.get() == 0 => {
+                self.refuse(RefusalKind::Overloaded, Some(RETRY_DELAY))
             }
-            return Ok(match failed {
-                Some(response) => response,
-                None if not_run => self.refuse(RefusalKind::Overloaded, Some(RETRY_DELAY)),
-                None => self.refuse(RefusalKind::OutcomeUnknown, None),
-            });
+            _ => self.refuse(RefusalKind::OutcomeUnknown, None),
         }
     }
 
@@ -216,14 +144,14 @@
         log::info!(
             request = self.incoming.head.id_text(),
             cause = text,
-            waited = clock::millis(self.waited),
+            waited = clock::millis(self.waited.get()),
             retry = clock::millis(refusal.retry_after),
             waiting = totals.waiting,
             running = totals.running,
             members = totals.members;
             "turned away"
         );
-        let kind = if self.possible_runs > 0 {
+        let kind = if self.possible_runs.get() > 0 {
             RefusalKind::OutcomeUnknown
         } else {
             RefusalKind::Overloaded
@@ -231,19 +159,24 @@
         self.refuse(kind, Some(refusal.retry_after))
     }
 
-    /// Returns whether there is time and budget for another send. The first send that reaches an
-    /// endpoint is no retry.
+    /// Takes a retry from the budget, if there is time for another send. Returns whether the request
+    /// may be sent again. The first send that reaches an endpoint is no retry.
     fn take_retry(&self) -> bool {
         let now = clock::now();
         if self.deadline <= now + MIN_SEND_TIME {
             return false;
         }
         let mut scheduler = self.context.scheduler.borrow_mut();
-        !self.arrived || scheduler.take_retry(&self.service, now)
+        self.arrivals.get() == 0 || scheduler.take_retry(&self.service, now)
+    }
+
+    /// Does not place the request at this endpoint again.
+    fn exclude(&self, record: &EndpointRecord) {
+        self.excluded.borrow_mut().push(record.id.clone());
     }
 
     /// Waits for a slot at an endpoint.
-    async fn place(&mut self) -> PlacementOutcome {
+    async fn place(&self) -> PlacementOutcome {
         let started = clock::now();
         let head = &self.incoming.head;
         let request = PlacementRequest {
@@ -260,15 +193,17 @@
             objective: self.objective,
             deadline: self.deadline,
             event_gap: head.route.event_gap,
-            excluded: self.excluded.clone(),
+            excluded: self.excluded.borrow().clone(),
         };
         let outcome = self.context.place(request).await;
         let waited = clock::now().since(started);
         self.context.metrics.waits.observe(waited.as_secs_f64());
-        self.waited += waited;
+        self.waited.set(self.waited.get() + waited);
         if let PlacementOutcome::Placed(placement, _) = &outcome {
-            self.first_byte = placement.first_byte;
-            self.last_byte = placement.last_byte;
+            self.estimate.set(Estimate {
+                first_byte: placement.first_byte,
+                last_byte: placement.last_byte,
+            });
         }
         outcome
     }
@@ -281,8 +216,8 @@
 
     fn refuse(&self, kind: RefusalKind, retry: Option<Duration>) -> Response<AnswerBody> {
         let text: &'static str = kind.into();
-        log::info!(request = self.incoming.head.id_text(), cause = text, sends = self.sends; "refused");
-        if self.possible_runs == 0
+        log::info!(request = self.incoming.head.id_text(), cause = text, sends = self.sends.get(); "refused");
+        if self.possible_runs.get() == 0
             && kind != RefusalKind::OutcomeUnknown
             && kind != RefusalKind::DeadlineExceeded
         {
--- /dev/null
+++ b/crates/direct/src/dispatch/attempt.rs
@@ -0,0 +1,227 @@
+//! Sends a request until an endpoint begins to answer it.
+//!
+//! A request leaves an endpoint that is silent only when another one has begun to answer: a sound
+//! endpoint may be silent for a while, and the other one may reject the request or fail.
+
+use std::pin::pin;
+use std::time::Duration;
+
+use comfreyhaven_core::direct::{Ending, EndpointRecord, Placement, PlacementRefusal};
+use hyper::Response;
+
+use super::reserve::NotReserved;
+use super::source::StreamStart;
+use super::{Dispatch, SEND_LIMIT};
+use crate::answer::AnswerBody;
+use crate::clock;
+use crate::context::{PlacementOutcome, SlotGuard};
+
+/// Time that must remain before the deadline to send a request to another endpoint while one is
+/// silent.
+const MIN_MOVE_TIME: Duration = Duration::from_millis(150);
+
+/// The beginning of an endpoint's answer.
+pub(super) enum Begun {
+    /// An answer that is not a stream. It is complete.
+    Complete(Response<AnswerBody>),
+    /// A stream whose head has arrived.
+    Stream(Box<StreamStart>),
+}
+
+/// Why no endpoint has begun to answer.
+pub(super) enum Failure {
+    /// The scheduler found no slot.
+    Refused(PlacementRefusal),
+    /// The last endpoint has not run the request.
+    NotRun,
+    /// The last endpoint may have run the request.
+    Unknown,
+    /// An endpoint ran the request and failed with this answer.
+    Failed(Response<AnswerBody>),
+}
+
+/// Why one endpoint has not begun to answer.
+pub(super) enum SendFault {
+    /// The endpoint has no slot to reserve.
+    Full,
+    /// The endpoint has not received the request.
+    Unsent,
+    /// The endpoint received the request and has not run it.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+    /// The stream with this head ended before its first event.
+    Cut(Response<()>),
+    /// The endpoint ran the request and failed with this answer.
+    Failed(Response<AnswerBody>),
+}
+
+impl Dispatch {
+    /// Sends the request until an endpoint begins to answer. `last` is the last event of the stream
+    /// that the caller has received.
+    pub(super) async fn begin(&self, last: Option<u64>) -> Result<Begun, Failure> {
+        let (mut head, mut failed) = (None, None);
+        loop {
+            let (placement, slot) = match self.place().await {
+                PlacementOutcome::Placed(placement, slot) => (placement, slot),
+                PlacementOutcome::Refused(refusal) => {
+                    return Err(failed.map_or(Failure::Refused(refusal), Failure::Failed));
+                }
+            };
+            let fault = match self.attempt(&placement, slot, last).await {
+                Ok(Begun::Stream(mut start)) => {
+                    // The caller's answer keeps the head of the first endpoint.
+                    start.head = head.unwrap_or(start.head);
+                    return Ok(Begun::Stream(start));
+                }
+                Ok(begun) => return Ok(begun),
+                Err(SendFault::Full) => continue,
+                Err(fault) => fault,
+            };
+            self.exclude(&placement.record);
+            let retry = self.may_retry(&fault) && self.take_retry();
+            let failure = match fault {
+                SendFault::Full | SendFault::Unsent | SendFault::NotRun => Failure::NotRun,
+                SendFault::Unknown => Failure::Unknown,
+                SendFault::Cut(first) => {
+                    head.get_or_insert(first);
+                    Failure::Unknown
+                }
+                SendFault::Failed(response) => {
+                    failed = Some(response);
+                    Failure::Unknown
+                }
+            };
+            if !retry {
+                return Err(failed.map_or(failure, Failure::Failed));
+            }
+        }
+    }
+
+    /// Returns whether the route allows another send after this fault.
+    fn may_retry(&self, fault: &SendFault) -> bool {
+        let allowed = match fault {
+            SendFault::Full | SendFault::Unsent | SendFault::NotRun => true,
+            SendFault::Unknown | SendFault::Cut(_) | SendFault::Failed(_) => self.may_run_again(),
+        };
+        allowed && self.sends.get() < SEND_LIMIT
+    }
+
+    /// Returns whether one more endpoint may run the request.
+    pub(super) fn may_run_again(&self) -> bool {
+        let route = &self.incoming.head.route;
+        route.retry.is_allowed() && self.possible_runs.get() < route.max_attempts
+    }
+
+    /// Reserves a slot at an endpoint, if the placement asks for it, and sends the request there.
+    async fn attempt(
+        &self,
+        placement: &Placement,
+        slot: SlotGuard,
+        last: Option<u64>,
+    ) -> Result<Begun, SendFault> {
+        let record = &placement.record;
+        let reserved = self.reserve(placement).await;
+        if matches!(reserved, Err(NotReserved::Full)) {
+            self.log_outcome("full", record);
+            slot.end(Ending::Full);
+            return Err(SendFault::Full);
+        }
+        self.sends.set(self.sends.get() + 1);
+        match reserved {
+            Ok(reservation) => self.send(placement, slot, reservation, last).await,
+            Err(NotReserved::Failed(error)) => Err(self.handle_unsent(&error, record, slot)),
+            Err(NotReserved::Full | NotReserved::Misdirected) => {
+                self.leave_misdirected(record, slot);
+                Err(SendFault::Unsent)
+            }
+        }
+    }
+
+    /// Sends the request once. It counts as run until its outcome is known, so that the counts are
+    /// right also if this future is dropped.
+    async fn send(
+        &self,
+        placement: &Placement,
+        slot: SlotGuard,
+        reservation: Option<String>,
+        last: Option<u64>,
+    ) -> Result<Begun, SendFault> {
+        self.arrivals.set(self.arrivals.get() + 1);
+        self.possible_runs.set(self.possible_runs.get() + 1);
+        let result = self
+            .send_patiently(placement, slot, reservation, last)
+            .await;
+        if matches!(result, Err(SendFault::Unsent)) {
+            self.arrivals.set(self.arrivals.get() - 1);
+        }
+        if matches!(result, Err(SendFault::Unsent | SendFault::NotRun)) {
+            self.possible_runs.set(self.possible_runs.get() - 1);
+        }
+        result
+    }
+
+    /// Sends the request, and sends it to another endpoint too while the first one is silent for
+    /// too long. The first answer counts.
+    async fn send_patiently(
+        &self,
+        placement: &Placement,
+        slot: SlotGuard,
+        reservation: Option<String>,
+        last: Option<u64>,
+    ) -> Result<Begun, SendFault> {
+        let record = &placement.record;
+        let timeout = self.first_byte_timeout();
+        let mut sending = pin!(self.send_once(record, slot, reservation, last));
+        let mut others = Failure::Unknown;
+        loop {
+            if let Ok(result) = tokio::time::timeout(timeout, sending.as_mut()).await {
+                return result.map_err(|fault| fault.or(others));
+            }
+            if !self.may_move(record) || !self.take_retry() {
+                continue;
+            }
+            self.log_outcome("silent", record);
+            self.context
+                .scheduler
+                .borrow_mut()
+                .record_failure(&placement.run, clock::now());
+            self.exclude(record);
+            let mut elsewhere = Box::pin(self.begin(last));
+            tokio::select! {
+                result = sending.as_mut() => return match result {
+                    Ok(begun) => Ok(begun),
+                    Err(fault) => elsewhere.await.map_err(|failure| fault.or(failure)),
+                },
+                result = elsewhere.as_mut() => match result {
+                    Ok(begun) => return Ok(begun),
+                    Err(failure) => others = failure,
+                },
+            }
+        }
+    }
+
+    /// Returns whether the request may be sent to another endpoint while `record` is silent.
+    pub(super) fn may_move(&self, record: &EndpointRecord) -> bool {
+        let now = clock::now();
+        if !self.may_run_again() || self.deadline < now + MIN_MOVE_TIME {
+            return false;
+        }
+        let mut excluded = self.excluded.borrow().clone();
+        excluded.push(record.id.clone());
+        let streaming = self.incoming.head.route.streaming;
+        let mut scheduler = self.context.scheduler.borrow_mut();
+        scheduler.may_retry(&self.service, &excluded, streaming, now)
+    }
+}
+
+impl SendFault {
+    /// Returns the fault of a request that failed at this endpoint and at others. A failure that an
+    /// endpoint has answered is passed on to the caller.
+    fn or(self, elsewhere: Failure) -> Self {
+        match (self, elsewhere) {
+            (Self::Failed(response), _) | (_, Failure::Failed(response)) => Self::Failed(response),
+            (fault, _) => fault,
+        }
+    }
+}
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -1,30 +1,44 @@
 //! One send of a request: builds what the endpoint receives, and interprets its answer.
 
-use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
-use comfreyhaven_core::direct::{Ending, EndpointRecord, Placement, stall};
+use comfreyhaven_core::direct::{Ending, EndpointRecord, stall};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 
-use super::{AnswerKind, Dispatch, RETRY_DELAY, SendFault};
+use super::attempt::{Begun, SendFault};
+use super::source::{Next, Source, StreamStart};
+use super::{Dispatch, RETRY_DELAY};
 use crate::answer::{self, AnswerBody};
 use crate::clock;
 use crate::context::SlotGuard;
 use crate::upstream::{Lease, Reply, SendError};
 
-/// Time that must remain before the deadline to abandon a stalled endpoint for another one.
-const MIN_RETRY_TIME: Duration = Duration::from_millis(150);
+/// How long an endpoint that has accepted a stream may take for the first event before the stream
+/// counts as begun. The endpoint that it replaces is left no later.
+const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Largest answer that is buffered until it is complete, in bytes.
 const BODY_LIMIT_BYTES: usize = 8 << 20;
 
+/// Classification of an endpoint's answer.
+enum AnswerKind {
+    /// The endpoint did not run the request.
+    Rejected,
+    /// A sealed answer with a success status.
+    Success,
+    /// A sealed answer with any other status.
+    Failure,
+    /// The answer belongs to another request or has no seal.
+    Foreign,
+}
+
 impl Dispatch {
     /// Builds the request for one endpoint. `resume` is the last event that the caller has
     /// received.
-    pub(super) fn endpoint_request(
+    fn endpoint_request(
         &self,
         record: &EndpointRecord,
         resume: Option<u64>,
@@ -50,87 +64,84 @@
         request
     }
 
-    /// Sends the request once, and abandons a stalled endpoint if the request may be retried
-    /// elsewhere.
-    pub(super) async fn send(
-        &self,
-        placement: &Placement,
-        slot: SlotGuard,
-        reservation: Option<String>,
-    ) -> Result<Result<Response<AnswerBody>, SendFault>, (Reply, SlotGuard, EndpointRecord)> {
-        let mut sending = pin!(self.send_once(placement, slot, reservation));
-        if let Ok(result) = tokio::time::timeout(self.first_byte_timeout(), sending.as_mut()).await
-        {
-            return result;
-        }
-        if !self.may_move(&placement.record) {
-            return sending.await;
-        }
-        self.log_outcome("silent", &placement.record);
-        let mut scheduler = self.context.scheduler.borrow_mut();
-        scheduler.record_failure(&placement.run, clock::now());
-        Ok(Err(SendFault::Unknown))
-    }
-
-    /// Returns whether the request may be abandoned at the endpoint that runs it and retried at
-    /// another one.
-    pub(super) fn may_move(&self, record: &EndpointRecord) -> bool {
-        let route = &self.incoming.head.route;
-        let now = clock::now();
-        if !route.retry.is_allowed()
-            || self.possible_runs + 1 >= route.max_attempts
-            || self.deadline < now + MIN_RETRY_TIME
-        {
-            return false;
-        }
-        let mut excluded = self.excluded.clone();
-        excluded.push(record.id.clone());
-        let mut scheduler = self.context.scheduler.borrow_mut();
-        scheduler.may_retry(&self.service, &excluded, route.streaming, now)
-    }
-
     /// Returns how long the endpoint of the last placement may take to start its answer.
     pub(super) fn first_byte_timeout(&self) -> Duration {
-        let expected = Duration::from_millis(self.first_byte);
+        let expected = Duration::from_millis(self.estimate.get().first_byte);
         stall::first_byte_timeout(expected, self.incoming.head.route.streaming)
     }
 
-    /// Sends the request once. A streamed answer is returned as the outer error when its head
-    /// arrives.
-    async fn send_once(
+    /// Sends the request once, and waits until the answer is complete or its stream has begun.
+    pub(super) async fn send_once(
         &self,
-        placement: &Placement,
+        record: &EndpointRecord,
         slot: SlotGuard,
         reservation: Option<String>,
-    ) -> Result<Result<Response<AnswerBody>, SendFault>, (Reply, SlotGuard, EndpointRecord)> {
-        let record = &placement.record;
-        let mut request = self.endpoint_request(record, None);
+        last: Option<u64>,
+    ) -> Result<Begun, SendFault> {
+        let mut request = self.endpoint_request(record, last);
         if let Some(id) = reservation {
             let header = &self.context.dialect.reservation.header;
             set_header(request.headers_mut(), header, &id);
         }
-        match self.context.upstream.send(record, request).await {
-            Err(error) => Ok(Err(self.handle_error(&error, record, slot))),
-            Ok(reply) => match self.classify(&reply.response) {
-                AnswerKind::Success if self.incoming.head.route.streaming => {
-                    Err((reply, slot, record.clone()))
-                }
-                AnswerKind::Success => {
-                    Ok(self.collect(reply, slot, record, Ending::Complete).await)
-                }
-                AnswerKind::Failure => {
-                    match self.collect(reply, slot, record, Ending::Failed).await {
-                        Ok(response) => Ok(Err(SendFault::Failed(response))),
-                        Err(fault) => Ok(Err(fault)),
-                    }
-                }
-                AnswerKind::Rejected => Ok(Err(self.handle_rejection(reply, slot, record))),
-                AnswerKind::Foreign => {
-                    self.log_outcome("foreign", record);
-                    slot.end(Ending::Broken);
-                    Ok(Err(SendFault::Unknown))
-                }
-            },
+        let reply = match self.context.upstream.send(record, request).await {
+            Ok(reply) => reply,
+            Err(error) => return Err(self.handle_error(&error, record, slot)),
+        };
+        match self.classify(&reply.response) {
+            AnswerKind::Success if self.incoming.head.route.streaming => {
+                self.begin_stream(reply, slot, record).await
+            }
+            AnswerKind::Success => {
+                let collected = self.collect(reply, slot, record, Ending::Complete).await;
+                collected.map(Begun::Complete)
+            }
+            AnswerKind::Failure => {
+                let collected = self.collect(reply, slot, record, Ending::Failed).await;
+                Err(collected.map_or_else(|fault| fault, SendFault::Failed))
+            }
+            AnswerKind::Rejected => Err(self.handle_rejection(reply, slot, record)),
+            AnswerKind::Foreign => {
+                self.log_outcome("foreign", record);
+                slot.end(Ending::Broken);
+                Err(SendFault::Unknown)
+            }
+        }
+    }
+
+    /// Waits for the first event of a stream, but no longer than [`FIRST_EVENT_TIMEOUT`].
+    async fn begin_stream(
+        &self,
+        reply: Reply,
+        slot: SlotGuard,
+        record: &EndpointRecord,
+    ) -> Result<Begun, SendFault> {
+        let (head, mut source) = Source::new(reply, slot, self, record.clone());
+        let first = match tokio::time::timeout(FIRST_EVENT_TIMEOUT, source.next()).await {
+            Ok(Next::Broken) => {
+                self.leave_broken(&mut source, true);
+                return Err(SendFault::Cut(head));
+            }
+            Ok(next) => Some(next),
+            Err(_) => None,
+        };
+        let start = StreamStart {
+            head,
+            source,
+            first,
+        };
+        Ok(Begun::Stream(Box::new(start)))
+    }
+
+    /// Leaves an endpoint whose stream broke off. A request whose stream breaks off before its first
+    /// event is suspected of crashing endpoints.
+    pub(super) fn leave_broken(&self, source: &mut Source, before_first: bool) {
+        self.log_outcome("broken", &source.record);
+        self.context.upstream.close(&source.record.id);
+        source.slot.release(Ending::Broken);
+        if before_first {
+            let digest = self.incoming.digest;
+            let mut scheduler = self.context.scheduler.borrow_mut();
+            scheduler.suspects_mut().record_crash(digest, clock::now());
         }
     }
 
@@ -142,7 +153,7 @@
 
     pub(super) fn log_outcome(&self, outcome: &str, record: &EndpointRecord) {
         self.count_send(outcome);
-        log::info!(request = self.incoming.head.id_text(), endpoint:% = record.id, send = self.sends; "{outcome}");
+        log::info!(request = self.incoming.head.id_text(), endpoint:% = record.id, send = self.sends.get(); "{outcome}");
     }
 
     fn handle_error(
@@ -243,13 +254,12 @@
             request = self.incoming.head.id_text(),
             endpoint:% = record.id,
             status = parts.status.as_u16(),
-            send = self.sends;
+            send = self.sends.get();
             "answered"
         );
         slot.end(ending);
         self.record_completion(lease);
         let headers = answer_headers(&parts.headers);
-        self.count_answer(parts.status, "endpoint");
         Ok(answer::complete(parts.status, headers, body.to_bytes()))
     }
 
@@ -264,7 +274,7 @@
         scheduler.suspects_mut().clear(self.incoming.digest);
     }
 
-    pub(super) fn classify<B>(&self, response: &Response<B>) -> AnswerKind {
+    fn classify<B>(&self, response: &Response<B>) -> AnswerKind {
         let dialect = &self.context.dialect;
         let headers = response.headers();
         if headers.get(&dialect.request) != Some(&self.incoming.head.id) {
--- /dev/null
+++ b/crates/direct/src/dispatch/source.rs
@@ -0,0 +1,108 @@
+//! A stream of events from one endpoint.
+
+use std::time::Duration;
+
+use comfreyhaven_core::Timestamp;
+use comfreyhaven_core::direct::EndpointRecord;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use super::Dispatch;
+use crate::clock;
+use crate::context::SlotGuard;
+use crate::events::{Event, Splitter};
+use crate::upstream::{Lease, Reply};
+
+/// The next thing that happens on a stream.
+pub(super) enum Next {
+    Event(Event),
+    /// The stream is complete.
+    End,
+    /// The connection broke or the stream is malformed.
+    Broken,
+}
+
+/// A stream that an endpoint has begun.
+pub(super) struct StreamStart {
+    /// Head of the caller's answer.
+    pub(super) head: Response<()>,
+    pub(super) source: Source,
+    /// What followed the head, if it has arrived.
+    pub(super) first: Option<Next>,
+}
+
+/// The streamed answer of one endpoint.
+pub(super) struct Source {
+    body: Incoming,
+    pub(super) lease: Lease,
+    pub(super) slot: SlotGuard,
+    pub(super) record: EndpointRecord,
+    splitter: Splitter,
+    /// How long the next event may take.
+    pub(super) event_timeout: Duration,
+    /// Events received from this endpoint; `first` is when the first one arrived.
+    events: u32,
+    first: Timestamp,
+}
+
+impl Source {
+    pub(super) fn new(
+        reply: Reply,
+        slot: SlotGuard,
+        dispatch: &Dispatch,
+        record: EndpointRecord,
+    ) -> (Response<()>, Self) {
+        let (response, lease) = reply.split();
+        let (parts, body) = response.into_parts();
+        let source = Self {
+            body,
+            lease,
+            slot,
+            record,
+            splitter: Splitter::default(),
+            event_timeout: dispatch.first_byte_timeout(),
+            events: 0,
+            first: Timestamp::ZERO,
+        };
+        (Response::from_parts(parts, ()), source)
+    }
+
+    /// Counts an event. At each power of two it also records the endpoint's event interval.
+    pub(super) fn record_event(&mut self) {
+        let now = clock::now();
+        if self.events == 0 {
+            self.first = now;
+            self.slot.record_first_byte();
+        }
+        self.events += 1;
+        if self.events.is_power_of_two() {
+            self.slot.record_events(self.events, now.since(self.first));
+        }
+    }
+
+    /// Waits for the next event. Nothing is lost if the future is dropped.
+    pub(super) async fn next(&mut self) -> Next {
+        loop {
+            if let Some(event) = self.splitter.next() {
+                return Next::Event(event);
+            }
+            match self.body.frame().await {
+                None if self.splitter.is_empty() => return Next::End,
+                None => return Next::Broken,
+                Some(Err(error)) => {
+                    log::info!(endpoint:% = self.record.id; "stream failed: {error}");
+                    return Next::Broken;
+                }
+                Some(Ok(frame)) => {
+                    if let Ok(bytes) = frame.into_data()
+                        && let Err(error) = self.splitter.add(&bytes)
+                    {
+                        log::warn!(endpoint:% = self.record.id; "{error}");
+                        return Next::Broken;
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -1,26 +1,23 @@
 //! A streamed answer: forwards complete events as they arrive, and resumes the stream at another
 //! endpoint if the route allows that.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{Ending, EndpointRecord, stall};
+use comfreyhaven_core::direct::{Ending, stall};
 use comfreyhaven_core::refusal::RefusalKind;
-use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use hyper::{Response, StatusCode};
 use tokio::sync::mpsc;
 
+use super::Dispatch;
+use super::attempt::Begun;
 use super::send::answer_headers;
-use super::{AnswerKind, Dispatch};
+use super::source::{Next, Source, StreamStart};
 use crate::answer::{self, AnswerBody, AnswerInterrupted, Chunk};
 use crate::clock;
-use crate::context::{PlacementOutcome, SlotGuard};
-use crate::events::{Event, Splitter};
-use crate::upstream::{Lease, Reply};
-
-/// Time that must remain before the deadline to resume a stream at another endpoint.
-const MIN_RESUME_TIME: Duration = Duration::from_millis(100);
+use crate::events::Event;
 
 /// Event counts and gaps of a stream, for its log line.
 #[derive(Debug)]
@@ -47,339 +44,245 @@
         self.last_event = now;
         self.events += 1;
     }
-
-    /// Logs the end of a stream that did not complete.
-    fn log_end(&self, dispatch: &Dispatch, source: &Source, outcome: &str) {
-        dispatch.ended.set(true);
-        dispatch.count_send(outcome);
-        log::info!(
-            request = dispatch.incoming.head.id_text(),
-            endpoint:% = source.record.id,
-            send = dispatch.sends,
-            length = dispatch.incoming.head.length,
-            expected = dispatch.first_byte,
-            whole = dispatch.last_byte,
-            events = self.events,
-            pause = clock::millis(self.longest_gap),
-            silent = clock::millis(clock::now().since(self.last_event));
-            "{outcome}"
-        );
-    }
-
-    /// Logs that the caller's stream was cut off, because it could not be resumed.
-    fn log_interruption(&self, dispatch: &Dispatch) {
-        log::info!(
-            request = dispatch.incoming.head.id_text(),
-            sends = dispatch.sends,
-            runs = dispatch.possible_runs,
-            events = self.events,
-            silent = clock::millis(clock::now().since(self.last_event));
-            "interrupted"
-        );
-    }
 }
 
-/// A streamed answer from one endpoint.
-struct Source {
-    body: Incoming,
-    lease: Lease,
-    slot: SlotGuard,
-    record: EndpointRecord,
-    splitter: Splitter,
-    /// How long the next event may take.
-    event_timeout: Duration,
-    /// Events received from this endpoint; `first` is when the first one arrived.
-    events: u32,
-    first: Timestamp,
-}
-
-/// The next thing that happens on a stream.
-enum Next {
+/// What the caller of a stream receives next.
+enum Step {
     Event(Event),
-    /// The answer is complete.
+    /// The stream is complete.
     End,
-    /// The connection broke or the stream is malformed.
-    Broken,
-    /// The endpoint sent nothing within the event timeout.
-    Stalled,
-    /// The caller closed its connection.
-    CallerDisconnected,
+    /// The stream broke off and could not be resumed.
+    Interrupted,
     /// The request's deadline has passed.
     DeadlinePassed,
 }
 
-impl Source {
-    fn new(
-        reply: Reply,
-        slot: SlotGuard,
-        dispatch: &Dispatch,
-        record: EndpointRecord,
-    ) -> (Response<()>, Self) {
-        let (response, lease) = reply.split();
-        let (parts, body) = response.into_parts();
-        let source = Self {
-            body,
-            lease,
-            slot,
-            record,
-            splitter: Splitter::default(),
-            event_timeout: dispatch.first_byte_timeout(),
-            events: 0,
-            first: Timestamp::ZERO,
-        };
-        (Response::from_parts(parts, ()), source)
+/// A stream on its way to the caller, and the endpoint that sends it at present.
+struct Stream {
+    dispatch: Dispatch,
+    source: Source,
+    /// What the endpoint has sent and the caller has not received yet.
+    upcoming: Option<Next>,
+    /// The last event that the caller has received.
+    last: Option<u64>,
+    stats: StreamStats,
+}
+
+/// Waits for the first event, then answers with a stream that starts with it.
+pub(super) async fn start(dispatch: Dispatch, start: StreamStart) -> Response<AnswerBody> {
+    let head = start.head;
+    let mut stream = Stream {
+        dispatch,
+        source: start.source,
+        upcoming: start.first,
+        last: None,
+        stats: StreamStats::new(),
+    };
+    let first = stream.next_step().await;
+    let dispatch = &stream.dispatch;
+    match first {
+        Step::Event(_) | Step::End => {}
+        Step::Interrupted => return dispatch.refuse(RefusalKind::OutcomeUnknown, None),
+        Step::DeadlinePassed => return dispatch.refuse(RefusalKind::DeadlineExceeded, None),
     }
+    let waited = clock::now().since(dispatch.incoming.arrived);
+    dispatch.context.metrics.first.observe(waited.as_secs_f64());
+    let (response, sender) = answer::streaming(head.status(), answer_headers(head.headers()));
+    let tasks = dispatch.context.tasks.clone();
+    tasks.spawn_local(stream.forward(first, sender));
+    response
+}
 
-    /// Counts an event. At each power of two it also records the endpoint's event interval.
-    fn record_event(&mut self) {
-        let now = clock::now();
-        if self.events == 0 {
-            self.first = now;
-        }
-        self.events += 1;
-        if self.events.is_power_of_two() {
-            self.slot.record_events(self.events, now.since(self.first));
+impl Stream {
+    /// Forwards events until the stream ends, the caller disconnects or the deadline passes.
+    async fn forward(mut self, first: Step, sender: mpsc::Sender<Chunk>) {
+        let first_byte = clock::now().since(self.dispatch.incoming.arrived);
+        let mut step = first;
+        loop {
+            match step {
+                Step::Event(event) => {
+                    if sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
+                        return self.log_end("caller gone");
+                    }
+                }
+                Step::End => return self.complete(first_byte),
+                Step::Interrupted => {
+                    self.dispatch.count_answer(StatusCode::OK, "broken");
+                    self.log_interruption();
+                    return drop(sender.send(Err(AnswerInterrupted)).await);
+                }
+                Step::DeadlinePassed => {
+                    self.dispatch.count_answer(StatusCode::OK, "timeout");
+                    self.log_end("timeout");
+                    return drop(sender.send(Err(AnswerInterrupted)).await);
+                }
+            }
+            step = tokio::select! {
+                step = self.next_step() => step,
+                () = sender.closed() => return self.log_end("caller gone"),
+            };
         }
     }
 
-    async fn next(&mut self) -> Next {
+    /// Waits until the caller can be sent something, at most until the deadline.
+    async fn next_step(&mut self) -> Step {
+        let left = self.dispatch.deadline.since(clock::now());
+        let advanced = tokio::time::timeout(left, self.advance()).await;
+        advanced.unwrap_or(Step::DeadlinePassed)
+    }
+
+    async fn advance(&mut self) -> Step {
         loop {
-            if let Some(event) = self.splitter.next() {
-                return Next::Event(event);
-            }
-            match self.body.frame().await {
-                None if self.splitter.is_empty() => return Next::End,
-                None => return Next::Broken,
-                Some(Err(error)) => {
-                    log::info!(endpoint:% = self.record.id; "stream failed: {error}");
-                    return Next::Broken;
+            let next = match self.upcoming.take() {
+                Some(next) => Some(next),
+                None => self.next_in_time().await,
+            };
+            match next {
+                Some(Next::Event(event)) => {
+                    if self.record_event(&event) {
+                        return Step::Event(event);
+                    }
                 }
-                Some(Ok(frame)) => {
-                    if let Ok(bytes) = frame.into_data()
-                        && let Err(error) = self.splitter.add(&bytes)
-                    {
-                        log::warn!(endpoint:% = self.record.id; "{error}");
-                        return Next::Broken;
+                Some(Next::End) => return Step::End,
+                Some(Next::Broken) => {
+                    if !self.replace_broken().await {
+                        return Step::Interrupted;
                     }
                 }
+                None => self.replace_stalled().await,
             }
         }
     }
-}
 
-/// Waits for the next event until the event timeout or the deadline. A stalled endpoint is kept if
-/// the request may not be retried elsewhere.
-async fn next(dispatch: &Dispatch, source: &mut Source) -> Next {
-    loop {
-        let left = dispatch.deadline.since(clock::now());
-        if let Ok(next) = tokio::time::timeout(left.min(source.event_timeout), source.next()).await
-        {
-            return next;
-        }
-        if dispatch.deadline <= clock::now() {
-            return Next::DeadlinePassed;
-        }
-        if dispatch.may_move(&source.record) {
-            return Next::Stalled;
-        }
+    /// Records an event. Returns whether the caller has not received it yet; a resumed stream may
+    /// start with events that it has.
+    fn record_event(&mut self, event: &Event) -> bool {
+        self.source.event_timeout =
+            stall::next_event_timeout(self.dispatch.incoming.head.route.event_gap);
+        self.source.record_event();
+        self.stats.record_event();
+        let received = event.id.is_some_and(|id| self.last >= Some(id));
+        self.last = event.id.or(self.last);
+        !received
     }
-}
 
-/// Waits for the first event, then answers with a stream that starts with it.
-pub(super) async fn start(
-    mut dispatch: Dispatch,
-    reply: Reply,
-    slot: SlotGuard,
-    record: EndpointRecord,
-) -> Response<AnswerBody> {
-    let (head, mut source) = Source::new(reply, slot, &dispatch, record);
-    let first = loop {
-        let next = next(&dispatch, &mut source).await;
-        match next {
-            Next::Event(_) | Next::End => break next,
-            Next::CallerDisconnected | Next::DeadlinePassed => {
-                return dispatch.refuse(RefusalKind::DeadlineExceeded, None);
+    /// Waits for the next event. Returns `None` if the endpoint is silent for too long and the
+    /// stream may go on at another one.
+    async fn next_in_time(&mut self) -> Option<Next> {
+        loop {
+            let waiting = tokio::time::timeout(self.source.event_timeout, self.source.next());
+            if let Ok(next) = waiting.await {
+                return Some(next);
             }
-            Next::Broken | Next::Stalled => {
-                match resume(&mut dispatch, source, None, &next).await {
-                    Some(resumed) => source = resumed,
-                    None => return dispatch.refuse(RefusalKind::OutcomeUnknown, None),
-                }
+            if self.dispatch.may_move(&self.source.record) && self.dispatch.take_retry() {
+                return None;
             }
         }
-    };
-    source.slot.record_first_byte();
-    let waited = clock::now().since(dispatch.incoming.arrived);
-    dispatch.context.metrics.first.observe(waited.as_secs_f64());
-    let (response, sender) = answer::streaming(head.status(), answer_headers(head.headers()));
-    let tasks = dispatch.context.tasks.clone();
-    tasks.spawn_local(forward_events(dispatch, source, first, sender));
-    response
-}
+    }
 
-/// Forwards events until the stream ends, the caller disconnects or the deadline passes.
-async fn forward_events(
-    mut dispatch: Dispatch,
-    mut source: Source,
-    first: Next,
-    sender: mpsc::Sender<Chunk>,
-) {
-    let mut last = None;
-    let mut stats = StreamStats::new();
-    let first_byte = clock::now().since(dispatch.incoming.arrived);
-    let mut upcoming = first;
-    loop {
-        match upcoming {
-            Next::Event(event) => {
-                // A resumed stream may start with events that the caller has already received.
-                let is_duplicate = event
-                    .id
-                    .is_some_and(|id| last.is_some_and(|last| id <= last));
-                last = event.id.or(last);
-                source.event_timeout =
-                    stall::next_event_timeout(dispatch.incoming.head.route.event_gap);
-                stats.record_event();
-                source.record_event();
-                if !is_duplicate && sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
-                    return stats.log_end(&dispatch, &source, "caller gone");
+    /// Asks another endpoint to go on with the stream of a silent one, which is left only when the
+    /// other one has begun.
+    async fn replace_stalled(&mut self) {
+        self.dispatch.log_outcome("silent", &self.source.record);
+        self.source.slot.record_failure();
+        self.dispatch.exclude(&self.source.record);
+        let begun = {
+            let mut beginning = pin!(self.dispatch.begin(self.last));
+            tokio::select! {
+                next = self.source.next() => {
+                    let is_broken = matches!(next, Next::Broken);
+                    self.upcoming = Some(next);
+                    if !is_broken {
+                        return;
+                    }
+                    beginning.await
                 }
+                begun = beginning.as_mut() => begun,
             }
-            Next::End => break,
-            Next::CallerDisconnected => return stats.log_end(&dispatch, &source, "caller gone"),
-            Next::DeadlinePassed => {
-                dispatch.count_answer(StatusCode::OK, "timeout");
-                stats.log_end(&dispatch, &source, "timeout");
-                drop(sender.send(Err(AnswerInterrupted)).await);
-                return;
-            }
-            Next::Broken | Next::Stalled => {
-                let resumed = tokio::select! {
-                    resumed = resume(&mut dispatch, source, last, &upcoming) => resumed,
-                    () = sender.closed() => return,
-                };
-                let Some(resumed) = resumed else {
-                    dispatch.count_answer(StatusCode::OK, "broken");
-                    stats.log_interruption(&dispatch);
-                    drop(sender.send(Err(AnswerInterrupted)).await);
-                    return;
-                };
-                source = resumed;
+        };
+        if let Ok(Begun::Stream(start)) = begun {
+            self.source.slot.release(Ending::Broken);
+            self.go_on(*start);
+        }
+    }
+
+    /// Resumes the stream at another endpoint after its own one has failed. Returns whether that
+    /// succeeded.
+    async fn replace_broken(&mut self) -> bool {
+        let before_first = self.last.is_none();
+        self.dispatch.leave_broken(&mut self.source, before_first);
+        self.dispatch.exclude(&self.source.record);
+        if !self.dispatch.may_run_again() || !self.dispatch.take_retry() {
+            return false;
+        }
+        match self.dispatch.begin(self.last).await {
+            Ok(Begun::Stream(start)) => {
+                self.go_on(*start);
+                true
             }
+            _ => false,
         }
-        upcoming = tokio::select! {
-            next = next(&dispatch, &mut source) => next,
-            () = sender.closed() => Next::CallerDisconnected,
-        };
     }
-    log::info!(
-        request = dispatch.incoming.head.id_text(),
-        endpoint:% = source.record.id,
-        route:% = dispatch.incoming.head.route.name,
-        waited = clock::millis(dispatch.waited),
-        expected = dispatch.first_byte,
-        first = clock::millis(first_byte),
-        whole = dispatch.last_byte,
-        took = clock::millis(clock::now().since(dispatch.incoming.arrived)),
-        length = dispatch.incoming.head.length,
-        pause = clock::millis(stats.longest_gap),
-        events = stats.events,
-        sends = dispatch.sends,
-        prompt = dispatch.incoming.head.cost.map_or(0, |cost| cost.prompt);
-        "stream complete"
-    );
-    dispatch.count_send("answered");
-    dispatch.count_answer(StatusCode::OK, "endpoint");
-    source.slot.end(Ending::Complete);
-    dispatch.record_completion(source.lease);
-}
 
-/// Resumes the stream after the event `last` at another endpoint, if the route allows that.
-async fn resume(
-    dispatch: &mut Dispatch,
-    source: Source,
-    last: Option<u64>,
-    cause: &Next,
-) -> Option<Source> {
-    dispatch.excluded.push(source.record.id.clone());
-    let has_stalled = matches!(cause, Next::Stalled);
-    if has_stalled {
-        dispatch.log_outcome("silent", &source.record);
-    } else {
-        dispatch.log_outcome("broken", &source.record);
-        dispatch.context.upstream.close(&source.record.id);
+    /// Goes on with the stream that another endpoint has begun.
+    fn go_on(&mut self, start: StreamStart) {
+        self.dispatch.log_outcome("resumed", &start.source.record);
+        self.source = start.source;
+        self.upcoming = start.first;
     }
-    source.slot.end(Ending::Broken);
-    drop(source.lease);
-    dispatch.possible_runs += 1;
-    if last.is_none() && !has_stalled {
-        let mut scheduler = dispatch.context.scheduler.borrow_mut();
-        scheduler
-            .suspects_mut()
-            .record_crash(dispatch.incoming.digest, clock::now());
+
+    fn complete(self, first_byte: Duration) {
+        let (dispatch, source) = (self.dispatch, self.source);
+        log::info!(
+            request = dispatch.incoming.head.id_text(),
+            endpoint:% = source.record.id,
+            route:% = dispatch.incoming.head.route.name,
+            waited = clock::millis(dispatch.waited.get()),
+            expected = dispatch.estimate.get().first_byte,
+            first = clock::millis(first_byte),
+            whole = dispatch.estimate.get().last_byte,
+            took = clock::millis(clock::now().since(dispatch.incoming.arrived)),
+            length = dispatch.incoming.head.length,
+            pause = clock::millis(self.stats.longest_gap),
+            events = self.stats.events,
+            sends = dispatch.sends.get(),
+            prompt = dispatch.incoming.head.cost.map_or(0, |cost| cost.prompt);
+            "stream complete"
+        );
+        dispatch.count_send("answered");
+        dispatch.count_answer(StatusCode::OK, "endpoint");
+        source.slot.end(Ending::Complete);
+        dispatch.record_completion(source.lease);
     }
-    let route = dispatch.incoming.head.route.clone();
-    while route.retry.is_allowed() && dispatch.possible_runs < route.max_attempts {
-        let now = clock::now();
-        if dispatch.deadline <= now + MIN_RESUME_TIME
-            || !dispatch
-                .context
-                .scheduler
-                .borrow_mut()
-                .take_retry(&dispatch.service, now)
-        {
-            return None;
-        }
-        let PlacementOutcome::Placed(placement, slot) = dispatch.place().await else {
-            return None;
-        };
-        let record = placement.record.clone();
-        if let Some(resumed) = resume_at(dispatch, &record, slot, last).await {
-            return Some(resumed);
-        }
-        dispatch.excluded.push(record.id);
-        if dispatch.sends >= super::SEND_LIMIT {
-            return None;
-        }
+
+    /// Logs the end of a stream that did not complete.
+    fn log_end(&self, outcome: &str) {
+        let dispatch = &self.dispatch;
+        dispatch.ended.set(true);
+        dispatch.count_send(outcome);
+        log::info!(
+            request = dispatch.incoming.head.id_text(),
+            endpoint:% = self.source.record.id,
+            send = dispatch.sends.get(),
+            length = dispatch.incoming.head.length,
+            expected = dispatch.estimate.get().first_byte,
+            whole = dispatch.estimate.get().last_byte,
+            events = self.stats.events,
+            pause = clock::millis(self.stats.longest_gap),
+            silent = clock::millis(clock::now().since(self.stats.last_event));
+            "{outcome}"
+        );
     }
-    None
-}
 
-/// Asks one endpoint to resume the stream after the event `last`.
-async fn resume_at(
-    dispatch: &mut Dispatch,
-    record: &EndpointRecord,
-    slot: SlotGuard,
-    last: Option<u64>,
-) -> Option<Source> {
-    dispatch.sends += 1;
-    let request = dispatch.endpoint_request(record, last);
-    let left = dispatch.deadline.since(clock::now());
-    let timeout = left.min(dispatch.first_byte_timeout());
-    let sending = dispatch.context.upstream.send(record, request);
-    match tokio::time::timeout(timeout, sending).await {
-        Ok(Ok(reply)) if matches!(dispatch.classify(&reply.response), AnswerKind::Success) => {
-            dispatch.log_outcome("resumed", record);
-            return Some(Source::new(reply, slot, dispatch, record.clone()).1);
-        }
-        Ok(Ok(reply)) => {
-            let rejected = matches!(dispatch.classify(&reply.response), AnswerKind::Rejected);
-            dispatch.possible_runs += u32::from(!rejected);
-            slot.end(if rejected {
-                Ending::Rejected
-            } else {
-                Ending::Failed
-            });
-        }
-        Ok(Err(error)) => {
-            dispatch.possible_runs += u32::from(!error.is_unsent());
-            slot.end(Ending::Broken);
-            log::info!(endpoint:% = record.id; "cannot resume: {error}");
-        }
-        Err(_) => {
-            dispatch.possible_runs += 1;
-            dispatch.log_outcome("silent", record);
-            slot.end(Ending::Broken);
-        }
+    /// Logs that the caller's stream was cut off, because it could not be resumed.
+    fn log_interruption(&self) {
+        log::info!(
+            request = self.dispatch.incoming.head.id_text(),
+            sends = self.dispatch.sends.get(),
+            runs = self.dispatch.possible_runs.get(),
+            events = self.stats.events,
+            silent = clock::millis(clock::now().since(self.stats.last_event));
+            "interrupted"
+        );
     }
-    None
 }
