A resumed stream repeats no event

What callers saw: if an endpoint resumes a stream more than one event too early, all but the first of the repeated events reached the caller twice. Cause: the last received event was replaced by each repeated one, so that the next repeated event looked new. Change: it never goes back. Test: answers::a_resumed_stream_repeats_no_event, which received events 3 and 4 twice before.

--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -162,7 +162,7 @@
         self.source.record_event();
         self.stats.record_event();
         let received = event.id.is_some_and(|id| self.last >= Some(id));
-        self.last = event.id.or(self.last);
+        self.last = self.last.max(event.id);
         !received
     }
 
