A stream that its caller takes up goes on only at the build that began it

The entry that has a stream's first event now tells four other entries the service and the build before the caller can have that event, so that a kill of the entry right after loses nothing. A request that names its stream (header Resumes) goes to that service and build; an entry that does not know them asks up to nine others for at most 150 ms. Where nobody knows, the request goes on only if no other build can have begun the stream, and is otherwise refused with 503 and a short Retry-After: it has not run. A request with a Last-Event-Id above 0 and no Resumes counts as of unknown origin. Resumes is forwarded to the endpoint like any other header.

Messages between entries are now an enum of reports and messages about origins; entries of the version before do not understand it.

--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -21,6 +21,7 @@
 use crate::clock;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
+use crate::peers::PeerSocket;
 use crate::upstream::Upstream;
 
 /// Part of a route's longest deadline; a deadline of at least this part counts as the caller's
@@ -113,6 +114,10 @@
 pub struct Context {
     /// Makes all scheduling decisions.
     pub scheduler: RefCell<Scheduler>,
+    /// Exchanges messages with peers.
+    pub peers: PeerSocket,
+    /// Signals that a peer has answered a query about the origin of a stream.
+    pub origin_answers: Notify,
     /// Connections to endpoints.
     pub upstream: Upstream,
     /// Header names of the platform.
@@ -143,6 +148,7 @@
     #[must_use]
     pub fn new(
         scheduler: Scheduler,
+        peers: PeerSocket,
         dialect: Dialect,
         limits: TimeLimits,
         metrics: Metrics,
@@ -150,6 +156,8 @@
     ) -> Rc<Self> {
         Rc::new(Self {
             scheduler: RefCell::new(scheduler),
+            peers,
+            origin_answers: Notify::new(),
             upstream: Upstream::new(tasks.clone()),
             dialect,
             limits,
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Handles one request: places it, sends it, retries it if the route allows that, and answers it.
 
 mod attempt;
+mod origin;
 mod reserve;
 mod send;
 mod source;
@@ -12,7 +13,9 @@
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{EndpointId, EndpointRecord, PlacementRefusal, PlacementRequest};
+use comfreyhaven_core::direct::{
+    EndpointId, EndpointRecord, Origin, PlacementRefusal, PlacementRequest,
+};
 use comfreyhaven_core::refusal::RefusalKind;
 use hyper::{Response, StatusCode};
 
@@ -81,9 +84,20 @@
 }
 
 impl Dispatch {
-    pub(crate) fn new(context: Rc<Context>, incoming: IncomingRequest, service: Arc<str>) -> Self {
+    /// `origin` states where the stream began that the request takes up, if it does.
+    pub(crate) fn new(
+        context: Rc<Context>,
+        incoming: IncomingRequest,
+        service: Arc<str>,
+        origin: Option<Origin>,
+    ) -> Self {
         let head = &incoming.head;
-        let elapsed = context.elapsed(&head.route.name, head.deadline);
+        let build = origin.map(|origin| origin.build);
+        // The objective of a stream that has begun counts from its return.
+        let elapsed = match &build {
+            Some(_) => Duration::ZERO,
+            None => context.elapsed(&head.route.name, head.deadline),
+        };
         let time_limit = head.deadline.min(head.route.timeout);
         log::info!(
             request = head.id_text(),
@@ -103,7 +117,7 @@
             context,
             incoming,
             service,
-            build: None,
+            build,
             excluded: RefCell::default(),
             sends: Cell::new(0),
             arrivals: Cell::new(0),
@@ -181,11 +195,6 @@
         self.excluded.borrow_mut().push(record.id.clone());
     }
 
-    /// Requires the build that brought the first event for the rest of the stream.
-    fn keep_build(&mut self, record: &EndpointRecord) {
-        self.build.get_or_insert_with(|| Arc::clone(&record.build));
-    }
-
     /// Waits for a slot at an endpoint.
     async fn place(&self) -> PlacementOutcome {
         let started = clock::now();
--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -139,7 +139,7 @@
             };
             match next {
                 Some(Next::Event(event)) => {
-                    self.dispatch.keep_build(&self.source.record);
+                    self.dispatch.record_origin(&self.source.record).await;
                     if self.record_event(&event) {
                         return Step::Event(event);
                     }
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -2,8 +2,10 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use comfreyhaven_core::direct::{Origin, Route};
 use comfreyhaven_core::refusal::RefusalKind;
 use comfreyhaven_core::request::BodyDigest;
 use hyper::body::Incoming;
@@ -22,6 +24,7 @@
 use crate::dispatch::Dispatch;
 use crate::header_timeout::{ConnectionPhase, MonitoredStream};
 use crate::incoming::{self, IncomingRequest};
+use crate::origins;
 use crate::upstream;
 
 /// Retry delay sent to callers while the configuration is not confirmed.
@@ -30,6 +33,10 @@
 /// Retry delay sent to callers while this process sheds load because its timers fire late.
 const LAG_RETRY_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Retry delay sent to callers that take up a stream whose origin is not known. Another entry may
+/// know it.
+const ORIGIN_RETRY_DELAY: Duration = Duration::from_millis(400);
+
 /// Idle timeout of connections before a configuration is in force.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -160,21 +167,17 @@
     {
         return refuse(context, &parts, RefusalKind::NoEndpoint, None);
     }
-    if let Some(resumption) = &head.resumption {
-        let resumptions = &context.metrics.resumptions;
-        resumptions.with_label_values(&["unrecorded"]).inc();
-        log::info!(
-            request = head.id_text(),
-            stream = resumption.stream_text(),
-            last = resumption.last_text();
-            "takes a stream up"
-        );
-    }
-    let service = context
-        .scheduler
-        .borrow_mut()
-        .pick_service(&head.route.split);
-    let Some(service) = service else {
+    let origin = match &head.resumption {
+        Some(resumption) => match origins::find(context, &head, resumption).await {
+            Some(origin) => Some(origin),
+            None => {
+                let retry = Some(ORIGIN_RETRY_DELAY.min(head.deadline / 3));
+                return refuse(context, &parts, RefusalKind::NoEndpoint, retry);
+            }
+        },
+        None => None,
+    };
+    let Some(service) = service(context, &head.route, origin.as_ref()) else {
         return refuse(context, &parts, RefusalKind::NoEndpoint, None);
     };
     context.scheduler.borrow_mut().count_request(&service, now);
@@ -197,11 +200,21 @@
         body,
         digest,
     };
-    Dispatch::new(Rc::clone(context), incoming, service)
+    Dispatch::new(Rc::clone(context), incoming, service, origin)
         .run()
         .await
 }
 
+/// Chooses the service of a request. A stream goes on at the service that began it, if the route
+/// still leads there.
+fn service(context: &Context, route: &Route, origin: Option<&Origin>) -> Option<Arc<str>> {
+    let Some(origin) = origin else {
+        return context.scheduler.borrow_mut().pick_service(&route.split);
+    };
+    let mut services = route.split.iter().map(|part| &part.service);
+    services.find(|name| **name == origin.service).cloned()
+}
+
 fn refuse(
     context: &Context,
     parts: &hyper::http::request::Parts,
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -6,16 +6,14 @@
 use std::time::Duration;
 
 use comfreyhaven_core::direct::{Report, Role};
-use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
 use crate::context::Context;
+use crate::origins;
+use crate::peers::{MESSAGE_LIMIT_BYTES, PeerMessage, ReceiveError};
 use crate::snapshot;
 
-/// Largest report, in bytes.
-const REPORT_LIMIT_BYTES: usize = 60_000;
-
 /// Shortest interval between reports in a large fleet, used when this entry has read a change.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -30,13 +28,9 @@
 const ERROR_DELAY: Duration = Duration::from_millis(20);
 
 /// Sends this entry's reports to its peers until `stop`.
-pub(crate) async fn send_reports(
-    socket: Rc<UdpSocket>,
-    context: Rc<Context>,
-    stop: CancellationToken,
-) {
+pub(crate) async fn send_reports(context: Rc<Context>, stop: CancellationToken) {
     let mut role = Role::default();
-    send_to_peers(&socket, &context).await;
+    send_to_peers(&context).await;
     loop {
         let interval = context.scheduler.borrow().report_interval();
         let waiting = async {
@@ -50,7 +44,7 @@
             () = stop.cancelled() => break,
             () = waiting => {}
         }
-        send_to_peers(&socket, &context).await;
+        send_to_peers(&context).await;
         log_role(&context, &mut role);
         let expired = context.scheduler.borrow_mut().expire_peers(clock::now());
         for peer in expired {
@@ -58,7 +52,7 @@
         }
         context.process_queues();
     }
-    send_to_peers(&socket, &context).await;
+    send_to_peers(&context).await;
 }
 
 /// Logs this entry's role if it is no longer `last`.
@@ -70,52 +64,31 @@
     }
 }
 
-async fn send_to_peers(socket: &UdpSocket, context: &Context) {
+async fn send_to_peers(context: &Context) {
     let messages = context.scheduler.borrow_mut().reports(clock::now());
     for (to, report) in messages {
-        match rmp_serde::to_vec(&report) {
-            Ok(bytes) => {
-                if let Err(error) = socket.send_to(&bytes, to).await {
-                    log::debug!(peer:% = to; "cannot send report: {error}");
-                }
-            }
-            Err(error) => log::warn!("cannot encode report: {error}"),
-        }
+        context.peers.send(to, &PeerMessage::Report(report)).await;
     }
 }
 
-/// Receives peers' reports until `stop`.
-pub(crate) async fn receive_reports(
-    socket: Rc<UdpSocket>,
-    context: Rc<Context>,
-    stop: CancellationToken,
-) {
-    let mut buffer = vec![0; REPORT_LIMIT_BYTES];
+/// Receives peers' messages until `stop`.
+pub(crate) async fn receive_messages(context: Rc<Context>, stop: CancellationToken) {
+    let mut buffer = vec![0; MESSAGE_LIMIT_BYTES];
     loop {
         let received = tokio::select! {
             () = stop.cancelled() => break,
-            received = socket.recv_from(&mut buffer) => received,
+            received = context.peers.receive(&mut buffer) => received,
         };
-        let (length, from) = match received {
-            // Entries send reports from the port that they listen on.
-            Ok((_, from))
-                if socket
-                    .local_addr()
-                    .is_ok_and(|own| own.port() != from.port()) =>
-            {
-                log::debug!(peer:% = from; "ignoring a report from another port");
-                continue;
+        match received {
+            Ok((from, PeerMessage::Report(report))) => apply_report(&context, from, report),
+            Ok((from, PeerMessage::Origin(message))) => {
+                origins::apply(&context, from, message).await;
             }
-            Ok(received) => received,
-            Err(error) => {
-                log::debug!("cannot receive reports: {error}");
+            Err(ReceiveError::Malformed(error)) => log::warn!("cannot decode a message: {error}"),
+            Err(ReceiveError::Socket(error)) => {
+                log::debug!("cannot receive messages: {error}");
                 tokio::time::sleep(ERROR_DELAY).await;
-                continue;
             }
-        };
-        match rmp_serde::from_slice::<Report>(&buffer[..length]) {
-            Ok(report) => apply_report(&context, from, report),
-            Err(error) => log::warn!(peer:% = from; "cannot decode report: {error}"),
         }
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -19,6 +19,8 @@
 mod incoming;
 mod internal;
 pub mod metrics;
+mod origins;
+pub mod peers;
 pub mod process;
 pub mod settings;
 mod snapshot;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use prometheus::{Encoder, Registry, TextEncoder};
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -23,6 +23,7 @@
 use crate::dialect::Dialect;
 use crate::follow::Follower;
 use crate::metrics::Metrics;
+use crate::peers::PeerSocket;
 use crate::settings::Settings;
 use crate::store::{Section, Store};
 use crate::{front, gossip, internal, snapshot};
@@ -101,11 +102,11 @@
     let front = bind(addresses.front).await?;
     let ready = bind(addresses.ready).await?;
     let peers = bind(addresses.peer).await?;
-    let datagrams = UdpSocket::bind(addresses.peer).await;
-    let datagrams = Rc::new(datagrams.map_err(|source| StartError::Listen {
+    let datagrams = PeerSocket::bind(addresses.peer).await;
+    let datagrams = datagrams.map_err(|source| StartError::Listen {
         address: addresses.peer,
         source,
-    })?);
+    })?;
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Signal)?;
     let mut reload = signal(SignalKind::hangup()).map_err(StartError::Signal)?;
     let metrics = Metrics::new(Registry::new()).map_err(StartError::Metrics)?;
@@ -120,17 +121,22 @@
     .with_capacity(capacity)
     .with_start(clock::now());
     let tasks = TaskTracker::new();
-    let context = Context::new(scheduler, dialect, time_limits, metrics, tasks.clone());
+    let context = Context::new(
+        scheduler,
+        datagrams,
+        dialect,
+        time_limits,
+        metrics,
+        tasks.clone(),
+    );
     let (stop, finish) = (CancellationToken::new(), CancellationToken::new());
     let store = Rc::new(store);
     for section in Section::ALL {
         let follower = Follower::new(Rc::clone(&context), Rc::clone(&store), section);
         tasks.spawn_local(follower.run(finish.clone()));
     }
-    let (socket, shared) = (Rc::clone(&datagrams), Rc::clone(&context));
-    tasks.spawn_local(gossip::send_reports(socket, shared, finish.clone()));
-    tasks.spawn_local(gossip::receive_reports(
-        datagrams,
+    tasks.spawn_local(gossip::send_reports(Rc::clone(&context), finish.clone()));
+    tasks.spawn_local(gossip::receive_messages(
         Rc::clone(&context),
         finish.clone(),
     ));
