A stream that its caller does not name goes on where one build alone was seen

Callers that know nothing of builds take a stream up without naming it.

It is now decided by what this entry has seen since its start, without asking anyone: it goes on if that is one build, and is refused if there are several. A named stream is decided as before.

--- a/crates/core/src/direct/build_history.rs
+++ b/crates/core/src/direct/build_history.rs
@@ -17,15 +17,29 @@
 /// What an entry has seen of a service's builds within [`HISTORY_TIME`].
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SeenBuilds {
-    /// The entry has not observed the service for long enough, or has seen no build.
+    /// No build.
     #[default]
-    Unsure,
+    None,
+    /// One build only, but the entry has not observed the service for long enough to exclude
+    /// others.
+    OneLately(Arc<str>),
     /// One build only.
     One(Arc<str>),
     /// Several builds.
     Several,
 }
 
+impl SeenBuilds {
+    /// Returns the build, if only one was seen.
+    #[must_use]
+    pub const fn only(&self) -> Option<&Arc<str>> {
+        match self {
+            Self::One(build) | Self::OneLately(build) => Some(build),
+            Self::None | Self::Several => None,
+        }
+    }
+}
+
 /// When each build of each service was last listed.
 #[derive(Debug, Default)]
 pub struct BuildHistory {
@@ -54,14 +68,14 @@
         let recent = recorded.filter(|(_, seen)| now < **seen + HISTORY_TIME);
         let mut all = recent.map(|(build, _)| build).chain(listed);
         let Some(first) = all.next() else {
-            return SeenBuilds::Unsure;
+            return SeenBuilds::None;
         };
         if all.any(|build| build != first) {
             return SeenBuilds::Several;
         }
         match self.since {
             Some(since) if since + HISTORY_TIME <= now => SeenBuilds::One(Arc::clone(first)),
-            _ => SeenBuilds::Unsure,
+            _ => SeenBuilds::OneLately(Arc::clone(first)),
         }
     }
 }
--- a/crates/core/src/direct/origin_lookup.rs
+++ b/crates/core/src/direct/origin_lookup.rs
@@ -111,6 +111,8 @@
 pub(super) struct OriginLookup {
     pub(super) stream: StreamDigest,
     service: Option<Arc<str>>,
+    /// Whether the request names its stream.
+    named: bool,
     /// What this entry has seen of the service's builds.
     own: SeenBuilds,
     /// The entries asked, with their answers.
@@ -131,6 +133,7 @@
         Self {
             stream,
             service,
+            named: true,
             own,
             asked: peers.into_iter().map(|peer| (peer, None)).collect(),
             found: None,
@@ -139,6 +142,14 @@
         }
     }
 
+    /// Creates the lookup of a request that does not name its stream, which no peer can know.
+    pub(super) fn unnamed(service: Option<Arc<str>>, own: SeenBuilds, now: Timestamp) -> Self {
+        Self {
+            named: false,
+            ..Self::new(StreamDigest(0), service, own, Vec::new(), now)
+        }
+    }
+
     pub(super) fn find(&mut self, origin: Origin, source: OriginSource) {
         self.found.get_or_insert((origin, source));
     }
@@ -175,31 +186,36 @@
         }
     }
 
-    /// Decides without an origin. An entry that most others do not answer may be cut off and know
-    /// old builds only.
+    /// Decides without an origin: the stream goes on only where one build alone can have begun it.
     fn unfound(&self) -> LookupResult {
+        let only = if self.named {
+            self.only_build()
+        } else {
+            self.own.only()
+        };
+        let (Some(service), Some(build)) = (&self.service, only) else {
+            return LookupResult::Unknown;
+        };
+        let origin = Origin {
+            service: Arc::clone(service),
+            build: Arc::clone(build),
+        };
+        LookupResult::Known(origin, OriginSource::OnlyBuild)
+    }
+
+    /// Returns the build that this entry and those that answered have seen alone. An entry that most
+    /// others do not answer may be cut off and know old builds only.
+    fn only_build(&self) -> Option<&Arc<str>> {
         let answers: Vec<_> = self.asked.values().flatten().collect();
-        let mut seen = answers.iter().copied().chain([&self.own]);
+        if answers.len() * 2 < self.asked.len() {
+            return None;
+        }
+        let mut seen = answers.into_iter().chain([&self.own]);
         let only = seen.clone().find_map(|seen| match seen {
             SeenBuilds::One(build) => Some(build),
-            SeenBuilds::Unsure | SeenBuilds::Several => None,
-        });
-        let agrees = |seen: &SeenBuilds| match seen {
-            SeenBuilds::One(build) => Some(build) == only,
-            SeenBuilds::Unsure => true,
-            SeenBuilds::Several => false,
-        };
-        match (&self.service, only) {
-            (Some(service), Some(build))
-                if answers.len() * 2 >= self.asked.len() && seen.all(agrees) =>
-            {
-                let origin = Origin {
-                    service: Arc::clone(service),
-                    build: Arc::clone(build),
-                };
-                LookupResult::Known(origin, OriginSource::OnlyBuild)
-            }
-            _ => LookupResult::Unknown,
-        }
+            _ => None,
+        })?;
+        let agrees = |seen: &SeenBuilds| *seen == SeenBuilds::None || seen.only() == Some(only);
+        seen.all(agrees).then_some(only)
     }
 }
--- a/crates/core/src/direct/scheduler/origins.rs
+++ b/crates/core/src/direct/scheduler/origins.rs
@@ -35,8 +35,7 @@
     }
 
     /// Starts a lookup of the origin of a stream. `services` are those at which it may have begun.
-    /// A request that does not name its stream has none. The lookup is ended by
-    /// [`Scheduler::end_lookup`].
+    /// A request may not name its stream. The lookup is ended by [`Scheduler::end_lookup`].
     pub fn start_lookup(
         &mut self,
         ticket: Ticket,
@@ -50,14 +49,19 @@
         };
         let own = service
             .as_ref()
-            .map_or(SeenBuilds::Unsure, |service| self.seen_builds(service, now));
-        // Without its stream a request can only be asked about the builds that others have seen.
-        let key = stream.unwrap_or(StreamDigest(ticket.0));
-        let peers = first_for(key.0, self.members.addresses().into_iter(), ASKED);
-        let mut lookup = OriginLookup::new(key, service, own, peers, now);
-        if let Some(origin) = stream.and_then(|stream| self.origins.get(stream, now)) {
-            lookup.find(origin.clone(), OriginSource::Memory);
-        }
+            .map_or(SeenBuilds::None, |service| self.seen_builds(service, now));
+        let lookup = match stream {
+            Some(stream) => {
+                let known = self.origins.get(stream, now).cloned();
+                let peers = first_for(stream.0, self.members.addresses().into_iter(), ASKED);
+                let mut lookup = OriginLookup::new(stream, service, own, peers, now);
+                if let Some(origin) = known {
+                    lookup.find(origin, OriginSource::Memory);
+                }
+                lookup
+            }
+            None => OriginLookup::unnamed(service, own, now),
+        };
         self.lookups.insert(ticket, lookup);
     }
 
@@ -128,7 +132,7 @@
                 lifetime: whole_millis(self.origins.remaining(stream, now)),
             };
         }
-        let seen = service.map_or(SeenBuilds::Unsure, |service| self.seen_builds(service, now));
+        let seen = service.map_or(SeenBuilds::None, |service| self.seen_builds(service, now));
         OriginMessage::Unknown { stream, seen }
     }
 
