A late rejection counts at once while another send is under way

What callers saw: a request whose first endpoint was silent and then rejected it, and whose second one hung, was never sent to a third one that had a slot; it ended with 504 at its deadline. Found by review. Cause: the first endpoint counted as one that may have run the request until the second send had ended, so the limit on attempts forbade a third. Change: each send corrects the counts as soon as its own outcome is known. A silent endpoint is also not left beyond the limit of sends.

--- a/crates/direct/src/dispatch/attempt.rs
+++ b/crates/direct/src/dispatch/attempt.rs
@@ -138,32 +138,9 @@
         }
     }
 
-    /// Sends the request once. It counts as run until its outcome is known, so that the counts are
-    /// right also if this future is dropped.
-    async fn send(
-        &self,
-        placement: &Placement,
-        slot: SlotGuard,
-        reservation: Option<String>,
-        last: Option<u64>,
-    ) -> Result<Begun, SendFault> {
-        self.arrivals.set(self.arrivals.get() + 1);
-        self.possible_runs.set(self.possible_runs.get() + 1);
-        let result = self
-            .send_patiently(placement, slot, reservation, last)
-            .await;
-        if matches!(result, Err(SendFault::Unsent)) {
-            self.arrivals.set(self.arrivals.get() - 1);
-        }
-        if matches!(result, Err(SendFault::Unsent | SendFault::NotRun)) {
-            self.possible_runs.set(self.possible_runs.get() - 1);
-        }
-        result
-    }
-
     /// Sends the request, and sends it to another endpoint too while the first one is silent for
     /// too long. The first answer counts.
-    async fn send_patiently(
+    async fn send(
         &self,
         placement: &Placement,
         slot: SlotGuard,
@@ -172,7 +149,7 @@
     ) -> Result<Begun, SendFault> {
         let record = &placement.record;
         let timeout = self.first_byte_timeout();
-        let mut sending = pin!(self.send_once(record, slot, reservation, last));
+        let mut sending = pin!(self.send_counted(record, slot, reservation, last));
         let mut others = Failure::Unknown;
         loop {
             if let Ok(result) = tokio::time::timeout(timeout, sending.as_mut()).await {
@@ -201,10 +178,32 @@
         }
     }
 
+    /// Sends the request once. It counts as run until its outcome is known, so that the counts are
+    /// right also if this future is dropped.
+    async fn send_counted(
+        &self,
+        record: &EndpointRecord,
+        slot: SlotGuard,
+        reservation: Option<String>,
+        last: Option<u64>,
+    ) -> Result<Begun, SendFault> {
+        self.arrivals.set(self.arrivals.get() + 1);
+        self.possible_runs.set(self.possible_runs.get() + 1);
+        let result = self.send_once(record, slot, reservation, last).await;
+        if matches!(result, Err(SendFault::Unsent)) {
+            self.arrivals.set(self.arrivals.get() - 1);
+        }
+        if matches!(result, Err(SendFault::Unsent | SendFault::NotRun)) {
+            self.possible_runs.set(self.possible_runs.get() - 1);
+        }
+        result
+    }
+
     /// Returns whether the request may be sent to another endpoint while `record` is silent.
     pub(super) fn may_move(&self, record: &EndpointRecord) -> bool {
         let now = clock::now();
-        if !self.may_run_again() || self.deadline < now + MIN_MOVE_TIME {
+        let too_late = self.deadline < now + MIN_MOVE_TIME;
+        if too_late || self.sends.get() >= SEND_LIMIT || !self.may_run_again() {
             return false;
         }
         let mut excluded = self.excluded.borrow().clone();
