A silent endpoint is not left for the head of a stream without an event

What callers saw: a silent endpoint was left 0.3 s after another one had sent the head of its stream. If that one then stalled, the stream was cut off or refused, although the first endpoint went on. Found by review. Change: the stream of the other endpoint begins with its first event.

--- a/crates/direct/src/dispatch/attempt.rs
+++ b/crates/direct/src/dispatch/attempt.rs
@@ -24,7 +24,7 @@
 pub(super) enum Begun {
     /// An answer that is not a stream. It is complete.
     Complete(Response<AnswerBody>),
-    /// A stream whose head has arrived.
+    /// A stream whose first event has arrived.
     Stream(Box<StreamStart>),
 }
 
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -16,10 +16,6 @@
 use crate::context::SlotGuard;
 use crate::upstream::{Lease, Reply, SendError};
 
-/// How long an endpoint that has accepted a stream may take for the first event before the stream
-/// counts as begun. The endpoint that it replaces is left no later.
-const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Largest answer that is buffered until it is complete, in bytes.
 const BODY_LIMIT_BYTES: usize = 8 << 20;
 
@@ -108,7 +104,8 @@
         }
     }
 
-    /// Waits for the first event of a stream, but no longer than [`FIRST_EVENT_TIMEOUT`].
+    /// Waits for the first event of a stream. A head alone does not show that the endpoint works on
+    /// the request.
     async fn begin_stream(
         &self,
         reply: Reply,
@@ -116,14 +113,11 @@
         record: &EndpointRecord,
     ) -> Result<Begun, SendFault> {
         let (head, mut source) = Source::new(reply, slot, self, record.clone());
-        let first = match tokio::time::timeout(FIRST_EVENT_TIMEOUT, source.next()).await {
-            Ok(Next::Broken) => {
-                self.leave_broken(&mut source, true);
-                return Err(SendFault::Cut(head));
-            }
-            Ok(next) => Some(next),
-            Err(_) => None,
-        };
+        let first = source.next().await;
+        if matches!(first, Next::Broken) {
+            self.leave_broken(&mut source, true);
+            return Err(SendFault::Cut(head));
+        }
         let start = StreamStart {
             head,
             source,
--- a/crates/direct/src/dispatch/source.rs
+++ b/crates/direct/src/dispatch/source.rs
@@ -23,13 +23,13 @@
     Broken,
 }
 
-/// A stream that an endpoint has begun.
+/// A stream that an endpoint has begun: its first event has arrived, or its end.
 pub(super) struct StreamStart {
     /// Head of the caller's answer.
     pub(super) head: Response<()>,
     pub(super) source: Source,
-    /// What followed the head, if it has arrived.
-    pub(super) first: Option<Next>,
+    /// What followed the head.
+    pub(super) first: Next,
 }
 
 /// The streamed answer of one endpoint.
--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -74,7 +74,7 @@
     let mut stream = Stream {
         dispatch,
         source: start.source,
-        upcoming: start.first,
+        upcoming: Some(start.first),
         last: None,
         stats: StreamStats::new(),
     };
@@ -228,7 +228,7 @@
     fn go_on(&mut self, start: StreamStart) {
         self.dispatch.log_outcome("resumed", &start.source.record);
         self.source = start.source;
-        self.upcoming = start.first;
+        self.upcoming = Some(start.first);
     }
 
     fn complete(self, first_byte: Duration) {
