An endpoint's failure is the caller's answer if no other endpoint succeeds

What callers saw: 504 of the entry's own at the deadline, although an endpoint had answered 500 and only the retry hung. Cause: the answer was held by the loop of sends, and was dropped with it at the deadline; a stream dropped it when its replacement failed. Change: the request keeps the last failure that an endpoint has answered. Test: answers::a_failure_that_an_endpoint_answered_is_not_replaced_at_the_deadline, 504 before.

--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -57,6 +57,9 @@
     /// Total time the request has waited for a slot.
     waited: Cell<Duration>,
     estimate: Cell<Estimate>,
+    /// The last failure that an endpoint has answered. It is the caller's answer if no endpoint
+    /// succeeds.
+    failed: RefCell<Option<Response<AnswerBody>>>,
     /// Whether the end of the request has been logged.
     ended: Cell<bool>,
 }
@@ -104,6 +107,7 @@
             possible_runs: Cell::new(0),
             waited: Cell::default(),
             estimate: Cell::default(),
+            failed: RefCell::default(),
             ended: Cell::new(false),
         }
     }
@@ -113,27 +117,31 @@
         let left = self.deadline.since(clock::now());
         let begun = tokio::time::timeout(left, self.begin(None)).await;
         match begun {
-            Ok(Ok(Begun::Complete(response))) | Ok(Err(Failure::Failed(response))) => {
-                self.count_answer(response.status(), "endpoint");
-                response
-            }
+            Ok(Ok(Begun::Complete(response))) => self.answer(response),
             Ok(Ok(Begun::Stream(start))) => stream::start(self, *start).await,
-            Ok(Err(failure)) => self.refuse_failed(&failure),
+            Ok(Err(Failure::Refused(refusal))) => self.fail(|| self.refuse_unplaced(&refusal)),
+            Ok(Err(_)) if self.possible_runs.get() == 0 => {
+                self.refuse(RefusalKind::Overloaded, Some(RETRY_DELAY))
+            }
+            Ok(Err(_)) => self.fail(|| self.refuse(RefusalKind::OutcomeUnknown, None)),
             Err(_) if self.possible_runs.get() > 0 => {
-                self.refuse(RefusalKind::DeadlineExceeded, None)
+                self.fail(|| self.refuse(RefusalKind::DeadlineExceeded, None))
             }
             Err(_) => self.refuse(RefusalKind::Overloaded, Some(RETRY_DELAY)),
         }
     }
 
-    /// Answers a request that no endpoint has answered.
-    fn refuse_failed(&self, failure: &Failure) -> Response<AnswerBody> {
-        match failure {
-            Failure::Refused(refusal) => self.refuse_unplaced(refusal),
-            _ if self.possible_runs.get() == 0 => {
-                self.refuse(RefusalKind::Overloaded, Some(RETRY_DELAY))
-            }
-            _ => self.refuse(RefusalKind::OutcomeUnknown, None),
+    /// Answers with what an endpoint has answered.
+    fn answer(&self, response: Response<AnswerBody>) -> Response<AnswerBody> {
+        self.count_answer(response.status(), "endpoint");
+        response
+    }
+
+    /// Answers with the failure of an endpoint, or with `refusal` if none has answered.
+    fn fail(&self, refusal: impl FnOnce() -> Response<AnswerBody>) -> Response<AnswerBody> {
+        match self.failed.take() {
+            Some(response) => self.answer(response),
+            None => refusal(),
         }
     }
 
--- a/crates/direct/src/dispatch/attempt.rs
+++ b/crates/direct/src/dispatch/attempt.rs
@@ -36,8 +36,6 @@
     NotRun,
     /// The last endpoint may have run the request.
     Unknown,
-    /// An endpoint ran the request and failed with this answer.
-    Failed(Response<AnswerBody>),
 }
 
 /// Why one endpoint has not begun to answer.
@@ -52,21 +50,19 @@
     Unknown,
     /// The stream with this head ended before its first event.
     Cut(Response<()>),
-    /// The endpoint ran the request and failed with this answer.
-    Failed(Response<AnswerBody>),
+    /// The endpoint ran the request and failed.
+    Failed,
 }
 
 impl Dispatch {
     /// Sends the request until an endpoint begins to answer. `last` is the last event of the stream
     /// that the caller has received.
     pub(super) async fn begin(&self, last: Option<u64>) -> Result<Begun, Failure> {
-        let (mut head, mut failed) = (None, None);
+        let mut head = None;
         loop {
             let (placement, slot) = match self.place().await {
                 PlacementOutcome::Placed(placement, slot) => (placement, slot),
-                PlacementOutcome::Refused(refusal) => {
-                    return Err(failed.map_or(Failure::Refused(refusal), Failure::Failed));
-                }
+                PlacementOutcome::Refused(refusal) => return Err(Failure::Refused(refusal)),
             };
             let fault = match self.attempt(&placement, slot, last).await {
                 Ok(Begun::Stream(mut start)) => {
@@ -82,18 +78,14 @@
             let retry = self.may_retry(&fault) && self.take_retry();
             let failure = match fault {
                 SendFault::Full | SendFault::Unsent | SendFault::NotRun => Failure::NotRun,
-                SendFault::Unknown => Failure::Unknown,
+                SendFault::Unknown | SendFault::Failed => Failure::Unknown,
                 SendFault::Cut(first) => {
                     head.get_or_insert(first);
                     Failure::Unknown
                 }
-                SendFault::Failed(response) => {
-                    failed = Some(response);
-                    Failure::Unknown
-                }
             };
             if !retry {
-                return Err(failed.map_or(failure, Failure::Failed));
+                return Err(failure);
             }
         }
     }
@@ -102,7 +94,7 @@
     fn may_retry(&self, fault: &SendFault) -> bool {
         let allowed = match fault {
             SendFault::Full | SendFault::Unsent | SendFault::NotRun => true,
-            SendFault::Unknown | SendFault::Cut(_) | SendFault::Failed(_) => self.may_run_again(),
+            SendFault::Unknown | SendFault::Cut(_) | SendFault::Failed => self.may_run_again(),
         };
         allowed && self.sends.get() < SEND_LIMIT
     }
@@ -150,10 +142,9 @@
         let record = &placement.record;
         let timeout = self.first_byte_timeout();
         let mut sending = pin!(self.send_counted(record, slot, reservation, last));
-        let mut others = Failure::Unknown;
         loop {
             if let Ok(result) = tokio::time::timeout(timeout, sending.as_mut()).await {
-                return result.map_err(|fault| fault.or(others));
+                return result;
             }
             if !self.may_move(record) || !self.take_retry() {
                 continue;
@@ -168,11 +159,10 @@
             tokio::select! {
                 result = sending.as_mut() => return match result {
                     Ok(begun) => Ok(begun),
-                    Err(fault) => elsewhere.await.map_err(|failure| fault.or(failure)),
+                    Err(fault) => elsewhere.await.map_err(|_| fault),
                 },
-                result = elsewhere.as_mut() => match result {
-                    Ok(begun) => return Ok(begun),
-                    Err(failure) => others = failure,
+                result = elsewhere.as_mut() => if let Ok(begun) = result {
+                    return Ok(begun);
                 },
             }
         }
@@ -213,14 +203,3 @@
         scheduler.may_retry(&self.service, &excluded, streaming, now)
     }
 }
-
-impl SendFault {
-    /// Returns the fault of a request that failed at this endpoint and at others. A failure that an
-    /// endpoint has answered is passed on to the caller.
-    fn or(self, elsewhere: Failure) -> Self {
-        match (self, elsewhere) {
-            (Self::Failed(response), _) | (_, Failure::Failed(response)) => Self::Failed(response),
-            (fault, _) => fault,
-        }
-    }
-}
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -92,8 +92,9 @@
                 collected.map(Begun::Complete)
             }
             AnswerKind::Failure => {
-                let collected = self.collect(reply, slot, record, Ending::Failed).await;
-                Err(collected.map_or_else(|fault| fault, SendFault::Failed))
+                let response = self.collect(reply, slot, record, Ending::Failed).await?;
+                self.failed.replace(Some(response));
+                Err(SendFault::Failed)
             }
             AnswerKind::Rejected => Err(self.handle_rejection(reply, slot, record)),
             AnswerKind::Foreign => {
--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -82,8 +82,12 @@
     let dispatch = &stream.dispatch;
     match first {
         Step::Event(_) | Step::End => {}
-        Step::Interrupted => return dispatch.refuse(RefusalKind::OutcomeUnknown, None),
-        Step::DeadlinePassed => return dispatch.refuse(RefusalKind::DeadlineExceeded, None),
+        Step::Interrupted => {
+            return dispatch.fail(|| dispatch.refuse(RefusalKind::OutcomeUnknown, None));
+        }
+        Step::DeadlinePassed => {
+            return dispatch.fail(|| dispatch.refuse(RefusalKind::DeadlineExceeded, None));
+        }
     }
     let waited = clock::now().since(dispatch.incoming.arrived);
     dispatch.context.metrics.first.observe(waited.as_secs_f64());
