A leaving process answers the requests that it has read

Cause: the process took itself for idle when no request ran or waited, while bodies were still being read, and ended all tasks but those of the connections. Change: the other tasks end after those of the callers' connections have been joined; at the end of the grace period waiting requests are refused.

--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -215,11 +215,10 @@
         *baseline - deadline
     }
 
-    /// Returns whether no request runs or waits.
-    #[must_use]
-    pub fn is_idle(&self) -> bool {
-        let totals = self.scheduler.borrow().totals();
-        totals.running == 0 && totals.waiting == 0
+    /// Refuses all requests that wait for a slot.
+    pub fn refuse_waiting(&self) {
+        // A request whose waiter is dropped counts as refused.
+        self.waiters.borrow_mut().clear();
     }
 
     /// Returns whether a request waits for a slot.
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -14,6 +14,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::accept::accept;
 use crate::answer::{self, AnswerBody};
@@ -49,10 +50,16 @@
 /// Header limit before a configuration is in force, in bytes.
 const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
 
-/// Accepts connections until `stop`, then lets open connections finish their requests.
-pub(crate) async fn serve(listener: TcpListener, context: Rc<Context>, stop: CancellationToken) {
+/// Accepts connections until `stop`, then lets open connections finish their requests. The task of
+/// each connection is spawned on `callers`.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    callers: TaskTracker,
+    context: Rc<Context>,
+    stop: CancellationToken,
+) {
     let serve = |stream| serve_connection(stream, Rc::clone(&context), stop.clone());
-    accept(listener, &context.tasks, &stop, serve).await;
+    accept(listener, &callers, &stop, serve).await;
 }
 
 async fn serve_connection(stream: TcpStream, context: Rc<Context>, stop: CancellationToken) {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -40,6 +40,9 @@
 /// Part of the grace period in which a leaving process finishes its requests.
 const GRACE_PART: f64 = 0.95;
 
+/// How long tasks may take to end after the grace period.
+const JOIN_TIME: Duration = Duration::from_millis(100);
+
 /// Addresses of a process and of its first peers, and its data centre.
 #[derive(Debug, Clone)]
 pub struct Addresses {
@@ -119,7 +122,7 @@
     )
     .with_capacity(capacity)
     .with_start(clock::now());
-    let tasks = TaskTracker::new();
+    let (tasks, callers) = (TaskTracker::new(), TaskTracker::new());
     let context = Context::new(scheduler, dialect, time_limits, metrics, tasks.clone());
     let (stop, finish) = (CancellationToken::new(), CancellationToken::new());
     let store = Rc::new(store);
@@ -148,7 +151,12 @@
         serve(bind(address).await?, answer_probe);
     }
     tasks.spawn_local(run_ticks(Rc::clone(&context), finish.clone()));
-    tasks.spawn_local(front::serve(front, Rc::clone(&context), stop.clone()));
+    tasks.spawn_local(front::serve(
+        front,
+        callers.clone(),
+        Rc::clone(&context),
+        stop.clone(),
+    ));
     log::info!(front:% = addresses.front, boot = boot; "started");
     loop {
         tokio::select! {
@@ -157,7 +165,11 @@
         }
     }
     log::info!("leaving on SIGTERM");
-    shut_down(&context, &tasks, stop, finish).await;
+    let tasks = Tasks {
+        callers,
+        others: tasks,
+    };
+    tasks.shut_down(&context, &stop, &finish).await;
     Ok(())
 }
 
@@ -175,31 +187,42 @@
     }
 }
 
-/// Stops accepting connections after a delay, waits for running requests, and joins all tasks.
-async fn shut_down(
-    context: &Context,
-    tasks: &TaskTracker,
-    stop: CancellationToken,
-    finish: CancellationToken,
-) {
-    let started = clock::now();
-    let grace = context.limits.grace.mul_f64(GRACE_PART);
-    context.start_leaving();
-    tokio::time::sleep(LEAVING_ACCEPT_TIME.min(grace / 2)).await;
-    stop.cancel();
-    while clock::now().since(started) < grace && !context.is_idle() {
-        tokio::time::sleep(TICK).await;
-    }
-    finish.cancel();
-    tasks.close();
-    let left = grace.saturating_sub(clock::now().since(started));
-    if tokio::time::timeout(left.max(TICK * 5), tasks.wait())
-        .await
-        .is_err()
-    {
-        log::warn!("leaving with unfinished requests: the grace period has ended");
+/// The tasks of a process.
+struct Tasks {
+    /// One for each caller's connection.
+    callers: TaskTracker,
+    others: TaskTracker,
+}
+
+impl Tasks {
+    /// Stops accepting connections after a delay, waits until all callers have their answers, and
+    /// joins all tasks. Until then all decisions go on, and the store and the peers are followed.
+    async fn shut_down(
+        &self,
+        context: &Context,
+        stop: &CancellationToken,
+        finish: &CancellationToken,
+    ) {
+        let end = clock::now() + context.limits.grace.mul_f64(GRACE_PART);
+        context.start_leaving();
+        let grace = end.since(clock::now());
+        tokio::time::sleep(LEAVING_ACCEPT_TIME.min(grace / 2)).await;
+        stop.cancel();
+        self.callers.close();
+        self.others.close();
+        let left = end.since(clock::now());
+        let answered = tokio::time::timeout(left, self.callers.wait()).await;
+        if answered.is_err() {
+            context.refuse_waiting();
+        }
+        finish.cancel();
+        let left = end.since(clock::now()).max(JOIN_TIME);
+        let joined = async { tokio::join!(self.callers.wait(), self.others.wait()) };
+        if tokio::time::timeout(left, joined).await.is_err() {
+            log::warn!("leaving with unfinished requests: the grace period has ended");
+        }
+        log::info!("left");
     }
-    log::info!("left");
 }
 
 async fn run_ticks(context: Rc<Context>, stop: CancellationToken) {
