--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -74,7 +74,7 @@
     let mut stream = Stream {
         dispatch,
         source: start.source,
-        upcoming: start.first,
+        upcoming: Some(start.first),
         last: None,
         stats: StreamStats::new(),
     };
@@ -82,8 +82,12 @@
     let dispatch = &stream.dispatch;
     match first {
         Step::Event(_) | Step::End => {}
-        Step::Interrupted => return dispatch.refuse(RefusalKind::OutcomeUnknown, None),
-        Step::DeadlinePassed => return dispatch.refuse(RefusalKind::DeadlineExceeded, None),
+        Step::Interrupted => {
+            return dispatch.fail(|| dispatch.refuse(RefusalKind::OutcomeUnknown, None));
+        }
+        Step::DeadlinePassed => {
+            return dispatch.fail(|| dispatch.refuse(RefusalKind::DeadlineExceeded, None));
+        }
     }
     let waited = clock::now().since(dispatch.incoming.arrived);
     dispatch.context.metrics.first.observe(waited.as_secs_f64());
@@ -229,7 +233,7 @@
     fn go_on(&mut self, start: StreamStart) {
         self.dispatch.log_outcome("resumed", &start.source.record);
         self.source = start.source;
-        self.upcoming = start.first;
+        self.upcoming = Some(start.first);
     }
 
     fn complete(self, first_byte: Duration) {
