Kept connections of callers follow the limits in force

Cause: the limits were read when the connection was accepted. Change: the idle limit and the header's time are read from the configuration in force when they would end a connection; a request that has arrived by then is served. The log line of a failed connection names its cause, and idle closes have a line. Not changed: the largest header of a connection is still the one at its accept.

--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -10,7 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
@@ -21,7 +21,7 @@
 use crate::clock;
 use crate::context::Context;
 use crate::dispatch::Dispatch;
-use crate::header_timeout::{ConnectionPhase, MonitoredStream};
+use crate::header_timeout::{ConnectionPhase, MonitoredStream, Overdue, PhaseLimits};
 use crate::incoming::{self, IncomingRequest};
 use crate::upstream;
 
@@ -67,20 +67,11 @@
         log::debug!("cannot set up a caller's connection: {error}");
         return;
     }
-    let plan = context.scheduler.borrow().plan().clone();
-    let (idle_timeout, header_timeout, header_bytes) = if plan.version > 0 {
-        (plan.idle_timeout, plan.header_timeout, plan.header_bytes)
-    } else {
-        (
-            DEFAULT_IDLE_TIMEOUT,
-            DEFAULT_HEADER_TIMEOUT,
-            DEFAULT_HEADER_BYTES,
-        )
-    };
     let phase = ConnectionPhase::new();
     let service_phase = Rc::clone(&phase);
+    let shared = Rc::clone(&context);
     let service = service_fn(move |request| {
-        let context = Rc::clone(&context);
+        let context = Rc::clone(&shared);
         let busy = service_phase.start_answer();
         async move {
             let mut response = handle(request, &context).await;
@@ -91,28 +82,59 @@
         }
     });
     let mut connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout)
-        .max_buf_size(header_bytes.max(BUFFER_MIN_BYTES))
+        .header_read_timeout(None)
+        .max_buf_size(header_bytes(&context).max(BUFFER_MIN_BYTES))
         .serve_connection(
             TokioIo::new(MonitoredStream::new(stream, Rc::clone(&phase))),
             service,
         );
-    let ended = tokio::select! {
-        ended = Pin::new(&mut connection) => ended,
-        () = phase.header_overdue(header_timeout) => {
-            let stream = connection.into_parts().io.into_inner().into_inner();
-            return answer_timeout(stream).await;
-        }
-        () = stop.cancelled() => {
-            Pin::new(&mut connection).graceful_shutdown();
-            connection.await
+    let mut stopping = false;
+    let ended = loop {
+        // A request that has arrived is read before the connection is closed.
+        tokio::select! {
+            biased;
+            ended = Pin::new(&mut connection) => break ended,
+            overdue = phase.overdue(|| phase_limits(&context)) => match overdue {
+                Overdue::Idle => return log::info!("an idle connection of a caller is closed"),
+                Overdue::Header => {
+                    let stream = connection.into_parts().io.into_inner().into_inner();
+                    return answer_timeout(stream).await;
+                }
+            },
+            () = stop.cancelled(), if !stopping => {
+                stopping = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
         }
     };
-    match ended {
-        Err(error) if error.is_timeout() => log::debug!("an idle connection of a caller is closed"),
-        Err(error) => log::info!("a caller's connection failed: {error}"),
-        Ok(()) => {}
+    if let Err(error) = ended {
+        let cause = std::error::Error::source(&error).map(ToString::to_string);
+        log::info!(cause = cause; "a caller's connection failed: {error}");
+    }
+}
+
+/// Returns the limits in force for callers' connections.
+fn phase_limits(context: &Context) -> PhaseLimits {
+    let scheduler = context.scheduler.borrow();
+    let plan = scheduler.plan();
+    if plan.version == 0 {
+        return PhaseLimits {
+            idle: DEFAULT_IDLE_TIMEOUT,
+            header: DEFAULT_HEADER_TIMEOUT,
+        };
+    }
+    PhaseLimits {
+        idle: plan.idle_timeout,
+        header: plan.header_timeout,
+    }
+}
+
+/// Returns the header limit in force, in bytes.
+fn header_bytes(context: &Context) -> usize {
+    let scheduler = context.scheduler.borrow();
+    match scheduler.plan().version {
+        0 => DEFAULT_HEADER_BYTES,
+        _ => scheduler.plan().header_bytes,
     }
 }
 
--- a/crates/direct/src/header_timeout.rs
+++ b/crates/direct/src/header_timeout.rs
@@ -1,5 +1,5 @@
-//! Measures how long the header of a request takes to arrive on a caller's connection. A caller
-//! that sends its header byte by byte never becomes idle, so the idle timeout does not catch it.
+//! Measures how long a caller's connection is idle, and how long the header of a request takes to
+//! arrive on it. A caller that sends its header byte by byte never becomes idle.
 
 use std::cell::Cell;
 use std::io;
@@ -16,14 +16,30 @@
 /// State of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
-    /// No request has started.
-    Idle,
+    /// No request has started since the given time.
+    Idle(Instant),
     /// A header has been arriving since the given time.
     ReadingHeader(Instant),
     /// A request is being answered.
     Busy,
 }
 
+/// Longest times of a connection's states.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PhaseLimits {
+    /// Time without a request.
+    pub(crate) idle: Duration,
+    /// Time in which a header must arrive.
+    pub(crate) header: Duration,
+}
+
+/// The limit that a connection has exceeded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Overdue {
+    Idle,
+    Header,
+}
+
 /// State of one connection, shared by its stream, its service and its header timeout.
 #[derive(Debug)]
 pub(crate) struct ConnectionPhase {
@@ -39,7 +55,7 @@
     /// Creates the state of a new, idle connection.
     pub(crate) fn new() -> Rc<Self> {
         Rc::new(Self {
-            state: Cell::new(State::Idle),
+            state: Cell::new(State::Idle(Instant::now())),
             changed: Notify::new(),
         })
     }
@@ -55,16 +71,24 @@
         BusyGuard(Rc::clone(self))
     }
 
-    /// Waits until a header has been arriving for `limit`.
-    pub(crate) async fn header_overdue(&self, limit: Duration) {
+    /// Waits until the connection exceeds one of the limits, which are read again when one of them
+    /// has passed.
+    pub(crate) async fn overdue(&self, limits: impl Fn() -> PhaseLimits) -> Overdue {
         loop {
-            match self.state.get() {
-                State::ReadingHeader(since) if since.elapsed() >= limit => return,
-                State::ReadingHeader(since) => tokio::select! {
-                    () = tokio::time::sleep_until(since + limit) => {}
-                    () = self.changed.notified() => {}
-                },
-                State::Idle | State::Busy => self.changed.notified().await,
+            let (end, overdue) = match self.state.get() {
+                State::Idle(since) => (since + limits().idle, Overdue::Idle),
+                State::ReadingHeader(since) => (since + limits().header, Overdue::Header),
+                State::Busy => {
+                    self.changed.notified().await;
+                    continue;
+                }
+            };
+            if end <= Instant::now() {
+                return overdue;
+            }
+            tokio::select! {
+                () = tokio::time::sleep_until(end) => {}
+                () = self.changed.notified() => {}
             }
         }
     }
@@ -79,7 +103,7 @@
 
 impl Drop for BusyGuard {
     fn drop(&mut self) {
-        self.0.set(State::Idle);
+        self.0.set(State::Idle(Instant::now()));
     }
 }
 
@@ -137,7 +161,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before && self.phase.state.get() == State::Idle {
+        if buffer.filled().len() > before && matches!(self.phase.state.get(), State::Idle(_)) {
             self.phase.set(State::ReadingHeader(Instant::now()));
         }
         polled
