A stream goes on nowhere once its endpoint has come back with another build

Rule: a stream may go on only at the build that began it. An endpoint may start again under its id with another build, and entries learn of that up to a second later; until then, what begins there is recorded with the older build.

An origin now names its endpoint. When that endpoint's record shows another build, a stream that began there is not resumed and a request that takes it up is refused as not run, since it may have begun at either. The first event of a stream is recorded with the build that is listed then, not with that of the record by which the request was placed. A stream that begins, breaks and is taken up before the new record is known stays open (postmortem).

core direct::origins::a_stream_whose_endpoint_returned_with_another_build_is_unknown fails with the check switched off and passes. No test plays this with processes.

--- a/crates/core/src/direct/origin_lookup.rs
+++ b/crates/core/src/direct/origin_lookup.rs
@@ -199,6 +199,7 @@
         let origin = Origin {
             service: Arc::clone(service),
             build: Arc::clone(build),
+            endpoint: None,
         };
         LookupResult::Known(origin, OriginSource::OnlyBuild)
     }
--- a/crates/core/src/direct/scheduler/origins.rs
+++ b/crates/core/src/direct/scheduler/origins.rs
@@ -9,6 +9,7 @@
 use crate::direct::origin_lookup::{
     ASKED, HOLDERS, LookupResult, LookupStep, OriginLookup, OriginMessage, OriginSource,
 };
+use crate::direct::plan::EndpointRecord;
 use crate::direct::rendezvous::first_for;
 use crate::direct::stream_origins::{Origin, StreamDigest};
 use crate::time::{Timestamp, whole_millis};
@@ -67,9 +68,38 @@
 
     /// Returns what a lookup does next.
     pub fn step_lookup(&mut self, ticket: Ticket, now: Timestamp) -> LookupStep {
-        match self.lookups.get_mut(&ticket) {
+        let step = match self.lookups.get_mut(&ticket) {
             Some(lookup) => lookup.step(now),
             None => LookupStep::Done(LookupResult::Unknown),
+        };
+        match step {
+            LookupStep::Done(LookupResult::Known(origin, _)) if !self.is_certain(&origin) => {
+                LookupStep::Done(LookupResult::Unknown)
+            }
+            step => step,
+        }
+    }
+
+    /// Returns whether the endpoint that began a stream has not come back under its id with another
+    /// build. If it has, the stream may have begun at either build, since entries learn of that
+    /// late.
+    #[must_use]
+    pub fn is_certain(&self, origin: &Origin) -> bool {
+        let endpoint = origin.endpoint.as_ref();
+        let state = endpoint.and_then(|id| self.endpoints.get(id));
+        state.is_none_or(|state| state.record().build == origin.build)
+    }
+
+    /// Returns where a stream begins whose first event has arrived from the endpoint with this
+    /// record. An endpoint that still answers is the one listed last under its id.
+    #[must_use]
+    pub fn origin_at(&self, record: &EndpointRecord) -> Origin {
+        let listed = self.endpoints.get(&record.id);
+        let record = listed.map_or(record, |state| state.record());
+        Origin {
+            service: Arc::clone(&record.service),
+            build: Arc::clone(&record.build),
+            endpoint: Some(Arc::clone(&record.id)),
         }
     }
 
--- a/crates/core/src/direct/stream_origins.rs
+++ b/crates/core/src/direct/stream_origins.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::plan::EndpointId;
 use crate::time::Timestamp;
 
 /// Longest time for which an origin is kept.
@@ -26,13 +27,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct StreamDigest(pub u64);
 
-/// The service and the build that began a stream.
+/// Where a stream began.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Origin {
     /// Name of the service.
     pub service: Arc<str>,
     /// Version of the software of the endpoint that brought the first event.
     pub build: Arc<str>,
+    /// That endpoint, if the origin was not derived from the builds of the service.
+    pub endpoint: Option<EndpointId>,
 }
 
 #[derive(Debug)]
@@ -51,7 +54,7 @@
 ///
 /// let mut origins = StreamOrigins::default();
 /// let (stream, now) = (StreamDigest(7), Timestamp::from_millis(0));
-/// let origin = Origin { service: "model".into(), build: "v1".into() };
+/// let origin = Origin { service: "model".into(), build: "v1".into(), endpoint: None };
 /// origins.record(stream, origin.clone(), Duration::from_secs(5), now);
 /// assert_eq!(origins.get(stream, now), Some(&origin));
 /// assert_eq!(origins.get(stream, Timestamp::from_millis(60_000)), None);
--- a/crates/core/tests/core/direct/origins.rs
+++ b/crates/core/tests/core/direct/origins.rs
@@ -39,6 +39,7 @@
     Origin {
         service: SERVICE.into(),
         build: format!("v{}", number % 3).into(),
+        endpoint: None,
     }
 }
 
@@ -296,6 +297,39 @@
     }
 }
 
+/// An endpoint came back under its id with another build; what began there before and after its
+/// return, while entries had the older record, could not be told apart.
+#[test]
+fn a_stream_whose_endpoint_returned_with_another_build_is_unknown() {
+    let mut exchange = Exchange::new(3, 0.0);
+    exchange.fleet.add_endpoint("e", 4, Duration::ZERO);
+    let now = at(exchange.fleet.now);
+    let entry = exchange.fleet.entries[0]
+        .as_mut()
+        .expect("the entry is down");
+    let began = entry.origin_at(&endpoint_record("e", 4));
+    let (message, holders) = entry.begin_stream(stream(1), began.clone(), LIFETIME, now);
+    for holder in holders {
+        exchange.deliver(0, holder, message.clone(), exchange.fleet.now);
+    }
+    let known = LookupResult::Known(began, OriginSource::Memory);
+    assert_eq!(exchange.look_up(1, Some(stream(1))).0, known);
+    let returned = EndpointRecord {
+        build: "v2".into(),
+        started_ms: 2,
+        ..endpoint_record("e", 4)
+    };
+    for entry in exchange.fleet.entries.iter_mut().flatten() {
+        entry.upsert_endpoint(returned.clone(), now);
+        // What begins there now, begins at the new build, whatever record the request was placed by.
+        assert_eq!(&*entry.origin_at(&endpoint_record("e", 4)).build, "v2");
+    }
+    for index in 0..3 {
+        let found = exchange.look_up(index, Some(stream(1))).0;
+        assert_eq!(found, LookupResult::Unknown);
+    }
+}
+
 /// Two requests that took the same stream up shared one lookup, and ended together.
 #[test]
 fn lookups_of_one_stream_end_independently() {
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -50,8 +50,8 @@
     context: Rc<Context>,
     incoming: IncomingRequest,
     service: Arc<str>,
-    /// The build that began the stream, once that is known.
-    build: Option<Arc<str>>,
+    /// Where the stream began, once that is known.
+    origin: Option<Origin>,
     /// When the caller's deadline or the route's timeout ends, whichever is earlier.
     deadline: Timestamp,
     objective: Timestamp,
@@ -95,9 +95,8 @@
         origin: Option<Origin>,
     ) -> Self {
         let head = &incoming.head;
-        let build = origin.map(|origin| origin.build);
         // The objective of a stream that has begun counts from its return.
-        let elapsed = match &build {
+        let elapsed = match &origin {
             Some(_) => Duration::ZERO,
             None => context.elapsed(&head.route.name, head.deadline),
         };
@@ -120,7 +119,7 @@
             context,
             incoming,
             service,
-            build,
+            origin,
             excluded: RefCell::default(),
             sends: Cell::new(0),
             arrivals: Cell::new(0),
@@ -203,18 +202,31 @@
         self.excluded.borrow_mut().push(record.id.clone());
     }
 
+    /// Returns the build that has to run the request, if one has begun the stream.
+    fn build(&self) -> Option<&Arc<str>> {
+        self.origin.as_ref().map(|origin| &origin.build)
+    }
+
+    /// Returns whether the request may go on elsewhere: it is certain where its stream began, if it
+    /// has.
+    fn may_go_on(&self) -> bool {
+        let scheduler = self.context.scheduler.borrow();
+        let origin = self.origin.as_ref();
+        origin.is_none_or(|origin| scheduler.is_certain(origin))
+    }
+
     /// Waits for a slot at an endpoint.
     async fn place(&self) -> PlacementOutcome {
         let started = clock::now();
         let head = &self.incoming.head;
-        let objective = match &self.build {
+        let objective = match &self.origin {
             Some(_) => self.objective.max(started + RESUME_WAIT),
             None => self.objective,
         };
         let request = PlacementRequest {
             ticket: self.context.ticket(),
             service: Arc::clone(&self.service),
-            build: self.build.clone(),
+            build: self.build().cloned(),
             kind: Arc::clone(&head.route.name),
             average_time: Duration::ZERO,
             team_rank: head.team_rank(),
--- a/crates/direct/src/dispatch/attempt.rs
+++ b/crates/direct/src/dispatch/attempt.rs
@@ -102,7 +102,9 @@
     /// Returns whether one more endpoint may run the request.
     pub(super) fn may_run_again(&self) -> bool {
         let route = &self.incoming.head.route;
-        route.retry.is_allowed() && self.possible_runs.get() < route.max_attempts
+        route.retry.is_allowed()
+            && self.may_go_on()
+            && self.possible_runs.get() < route.max_attempts
     }
 
     /// Reserves a slot at an endpoint, if the placement asks for it, and sends the request there.
@@ -200,7 +202,7 @@
         excluded.push(record.id.clone());
         let streaming = self.incoming.head.route.streaming;
         let mut scheduler = self.context.scheduler.borrow_mut();
-        let build = self.build.as_deref();
+        let build = self.build().map(|build| &**build);
         scheduler.may_retry(&self.service, build, &excluded, streaming, now)
     }
 }
--- a/crates/direct/src/dispatch/origin.rs
+++ b/crates/direct/src/dispatch/origin.rs
@@ -1,8 +1,6 @@
 //! Records at which build a stream began, before its caller receives the first event.
 
-use std::sync::Arc;
-
-use comfreyhaven_core::direct::{EndpointRecord, Origin, RetryPolicy};
+use comfreyhaven_core::direct::{EndpointRecord, RetryPolicy};
 
 use super::Dispatch;
 use crate::clock;
@@ -12,18 +10,15 @@
     /// Requires the build that brought the first event for the rest of the stream, and tells peers
     /// of it if callers may take the stream up.
     pub(super) async fn record_origin(&mut self, record: &EndpointRecord) {
-        if self.build.is_some() {
+        if self.origin.is_some() {
             return;
         }
-        self.build = Some(Arc::clone(&record.build));
+        let origin = self.context.scheduler.borrow().origin_at(record);
+        self.origin = Some(origin.clone());
         let head = &self.incoming.head;
         if head.route.retry != RetryPolicy::Resumable {
             return;
         }
-        let origin = Origin {
-            service: Arc::clone(&record.service),
-            build: Arc::clone(&record.build),
-        };
         let lifetime = (self.incoming.arrived + head.deadline).since(clock::now());
         origins::announce(&self.context, &head.id, origin, lifetime).await;
     }
