--- a/crates/core/tests/core/direct/builds.rs
+++ b/crates/core/tests/core/direct/builds.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use comfreyhaven_core::direct::{
-    Ending, EndpointRecord, Outcome, PlacementRequest, Reason, Scheduler,
+    Ending, EndpointRecord, Outcome, PlacementRequest, Reason, Run, Scheduler,
 };
 
 use super::{SERVICE, at, endpoint_record, placed, placement_request, scheduler};
@@ -91,3 +91,69 @@
     assert!(matches!(outcome, Some(Outcome::Refused(_))));
     assert!(placed(scheduler.submit(going_on(3, "v2"), at(2))).is_some());
 }
+
+/// Time for which each request occupies its slot, in milliseconds.
+const RUN_TIME: u64 = 400;
+
+/// Requests served and decided of one kind.
+#[derive(Debug, Default)]
+struct Share {
+    served: u32,
+    decided: u32,
+}
+
+impl Share {
+    fn count(&mut self, outcome: &Outcome) {
+        self.decided += 1;
+        self.served += u32::from(matches!(outcome, Outcome::Placed(_)));
+    }
+}
+
+/// Streams that callers took up found no slot at the few endpoints of their build, while new
+/// streams used all endpoints. Two endpoints of each build, and half more requests than slots.
+#[test]
+fn streams_taken_up_go_on_at_least_half_as_often_as_new_ones_begin() {
+    let mut scheduler = scheduler(1, &[]);
+    for (number, build) in ["v1", "v2", "v1", "v2"].into_iter().enumerate() {
+        list(&mut scheduler, number as u8, build, 4);
+    }
+    let (mut begun, mut taken_up) = (Share::default(), Share::default());
+    let mut running: Vec<(u64, Run)> = Vec::new();
+    let mut ticket = 0;
+    for millis in 0..20_000_u64 {
+        let now = at(millis);
+        let mut decided = Vec::new();
+        while let Some(index) = running.iter().position(|(end, _)| *end <= millis) {
+            scheduler.end(&running.swap_remove(index).1, Ending::Complete, now);
+        }
+        for (waited, outcome) in scheduler.process_queues(now) {
+            decided.push((waited.0, outcome));
+        }
+        // 60 requests a second for 40 that the slots can run; one in four takes a stream up.
+        if millis % 50 % 17 == 0 {
+            ticket += 1;
+            let mut request = placement_request(ticket, 1, now);
+            request.build = (ticket % 4 == 0).then(|| "v1".into());
+            if let Some(outcome) = scheduler.submit(request, now) {
+                decided.push((ticket, outcome));
+            }
+        }
+        for (number, outcome) in decided {
+            let share = if number % 4 == 0 {
+                &mut taken_up
+            } else {
+                &mut begun
+            };
+            share.count(&outcome);
+            if let Outcome::Placed(placement) = outcome {
+                running.push((millis + RUN_TIME, placement.run));
+            }
+        }
+    }
+    let part = |share: &Share| f64::from(share.served) / f64::from(share.decided);
+    assert!(begun.served < begun.decided, "no overload: {begun:?}");
+    assert!(
+        part(&taken_up) >= part(&begun) / 2.0,
+        "{taken_up:?} of {begun:?}"
+    );
+}
