An unnamed stream of a split route goes on where all services have one build

Callers that do not name the stream that they take up were refused on every route that is split over services, though all of these had the same build; before the change to streams' origins such a request was served. The services of a route now count as one for an unnamed stream, which goes on at the one with the largest weight. A named stream is decided as before.

builds::a_stream_of_a_split_route_stays_at_its_service, extended by such a request, failed before (503 no_endpoint) and passes.

--- a/crates/core/src/direct/scheduler/origins.rs
+++ b/crates/core/src/direct/scheduler/origins.rs
@@ -35,7 +35,8 @@
         (message, holders)
     }
 
-    /// Starts a lookup of the origin of a stream. `services` are those at which it may have begun.
+    /// Starts a lookup of the origin of a stream. `services` are those at which it may have begun,
+    /// the one first that a stream of unknown service goes on at.
     /// A request may not name its stream. The lookup is ended by [`Scheduler::end_lookup`].
     pub fn start_lookup(
         &mut self,
@@ -61,7 +62,10 @@
                 }
                 lookup
             }
-            None => OriginLookup::unnamed(service, own, now),
+            None => {
+                let own = self.seen_builds_of_all(services, now);
+                OriginLookup::unnamed(services.first().cloned(), own, now)
+            }
         };
         self.lookups.insert(ticket, lookup);
     }
@@ -166,6 +170,21 @@
         OriginMessage::Unknown { stream, seen }
     }
 
+    /// Returns the builds of several services, as if they were one.
+    fn seen_builds_of_all(&self, services: &[Arc<str>], now: Timestamp) -> SeenBuilds {
+        let mut all = services
+            .iter()
+            .map(|service| self.seen_builds(service, now));
+        let Some(first) = all.next() else {
+            return SeenBuilds::None;
+        };
+        if all.all(|seen| seen.only() == first.only()) {
+            first
+        } else {
+            SeenBuilds::Several
+        }
+    }
+
     fn seen_builds(&self, service: &str, now: Timestamp) -> SeenBuilds {
         let listed = self.endpoints.of_service(service);
         let listed = listed.map(|state| &state.record().build);
--- a/crates/direct/src/origins.rs
+++ b/crates/direct/src/origins.rs
@@ -1,5 +1,6 @@
 //! Tells peers where streams begin, and finds where a stream began that a caller takes up.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -90,7 +91,8 @@
 impl<'a> Lookup<'a> {
     fn start(context: &'a Context, head: &Head, resumption: &Resumption) -> Self {
         let ticket = context.ticket();
-        let split = &head.route.split;
+        let mut split: Vec<_> = head.route.split.iter().collect();
+        split.sort_by_key(|part| Reverse(part.weight));
         let services: Vec<_> = split.iter().map(|part| Arc::clone(&part.service)).collect();
         let stream = resumption.stream.as_ref().map(stream_digest);
         let mut scheduler = context.scheduler.borrow_mut();
