--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -3,6 +3,7 @@
 
 mod limits;
 mod message;
+mod origins;
 mod placement;
 mod reports;
 mod snapshot;
@@ -24,12 +25,14 @@
 use super::confirmation::Confirmation;
 use super::endpoint_table::{EndpointTable, Run};
 use super::members::Members;
+use super::origin_lookup::OriginLookup;
 use super::plan::{EndpointId, EndpointRecord, Plan};
 use super::rate_limit::RateLimiter;
 use super::report::{Identity, ServiceLoad, Source};
 use super::retry_budget::RetryBudget;
 use super::spending::Spending;
 use super::store_progress::StoreProgress;
+use super::stream_origins::StreamOrigins;
 use super::suspects::Suspects;
 use super::topology::Topology;
 use super::wait_queue::{QueuePosition, WaitQueue};
@@ -81,6 +84,8 @@
     demand: HashMap<Source, Demand>,
     confirmation: Confirmation,
     store_progress: StoreProgress,
+    origins: StreamOrigins,
+    lookups: BTreeMap<Ticket, OriginLookup>,
     random: ChaCha8Rng,
 }
 
@@ -122,6 +127,8 @@
             demand: HashMap::new(),
             confirmation: Confirmation::default(),
             store_progress: StoreProgress::default(),
+            origins: StreamOrigins::default(),
+            lookups: BTreeMap::new(),
             random: ChaCha8Rng::seed_from_u64(boot),
         }
     }
@@ -264,10 +271,9 @@
         }
         let position = QueuePosition::new(&request, late);
         let queue = self.queues.get(&request.service);
-        let ahead = queue.map_or(0, |queue| queue.ahead_of(&position));
-        if ahead == 0
-            && let Some(placed) = self.place(&request, late, now)
-        {
+        let build = request.build.as_deref();
+        let is_behind = queue.is_some_and(|queue| queue.is_behind(&position, build));
+        if !is_behind && let Some(placed) = self.place(&request, late, now) {
             return Some(placed);
         }
         if late && self.wait_limit(&request) <= now {
@@ -319,7 +325,8 @@
         now: Timestamp,
     ) {
         let positions = self.queues.get(service).map(WaitQueue::positions);
-        let mut full = false;
+        // Builds without a slot; none stands for requests that any build may run.
+        let mut full: Vec<Option<Arc<str>>> = Vec::new();
         for position in positions.unwrap_or_default() {
             let Some(request) = self
                 .queues
@@ -329,16 +336,19 @@
                 continue;
             };
             let overdue = self.is_overdue(&position, request, now);
-            if full && !overdue {
+            let is_full = full.contains(&request.build);
+            if is_full && !overdue {
                 continue;
             }
             let request = request.clone();
-            let placed = if full {
+            let placed = if is_full {
                 None
             } else {
                 self.place(&request, position.is_late(), now)
             };
-            full |= placed.is_none();
+            if placed.is_none() && !is_full {
+                full.push(request.build.clone());
+            }
             let refused = || overdue.then(|| self.refuse(&request, Reason::Overloaded, now));
             if let Some(outcome) = placed.or_else(refused) {
                 outcomes.push((request.ticket, outcome));
--- /dev/null
+++ b/crates/core/src/direct/scheduler/origins.rs
@@ -0,0 +1,193 @@
+//! The origins of streams: which entries keep them, and how they are found.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Scheduler, Ticket};
+use crate::direct::build_history::SeenBuilds;
+use crate::direct::origin_lookup::{
+    ASKED, HOLDERS, LookupResult, LookupStep, OriginLookup, OriginMessage, OriginSource,
+};
+use crate::direct::plan::EndpointRecord;
+use crate::direct::rendezvous::first_for;
+use crate::direct::stream_origins::{Origin, StreamDigest};
+use crate::time::{Timestamp, whole_millis};
+
+impl Scheduler {
+    /// Records where a stream began. Returns the message that tells its holders, and the holders.
+    /// They are to be told before the caller receives the first event.
+    pub fn begin_stream(
+        &mut self,
+        stream: StreamDigest,
+        origin: Origin,
+        lifetime: Duration,
+        now: Timestamp,
+    ) -> (OriginMessage, Vec<SocketAddr>) {
+        self.origins.record(stream, origin.clone(), lifetime, now);
+        let holders = self.members.holders(stream.0, HOLDERS, now);
+        let lifetime = whole_millis(lifetime);
+        let message = OriginMessage::Began {
+            stream,
+            origin,
+            lifetime,
+        };
+        (message, holders)
+    }
+
+    /// Starts a lookup of the origin of a stream. `services` are those at which it may have begun,
+    /// the one first that a stream of unknown service goes on at.
+    /// A request may not name its stream. The lookup is ended by [`Scheduler::end_lookup`].
+    pub fn start_lookup(
+        &mut self,
+        ticket: Ticket,
+        stream: Option<StreamDigest>,
+        services: &[Arc<str>],
+        now: Timestamp,
+    ) {
+        let service = match services {
+            [service] => Some(Arc::clone(service)),
+            _ => None,
+        };
+        let own = service
+            .as_ref()
+            .map_or(SeenBuilds::None, |service| self.seen_builds(service, now));
+        let lookup = match stream {
+            Some(stream) => {
+                let known = self.origins.get(stream, now).cloned();
+                let peers = first_for(stream.0, self.members.addresses().into_iter(), ASKED);
+                let mut lookup = OriginLookup::new(stream, service, own, peers, now);
+                if let Some(origin) = known {
+                    lookup.find(origin, OriginSource::Memory);
+                }
+                lookup
+            }
+            None => {
+                let own = self.seen_builds_of_all(services, now);
+                OriginLookup::unnamed(services.first().cloned(), own, now)
+            }
+        };
+        self.lookups.insert(ticket, lookup);
+    }
+
+    /// Returns what a lookup does next.
+    pub fn step_lookup(&mut self, ticket: Ticket, now: Timestamp) -> LookupStep {
+        let step = match self.lookups.get_mut(&ticket) {
+            Some(lookup) => lookup.step(now),
+            None => LookupStep::Done(LookupResult::Unknown),
+        };
+        match step {
+            LookupStep::Done(LookupResult::Known(origin, _)) if !self.is_certain(&origin) => {
+                LookupStep::Done(LookupResult::Unknown)
+            }
+            step => step,
+        }
+    }
+
+    /// Returns whether the endpoint that began a stream has not come back under its id with another
+    /// build. If it has, the stream may have begun at either build, since entries learn of that
+    /// late.
+    #[must_use]
+    pub fn is_certain(&self, origin: &Origin) -> bool {
+        let endpoint = origin.endpoint.as_ref();
+        let state = endpoint.and_then(|id| self.endpoints.get(id));
+        state.is_none_or(|state| state.record().build == origin.build)
+    }
+
+    /// Returns where a stream begins whose first event has arrived from the endpoint with this
+    /// record. An endpoint that still answers is the one listed last under its id.
+    #[must_use]
+    pub fn origin_at(&self, record: &EndpointRecord) -> Origin {
+        let listed = self.endpoints.get(&record.id);
+        let record = listed.map_or(record, |state| state.record());
+        Origin {
+            service: Arc::clone(&record.service),
+            build: Arc::clone(&record.build),
+            endpoint: Some(Arc::clone(&record.id)),
+        }
+    }
+
+    /// Ends a lookup.
+    pub fn end_lookup(&mut self, ticket: Ticket) {
+        self.lookups.remove(&ticket);
+    }
+
+    /// Applies a message of a peer about an origin. Returns the answer to a query.
+    pub fn apply_origin_message(
+        &mut self,
+        from: SocketAddr,
+        message: OriginMessage,
+        now: Timestamp,
+    ) -> Option<OriginMessage> {
+        match message {
+            OriginMessage::Began {
+                stream,
+                origin,
+                lifetime,
+            } => {
+                let lifetime = Duration::from_millis(lifetime.into());
+                self.origins.record(stream, origin, lifetime, now);
+                None
+            }
+            OriginMessage::Query { stream, service } => {
+                Some(self.answer_query(stream, service.as_deref(), now))
+            }
+            OriginMessage::Known {
+                stream,
+                origin,
+                lifetime,
+            } => {
+                for lookup in self.lookups.values_mut().filter(|l| l.stream == stream) {
+                    lookup.find(origin.clone(), OriginSource::Peer);
+                }
+                let lifetime = Duration::from_millis(lifetime.into());
+                self.origins.record(stream, origin, lifetime, now);
+                None
+            }
+            OriginMessage::Unknown { stream, seen } => {
+                for lookup in self.lookups.values_mut().filter(|l| l.stream == stream) {
+                    lookup.record_unknown(from, seen.clone());
+                }
+                None
+            }
+        }
+    }
+
+    fn answer_query(
+        &self,
+        stream: StreamDigest,
+        service: Option<&str>,
+        now: Timestamp,
+    ) -> OriginMessage {
+        if let Some(origin) = self.origins.get(stream, now) {
+            return OriginMessage::Known {
+                stream,
+                origin: origin.clone(),
+                lifetime: whole_millis(self.origins.remaining(stream, now)),
+            };
+        }
+        let seen = service.map_or(SeenBuilds::None, |service| self.seen_builds(service, now));
+        OriginMessage::Unknown { stream, seen }
+    }
+
+    /// Returns the builds of several services, as if they were one.
+    fn seen_builds_of_all(&self, services: &[Arc<str>], now: Timestamp) -> SeenBuilds {
+        let mut all = services
+            .iter()
+            .map(|service| self.seen_builds(service, now));
+        let Some(first) = all.next() else {
+            return SeenBuilds::None;
+        };
+        if all.all(|seen| seen.only() == first.only()) {
+            first
+        } else {
+            SeenBuilds::Several
+        }
+    }
+
+    fn seen_builds(&self, service: &str, now: Timestamp) -> SeenBuilds {
+        let listed = self.endpoints.of_service(service);
+        let listed = listed.map(|state| &state.record().build);
+        self.endpoints.builds().seen(service, listed, now)
+    }
+}
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -1,5 +1,6 @@
 //! Tests of the direct entry: its components alone, and several entries over simulated endpoints.
 
+mod builds;
 mod cold;
 mod components;
 mod confirmation;
@@ -8,6 +9,7 @@
 mod fleet_network;
 mod large_fleet;
 mod members;
+mod origins;
 mod overload;
 mod rate_limit;
 mod simulation;
@@ -95,6 +97,7 @@
         service: SERVICE.into(),
         address: SocketAddr::from(([10, 1, 0, 1], 80)),
         centre: "a".into(),
+        build: "v1".into(),
         slots,
         leaving: false,
         cold: Duration::ZERO,
@@ -107,6 +110,7 @@
     PlacementRequest {
         ticket: Ticket(ticket),
         service: SERVICE.into(),
+        build: None,
         kind: format!("rank-{rank}").into(),
         average_time: Duration::ZERO,
         team_rank: 0,
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Handles one request: places it, sends it, retries it if the route allows that, and answers it.
 
 mod attempt;
+mod origin;
 mod reserve;
 mod send;
 mod source;
@@ -12,7 +13,9 @@
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{EndpointId, EndpointRecord, PlacementRefusal, PlacementRequest};
+use comfreyhaven_core::direct::{
+    EndpointId, EndpointRecord, Origin, PlacementRefusal, PlacementRequest,
+};
 use comfreyhaven_core::refusal::RefusalKind;
 use hyper::{Response, StatusCode};
 
@@ -28,6 +31,9 @@
 /// Time that must remain before the deadline for another send to be useful.
 const MIN_SEND_TIME: Duration = Duration::from_millis(60);
 
+/// How long a stream that has begun may wait for a slot at its build.
+const RESUME_WAIT: Duration = Duration::from_millis(600);
+
 /// Retry delay sent to callers when no endpoint could be reached.
 const RETRY_DELAY: Duration = Duration::from_millis(700);
 
@@ -44,6 +50,8 @@
     context: Rc<Context>,
     incoming: IncomingRequest,
     service: Arc<str>,
+    /// Where the stream began, once that is known.
+    origin: Option<Origin>,
     /// When the caller's deadline or the route's timeout ends, whichever is earlier.
     deadline: Timestamp,
     objective: Timestamp,
@@ -79,9 +87,19 @@
 }
 
 impl Dispatch {
-    pub(crate) fn new(context: Rc<Context>, incoming: IncomingRequest, service: Arc<str>) -> Self {
+    /// `origin` states where the stream began that the request takes up, if it does.
+    pub(crate) fn new(
+        context: Rc<Context>,
+        incoming: IncomingRequest,
+        service: Arc<str>,
+        origin: Option<Origin>,
+    ) -> Self {
         let head = &incoming.head;
-        let elapsed = context.elapsed(&head.route.name, head.deadline);
+        // The objective of a stream that has begun counts from its return.
+        let elapsed = match &origin {
+            Some(_) => Duration::ZERO,
+            None => context.elapsed(&head.route.name, head.deadline),
+        };
         let time_limit = head.deadline.min(head.route.timeout);
         log::info!(
             request = head.id_text(),
@@ -101,6 +119,7 @@
             context,
             incoming,
             service,
+            origin,
             excluded: RefCell::default(),
             sends: Cell::new(0),
             arrivals: Cell::new(0),
@@ -183,13 +202,31 @@
         self.excluded.borrow_mut().push(record.id.clone());
     }
 
+    /// Returns the build that has to run the request, if one has begun the stream.
+    fn build(&self) -> Option<&Arc<str>> {
+        self.origin.as_ref().map(|origin| &origin.build)
+    }
+
+    /// Returns whether the request may go on elsewhere: it is certain where its stream began, if it
+    /// has.
+    fn may_go_on(&self) -> bool {
+        let scheduler = self.context.scheduler.borrow();
+        let origin = self.origin.as_ref();
+        origin.is_none_or(|origin| scheduler.is_certain(origin))
+    }
+
     /// Waits for a slot at an endpoint.
     async fn place(&self) -> PlacementOutcome {
         let started = clock::now();
         let head = &self.incoming.head;
+        let objective = match &self.origin {
+            Some(_) => self.objective.max(started + RESUME_WAIT),
+            None => self.objective,
+        };
         let request = PlacementRequest {
             ticket: self.context.ticket(),
             service: Arc::clone(&self.service),
+            build: self.build().cloned(),
             kind: Arc::clone(&head.route.name),
             average_time: Duration::ZERO,
             team_rank: head.team_rank(),
@@ -198,7 +235,7 @@
             length: head.length,
             streaming: head.route.streaming,
             arrived: self.incoming.arrived,
-            objective: self.objective,
+            objective,
             deadline: self.deadline,
             event_gap: head.route.event_gap,
             excluded: self.excluded.borrow().clone(),
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -148,7 +148,7 @@
 
     pub(super) fn log_outcome(&self, outcome: &str, record: &EndpointRecord) {
         self.count_send(outcome);
-        log::info!(request = self.incoming.head.id_text(), endpoint:% = record.id, send = self.sends.get(); "{outcome}");
+        log::info!(request = self.incoming.head.id_text(), endpoint:% = record.id, build:% = record.build, send = self.sends.get(); "{outcome}");
     }
 
     fn handle_error(
@@ -248,6 +248,7 @@
         log::info!(
             request = self.incoming.head.id_text(),
             endpoint:% = record.id,
+            build:% = record.build,
             status = parts.status.as_u16(),
             send = self.sends.get();
             "answered"
--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -143,6 +143,7 @@
             };
             match next {
                 Some(Next::Event(event)) => {
+                    self.dispatch.record_origin(&self.source.record).await;
                     if self.record_event(&event) {
                         return Step::Event(event);
                     }
@@ -240,6 +241,7 @@
         log::info!(
             request = dispatch.incoming.head.id_text(),
             endpoint:% = source.record.id,
+            build:% = source.record.build,
             route:% = dispatch.incoming.head.route.name,
             waited = clock::millis(dispatch.waited.get()),
             expected = dispatch.estimate.get().first_byte,
@@ -267,6 +269,7 @@
         log::info!(
             request = dispatch.incoming.head.id_text(),
             endpoint:% = self.source.record.id,
+            build:% = self.source.record.build,
             send = dispatch.sends.get(),
             length = dispatch.incoming.head.length,
             expected = dispatch.estimate.get().first_byte,
