Move what the endpoint table observes of runs into a module of its own

The records of sends, first bytes, events and endings, with their constants and Run, stand in endpoint_table/observations.rs now.

--- a/crates/core/src/direct/endpoint_table.rs
+++ b/crates/core/src/direct/endpoint_table.rs
@@ -1,9 +1,11 @@
 //! The table of endpoints: the record, the load and the measured speed and failures of each.
 
 mod endpoint_state;
+mod observations;
 mod service_baseline;
 
 pub use endpoint_state::{EndpointState, Load};
+pub use observations::Run;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -18,24 +20,6 @@
 use crate::time::{Timestamp, whole_millis};
 use service_baseline::ServiceBaseline;
 
-/// Weight of a new outcome in an endpoint's average failure rate.
-const FAILURE_WEIGHT: f64 = 0.12;
-
-/// Backoff after the first time an endpoint was unreachable or closed a connection early.
-const BACKOFF_MIN: Duration = Duration::from_millis(300);
-
-/// Longest backoff.
-const BACKOFF_MAX: Duration = Duration::from_millis(2_400);
-
-/// Time for which an endpoint that had no slot to reserve is not chosen.
-const FULL_TIME: Duration = Duration::from_millis(60);
-
-/// Weight of a new observation in a service's average event interval.
-const BASELINE_WEIGHT: f64 = 0.02;
-
-/// Fewest events of an answer from which an interval is derived.
-const EVENTS_MIN: u32 = 4;
-
 /// Returns a digest that identifies a name or an address in reports between entries of one version.
 #[must_use]
 pub fn digest<T: Hash + ?Sized>(value: &T) -> u64 {
@@ -44,22 +28,6 @@
     hasher.finish()
 }
 
-/// A request that was sent to an endpoint.
-#[derive(Debug, Clone)]
-pub struct Run {
-    /// Id of the endpoint.
-    pub endpoint: EndpointId,
-    /// Time at which the request was sent.
-    pub sent: Timestamp,
-    /// Tokens of the prompt.
-    pub prompt: u64,
-    /// The endpoint's incarnation that received the request.
-    incarnation: u64,
-    /// Prompt tokens pending at the endpoint when the request was sent, including its own.
-    ahead: u64,
-    started: bool,
-}
-
 /// The known endpoints.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
@@ -353,122 +321,6 @@
         busy.map(load).collect()
     }
 
-    /// Records that a request with a prompt of `prompt` tokens is sent. Returns `None` if the
-    /// endpoint is unknown.
-    pub fn record_send(&mut self, id: &str, prompt: u64, now: Timestamp) -> Option<Run> {
-        let state = self.endpoints.get_mut(id)?;
-        state.own.running += 1;
-        state.own.pending += prompt;
-        state.sends.record(now);
-        state.last_sent = now;
-        Some(Run {
-            endpoint: Arc::clone(&state.record.id),
-            sent: now,
-            prompt,
-            incarnation: state.incarnation,
-            ahead: state.load().pending,
-            started: false,
-        })
-    }
-
-    /// Returns the endpoint of a run, unless it has been replaced by another incarnation since.
-    fn state_of(&mut self, run: &Run) -> Option<&mut EndpointState> {
-        let state = self.endpoints.get_mut(&run.endpoint)?;
-        (state.incarnation == run.incarnation).then_some(state)
-    }
-
-    /// Records the first byte of an answer and updates the latency models of the endpoint and its
-    /// service.
-    pub fn record_first_byte(&mut self, run: &mut Run, now: Timestamp) {
-        if std::mem::replace(&mut run.started, true) {
-            return;
-        }
-        let Some(state) = self.state_of(run) else {
-            return;
-        };
-        state.own.pending = state.own.pending.saturating_sub(run.prompt);
-        let millis = now.since(run.sent).as_secs_f64() * 1_000.0;
-        state.latency.observe(run.ahead, millis);
-        let service = Arc::clone(&state.record.service);
-        let baseline = self.baselines.entry(Arc::clone(&service)).or_default();
-        baseline.latency.observe(run.ahead, millis);
-        if let Some(unobserved) = self.unobserved.get_mut(&service) {
-            unobserved.remove(&run.endpoint);
-            for id in &*unobserved {
-                if let Some(other) = self.endpoints.get_mut(id) {
-                    other.latency = baseline.latency(&other.event_interval);
-                }
-            }
-        }
-    }
-
-    /// Records the end of a request at its endpoint.
-    pub fn record_end(&mut self, run: &Run) {
-        if let Some(state) = self.state_of(run) {
-            state.own.running = state.own.running.saturating_sub(1);
-            if !run.started {
-                state.own.pending = state.own.pending.saturating_sub(run.prompt);
-            }
-        }
-    }
-
-    /// Records the time from the first to the last of an answer's events so far.
-    pub fn record_events(&mut self, run: &Run, events: u32, span: Duration) {
-        if events < EVENTS_MIN {
-            return;
-        }
-        let millis = span.as_secs_f64() * 1_000.0 / f64::from(events - 1);
-        let Some(state) = self.state_of(run) else {
-            return;
-        };
-        state.event_interval.observe(millis);
-        let service = Arc::clone(&state.record.service);
-        let baseline = self.baselines.entry(Arc::clone(&service)).or_default();
-        let interval = baseline.interval.get_or_insert(millis);
-        *interval += BASELINE_WEIGHT * (millis - *interval);
-        let interval = *interval;
-        for id in self.unobserved.get(&service).into_iter().flatten() {
-            if let Some(other) = self.endpoints.get_mut(id) {
-                other.event_interval.set_baseline(interval);
-            }
-        }
-    }
-
-    /// Records a complete answer.
-    pub fn record_success(&mut self, run: &Run) {
-        if let Some(state) = self.state_of(run) {
-            state.backoffs = 0;
-            state.failure_rate -= FAILURE_WEIGHT * state.failure_rate;
-        }
-    }
-
-    /// Records a failed request.
-    pub fn record_failure(&mut self, run: &Run) {
-        if let Some(state) = self.state_of(run) {
-            state.failure_rate += FAILURE_WEIGHT * (1.0 - state.failure_rate);
-        }
-    }
-
-    /// Records that an endpoint had no slot to reserve. It is not chosen for [`FULL_TIME`].
-    pub fn record_full(&mut self, run: &Run, now: Timestamp) {
-        if let Some(state) = self.state_of(run) {
-            state.full_until = now + FULL_TIME;
-        }
-    }
-
-    /// Keeps new requests away from an endpoint that was unreachable or closed a connection early.
-    /// The backoff doubles with each repetition.
-    pub fn back_off(&mut self, run: &Run, now: Timestamp) {
-        if let Some(state) = self.state_of(run) {
-            if state.is_avoided(now) {
-                return;
-            }
-            let backoff = BACKOFF_MIN * 2_u32.saturating_pow(state.backoffs.min(4));
-            state.backoffs += 1;
-            state.avoided_until = now + backoff.min(BACKOFF_MAX);
-        }
-    }
-
     /// Marks an endpoint as cold for `span`.
     pub fn mark_cold(&mut self, id: &str, span: Duration, now: Timestamp) {
         if let Some(state) = self.endpoints.get_mut(id) {
