An endpoint that says that it leaves gets no more requests from this entry

Entries knew only what the store lists: an endpoint whose record stayed ready was sent requests until it closed its connections.

The head of every answer passes through one place now (endpoint_call), be it of a request, of a resumed stream, of a refusal or of a call for a reservation. The notice is kept with the endpoint's incarnation (endpoint_table::availability) and binds at once. No update of the record under that incarnation undoes it, and it is remembered if the record is removed and listed again; another incarnation under the id, or another endpoint at the address, is served at once. The permission is asked again immediately before a request is written, so that a request that was placed earlier, that waits for a connection or that has reserved a slot is placed elsewhere. Running answers finish. If every endpoint of a service has left by its own word, requests are refused at once, also waiting ones: they have not run.

Not believed: a 421 without the id of the endpoint that was meant, since it comes from whoever has the address now; and an answer that echoes another request's id. An idle connection is used for the incarnation only to which it was opened.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -26,7 +26,9 @@
 mod wait_queue;
 
 pub use confirmation::Confirmation;
-pub use endpoint_table::{EndpointState, EndpointTable, Load, Run, digest};
+pub use endpoint_table::{
+    Availability, EndpointState, EndpointTable, Load, Notice, NoticeEffect, Run, digest,
+};
 pub use event_interval::EventInterval;
 pub use latency_model::LatencyModel;
 pub use members::Members;
--- a/crates/core/src/direct/endpoint_table.rs
+++ b/crates/core/src/direct/endpoint_table.rs
@@ -1,9 +1,11 @@
 //! The table of endpoints: the record, the load and the measured speed and failures of each.
 
+mod availability;
 mod endpoint_state;
 mod observations;
 mod service_baseline;
 
+pub use availability::{Availability, Notice, NoticeEffect};
 pub use endpoint_state::{EndpointState, Load};
 pub use observations::Run;
 
@@ -18,6 +20,7 @@
 use super::report::{EndpointLoad, Source};
 use super::send_window::SendWindow;
 use crate::time::{Timestamp, whole_millis};
+use availability::FormerEndpoints;
 use service_baseline::ServiceBaseline;
 
 /// Returns a digest that identifies a name or an address in reports between entries of one version.
@@ -42,6 +45,7 @@
     unobserved: HashMap<Arc<str>, BTreeSet<EndpointId>>,
     reports: HashMap<Source, Vec<EndpointLoad>>,
     incarnations: u64,
+    former: FormerEndpoints,
     /// Endpoints that changed at a revision of the store that is not known yet.
     changed: Vec<EndpointId>,
 }
@@ -97,6 +101,7 @@
             avoided_until: Timestamp::ZERO,
             full_until: Timestamp::ZERO,
             revision: u64::MAX,
+            availability: self.former.take(&record),
             record,
         };
         state.mark_changed(&mut self.changed);
@@ -142,6 +147,7 @@
     pub fn remove(&mut self, id: &str) {
         if let Some(state) = self.endpoints.remove(id) {
             self.digests.remove(&state.digest);
+            self.former.keep(&state.record, state.availability);
             let address = state.record.address;
             if self
                 .addresses
--- a/crates/core/src/direct/endpoint_table/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_table/endpoint_state.rs
@@ -7,6 +7,7 @@
 use super::super::latency_model::LatencyModel;
 use super::super::plan::{EndpointId, EndpointRecord};
 use super::super::send_window::SendWindow;
+use super::availability::Availability;
 use crate::time::Timestamp;
 
 /// Time constant with which the failure rate decays while nothing is sent.
@@ -49,6 +50,8 @@
     pub(super) backoffs: u32,
     pub(super) avoided_until: Timestamp,
     pub(super) full_until: Timestamp,
+    /// What the endpoint has said of itself.
+    pub(super) availability: Availability,
     /// Revision of the store at which the record changed last, or a later one.
     pub(super) revision: u64,
 }
@@ -107,13 +110,25 @@
         self.expires < Timestamp::NEVER
     }
 
-    /// Returns whether the endpoint may be used: it is not leaving, and if unlisted has not
-    /// expired.
+    /// Returns what the endpoint has said of itself.
     #[must_use]
-    pub fn is_usable(&self, now: Timestamp) -> bool {
+    pub const fn availability(&self) -> &Availability {
+        &self.availability
+    }
+
+    /// Returns whether the store lists the endpoint for use: it is not leaving there, and if unlisted
+    /// has not expired.
+    #[must_use]
+    pub fn is_listed_for_use(&self, now: Timestamp) -> bool {
         !self.record.leaving && now < self.expires
     }
 
+    /// Returns whether the endpoint may be used, according to the store and by its own word.
+    #[must_use]
+    pub fn is_usable(&self, now: Timestamp) -> bool {
+        self.is_listed_for_use(now) && !self.availability.is_leaving()
+    }
+
     /// Returns whether new requests avoid the endpoint during its backoff.
     #[must_use]
     pub fn is_avoided(&self, now: Timestamp) -> bool {
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -1,6 +1,7 @@
 //! State machine of a direct entry. It decides which endpoint serves a request, and whether the
 //! request waits or is refused.
 
+mod availability;
 mod limits;
 mod message;
 mod placement;
@@ -260,7 +261,8 @@
         request.average_time = self.average_slot_time(&request);
         let late = self.is_late(&request, now);
         if self.has_no_endpoint(&request, now) {
-            return Some(self.refuse(&request, Reason::NoEndpoint, now));
+            let reason = self.absence(&request.service, now);
+            return Some(self.refuse(&request, reason, now));
         }
         let position = QueuePosition::new(&request, late);
         let queue = self.queues.get(&request.service);
@@ -328,8 +330,13 @@
             else {
                 continue;
             };
-            let overdue = self.is_overdue(&position, request, now);
-            if full && !overdue {
+            let reason = if self.is_hopeless(request, now) {
+                Some(self.absence(service, now))
+            } else {
+                let overdue = self.is_overdue(&position, request, now);
+                overdue.then_some(Reason::Overloaded)
+            };
+            if full && reason.is_none() {
                 continue;
             }
             let request = request.clone();
@@ -339,7 +346,7 @@
                 self.place(&request, position.is_late(), now)
             };
             full |= placed.is_none();
-            let refused = || overdue.then(|| self.refuse(&request, Reason::Overloaded, now));
+            let refused = || reason.map(|reason| self.refuse(&request, reason, now));
             if let Some(outcome) = placed.or_else(refused) {
                 outcomes.push((request.ticket, outcome));
                 if let Some(queue) = self.queues.get_mut(service) {
--- a/crates/core/src/direct/scheduler/message.rs
+++ b/crates/core/src/direct/scheduler/message.rs
@@ -72,6 +72,8 @@
     Overloaded,
     /// The service has no usable endpoint.
     NoEndpoint,
+    /// Every endpoint of the service has said that it leaves.
+    EndpointsLeaving,
 }
 
 /// The refusal of a placement request.
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -1,5 +1,6 @@
 //! Tests of the direct entry: its components alone, and several entries over simulated endpoints.
 
+mod availability;
 mod cold;
 mod components;
 mod confirmation;
--- /dev/null
+++ b/crates/core/tests/core/direct/availability.rs
@@ -0,0 +1,119 @@
+//! Endpoints that say in their answers that they take no requests.
+
+use std::net::SocketAddr;
+
+use comfreyhaven_core::direct::{
+    EndpointRecord, Notice, NoticeEffect, Outcome, Reason, Scheduler, Ticket,
+};
+
+use super::{at, endpoint_record, placed, placement_request, scheduler};
+
+const LEAVING: Notice = Notice { leaving: true };
+
+/// Returns the record of an endpoint at an address of its own.
+fn record(id: &str, host: u8) -> EndpointRecord {
+    EndpointRecord {
+        address: SocketAddr::from(([10, 1, 0, host], 80)),
+        ..endpoint_record(id, 4)
+    }
+}
+
+/// Returns a scheduler that knows the endpoint `x`.
+fn scheduler_with_x() -> Scheduler {
+    let mut scheduler = scheduler(1, &[]);
+    scheduler.upsert_endpoint(record("x", 1), at(0));
+    scheduler
+}
+
+fn submit(scheduler: &mut Scheduler, ticket: u64, millis: u64) -> Option<Outcome> {
+    scheduler.submit(placement_request(ticket, 0, at(millis)), at(millis))
+}
+
+fn refusal(outcome: Option<Outcome>) -> Option<Reason> {
+    match outcome {
+        Some(Outcome::Refused(refusal)) => Some(refusal.reason),
+        Some(Outcome::Placed(_)) | None => None,
+    }
+}
+
+/// Guards against requests to an endpoint that leaves while its record stays ready.
+#[test]
+fn an_endpoint_that_leaves_by_its_own_word_receives_no_requests() {
+    let mut scheduler = scheduler_with_x();
+    scheduler.upsert_endpoint(record("y", 2), at(0));
+    let effect = scheduler.record_notice(&record("x", 1), &LEAVING);
+    assert_eq!(effect, Some(NoticeEffect::Leaves));
+    let ready = EndpointRecord {
+        sequence: 2,
+        ..record("x", 1)
+    };
+    scheduler.upsert_endpoint(ready, at(10));
+    for ticket in 0..4 {
+        let outcome = submit(&mut scheduler, ticket, 20);
+        assert_eq!(placed(outcome).as_deref(), Some("y"));
+    }
+    assert!(!scheduler.may_send(&record("x", 1)), "placed before");
+    assert_eq!(scheduler.record_notice(&record("x", 1), &LEAVING), None);
+}
+
+/// Guards against taking the word of one incarnation for that of the next.
+#[test]
+fn a_reborn_incarnation_is_served_at_once() {
+    let mut scheduler = scheduler_with_x();
+    scheduler.record_notice(&record("x", 1), &LEAVING);
+    let reborn = EndpointRecord {
+        started_ms: 2,
+        ..record("x", 1)
+    };
+    scheduler.upsert_endpoint(reborn.clone(), at(10));
+    assert!(scheduler.may_send(&reborn));
+    // An answer of the former incarnation may still arrive.
+    scheduler.record_notice(&record("x", 1), &LEAVING);
+    assert_eq!(placed(submit(&mut scheduler, 1, 20)).as_deref(), Some("x"));
+}
+
+/// Guards against taking the word of an endpoint for that of the next one at its address.
+#[test]
+fn another_endpoint_at_the_address_is_served_at_once() {
+    let mut scheduler = scheduler_with_x();
+    scheduler.record_notice(&record("x", 1), &LEAVING);
+    let other = EndpointRecord {
+        started_ms: 2,
+        ..record("other", 1)
+    };
+    scheduler.upsert_endpoint(other, at(10));
+    assert_eq!(
+        placed(submit(&mut scheduler, 1, 20)).as_deref(),
+        Some("other")
+    );
+}
+
+/// Guards against a record that is removed and listed again, as after an outage of the store.
+#[test]
+fn the_own_word_outlives_the_record() {
+    let mut scheduler = scheduler_with_x();
+    scheduler.record_notice(&record("x", 1), &LEAVING);
+    scheduler.mark_unlisted("x", at(10));
+    scheduler.remove_expired(at(20));
+    scheduler.upsert_endpoint(record("x", 1), at(30));
+    let outcome = submit(&mut scheduler, 1, 40);
+    assert_eq!(refusal(outcome), Some(Reason::EndpointsLeaving));
+}
+
+/// Guards against waiting for an endpoint that will take no requests any more.
+#[test]
+fn waiting_requests_are_refused_once_all_endpoints_leave() {
+    let mut scheduler = scheduler(1, &[]);
+    scheduler.upsert_endpoint(endpoint_record("x", 1), at(0));
+    assert!(placed(submit(&mut scheduler, 1, 0)).is_some());
+    assert!(submit(&mut scheduler, 2, 0).is_none(), "it waits");
+    scheduler.record_notice(&endpoint_record("x", 1), &LEAVING);
+    let mut outcomes = scheduler.process_queues(at(10));
+    let (ticket, outcome) = outcomes.pop().expect("it still waits");
+    assert_eq!(ticket, Ticket(2));
+    assert_eq!(refusal(Some(outcome)), Some(Reason::EndpointsLeaving));
+    assert_eq!(
+        refusal(submit(&mut scheduler, 3, 20)),
+        Some(Reason::EndpointsLeaving)
+    );
+}
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -33,6 +33,10 @@
     pub instance: HeaderName,
     /// Present if the endpoint did not run the request.
     pub rejected: HeaderName,
+    /// Present and `1` if the endpoint leaves.
+    pub leaving: HeaderName,
+    /// Id of the endpoint that made the answer; not in every answer.
+    pub speaker: HeaderName,
     /// Proof that the answer was made by the endpoint itself.
     pub seal: HeaderName,
     /// Number of the last event of a stream that the caller has received.
--- a/crates/direct/src/dispatch/reserve.rs
+++ b/crates/direct/src/dispatch/reserve.rs
@@ -38,10 +38,10 @@
         if placement.reservation.is_zero() {
             return Ok(None);
         }
+        let call = self.reservation_call(placement);
         let calling = self
             .context
-            .upstream
-            .call(&placement.record, self.reservation_call(placement));
+            .call(&placement.record, call, self.incoming.head.id_text());
         let answered = tokio::time::timeout(ANSWER_TIMEOUT, calling).await;
         let answered = answered.unwrap_or(Err(SendError::ConnectTimeout));
         let (status, body) = answered.map_err(NotReserved::Failed)?;
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -109,7 +109,7 @@
             let header = &self.context.dialect.reservation.header;
             set_header(request.headers_mut(), header, &id);
         }
-        match self.context.upstream.send(record, request).await {
+        match self.context.send(record, request).await {
             Err(error) => Ok(Err(self.handle_error(&error, record, slot))),
             Ok(reply) => match self.classify(&reply.response) {
                 AnswerKind::Success if self.incoming.head.route.streaming => {
@@ -181,6 +181,9 @@
     ) {
         self.log_outcome(outcome, record);
         log::info!(request = self.incoming.head.id_text(), endpoint:% = record.id; "no answer: {error}");
+        if matches!(error, SendError::Unwanted) {
+            return slot.end(Ending::Cancelled);
+        }
         slot.end(Ending::Broken);
         self.context.upstream.close(&record.id);
     }
--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -17,7 +17,7 @@
 use crate::clock;
 use crate::context::{PlacementOutcome, SlotGuard};
 use crate::events::{Event, Splitter};
-use crate::upstream::{Lease, Reply};
+use crate::upstream::{Lease, Reply, SendError};
 
 /// Time that must remain before the deadline to resume a stream at another endpoint.
 const MIN_RESUME_TIME: Duration = Duration::from_millis(100);
@@ -343,7 +343,7 @@
     let request = dispatch.endpoint_request(record, last);
     let left = dispatch.deadline.since(clock::now());
     let timeout = left.min(dispatch.first_byte_timeout());
-    let sending = dispatch.context.upstream.send(record, request);
+    let sending = dispatch.context.send(record, request);
     match tokio::time::timeout(timeout, sending).await {
         Ok(Ok(reply)) if matches!(dispatch.classify(&reply.response), AnswerKind::Success) => {
             dispatch.log_outcome("resumed", record);
@@ -360,7 +360,10 @@
         }
         Ok(Err(error)) => {
             dispatch.possible_runs += u32::from(!error.is_unsent());
-            slot.end(Ending::Broken);
+            slot.end(match error {
+                SendError::Unwanted => Ending::Cancelled,
+                _ => Ending::Broken,
+            });
             log::info!(endpoint:% = record.id; "cannot resume: {error}");
         }
         Err(_) => {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod context;
 pub mod dialect;
 mod dispatch;
+mod endpoint_call;
 pub mod events;
 mod follow;
 mod front;
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -12,11 +12,11 @@
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{EndpointId, EndpointRecord};
 use derive_more::{Display, Error};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -55,6 +55,9 @@
     /// No connection was opened in time, so nothing was sent.
     #[display("no connection within {CONNECT_TIMEOUT:?}")]
     ConnectTimeout,
+    /// The endpoint has said that it takes no requests, so nothing was sent.
+    #[display("the endpoint takes no requests now")]
+    Unwanted,
     /// The connection closed before any part of the request was written to it.
     #[display("the connection closed before the request was written")]
     Stale,
@@ -142,6 +145,8 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection<Full<Bytes>>,
+    /// Incarnation of the endpoint to which it was opened.
+    started_ms: u64,
     expiry: Timestamp,
 }
 
@@ -157,6 +162,7 @@
 #[derive(Debug)]
 pub struct Lease {
     endpoint: EndpointId,
+    started_ms: u64,
     connection: Connection<Full<Bytes>>,
     idle_limit: Duration,
 }
@@ -186,7 +192,8 @@
         }
     }
 
-    /// Sends a request, on an idle connection if there is a healthy one.
+    /// Sends a request, on an idle connection if there is a healthy one. `may_send` is asked
+    /// immediately before the request is written.
     ///
     /// # Errors
     /// Returns a [`SendError`] if there is no answer; it states whether the request may have run.
@@ -194,15 +201,22 @@
         &self,
         record: &EndpointRecord,
         mut request: Request<Full<Bytes>>,
+        may_send: impl Fn() -> bool,
     ) -> Result<Reply, SendError> {
-        while let Some(connection) = self.take(&record.id) {
+        let permitted = || may_send().then_some(()).ok_or(SendError::Unwanted);
+        permitted()?;
+        while let Some(connection) = self.take(record) {
             match attempt(connection, request, record).await {
-                Err(AttemptError::Unsent(unsent)) => request = *unsent,
+                Err(AttemptError::Unsent(unsent)) => {
+                    request = *unsent;
+                    permitted()?;
+                }
                 Err(AttemptError::Failed(error)) => return Err(SendError::Broken(error)),
                 Ok(reply) => return Ok(reply),
             }
         }
         let connection = Connection::open(record.address, &self.tasks).await?;
+        permitted()?;
         match attempt(connection, request, record).await {
             Err(AttemptError::Unsent(_)) => Err(SendError::Stale),
             Err(AttemptError::Failed(error)) => Err(SendError::Broken(error)),
@@ -210,30 +224,15 @@
         }
     }
 
-    /// Makes a short call whose whole answer is read, and returns its status and body. The
-    /// connection is kept for the next request to the endpoint.
-    ///
-    /// # Errors
-    /// Returns a [`SendError`] if there is no answer.
-    pub async fn call(
-        &self,
-        record: &EndpointRecord,
-        request: Request<Full<Bytes>>,
-    ) -> Result<(StatusCode, Bytes), SendError> {
-        let (response, lease) = self.send(record, request).await?.split();
-        let status = response.status();
-        let body = response.into_body().collect().await;
-        let body = body.map_err(SendError::Broken)?.to_bytes();
-        self.put_back(lease).await;
-        Ok((status, body))
-    }
-
-    fn take(&self, id: &EndpointId) -> Option<Connection<Full<Bytes>>> {
+    fn take(&self, record: &EndpointRecord) -> Option<Connection<Full<Bytes>>> {
         let mut pool = self.idle.borrow_mut();
-        let list = pool.get_mut(id)?;
+        let list = pool.get_mut(&record.id)?;
         let now = clock::now();
         while let Some(found) = list.pop() {
-            if now < found.expiry && found.connection.sender.is_ready() {
+            if found.started_ms == record.started_ms
+                && now < found.expiry
+                && found.connection.sender.is_ready()
+            {
                 return Some(found.connection);
             }
         }
@@ -248,6 +247,7 @@
         }
         let idle = IdleConnection {
             expiry: clock::now() + lease.idle_limit,
+            started_ms: lease.started_ms,
             connection: lease.connection,
         };
         let mut pool = self.idle.borrow_mut();
@@ -285,6 +285,7 @@
         Ok(response) => Ok(Reply {
             lease: Lease {
                 endpoint: record.id.clone(),
+                started_ms: record.started_ms,
                 idle_limit: idle_limit(response.headers()),
                 connection,
             },
