Entries learn from each other which endpoints leave by their own word

Each entry had to be told by the endpoint itself, with a request that the endpoint may have turned away.

An entry that uses the endpoint all the same, since there is no other, learns the truth from its answer, at the price of one request.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -11,6 +11,7 @@
 mod latency_model;
 mod load_sum;
 mod members;
+mod peer_notices;
 mod plan;
 mod process_lag;
 mod rate_limit;
@@ -38,7 +39,9 @@
 };
 pub use process_lag::ProcessLag;
 pub use rate_limit::{FleetView, RateExceeded, RateLimiter, RatePolicy};
-pub use report::{Echo, EndpointLoad, Identity, MemberStatus, Report, Scope, ServiceLoad, Source};
+pub use report::{
+    Echo, EndpointLoad, EndpointNotice, Identity, MemberStatus, Report, Scope, ServiceLoad, Source,
+};
 pub use retry_budget::RetryBudget;
 pub use scheduler::{
     Bounds, Ending, Outcome, Placement, PlacementRefusal, PlacementRequest, Reason, ReportEffect,
--- a/crates/core/src/direct/endpoint_table/availability.rs
+++ b/crates/core/src/direct/endpoint_table/availability.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use super::{EndpointId, EndpointRecord, EndpointState, EndpointTable};
+use crate::direct::report::EndpointNotice;
 
 /// Number of removed endpoints whose own word is remembered.
 const FORMER_LIMIT: usize = 1_024;
@@ -103,6 +104,18 @@
         }
     }
 
+    /// Returns what the listed endpoints have said of themselves, for this entry's report.
+    #[must_use]
+    pub fn notices(&self) -> Vec<EndpointNotice> {
+        let said = |state: &&EndpointState| state.availability != Availability::default();
+        let notice = |state: &EndpointState| EndpointNotice {
+            endpoint: state.digest,
+            started_ms: state.record.started_ms,
+            leaving: state.availability.leaving,
+        };
+        self.endpoints.values().filter(said).map(notice).collect()
+    }
+
     /// Returns what the incarnation of `record` has said of itself.
     #[must_use]
     pub fn availability(&self, record: &EndpointRecord) -> Availability {
--- a/crates/core/src/direct/report.rs
+++ b/crates/core/src/direct/report.rs
@@ -32,6 +32,18 @@
     Fleet,
 }
 
+impl Source {
+    /// Returns whether a report of the given scope speaks for this source too, besides the reporter.
+    #[must_use]
+    pub const fn is_within(&self, scope: Scope) -> bool {
+        match self {
+            Self::Entry(_) => !matches!(scope, Scope::Entry),
+            Self::Centre(_) => matches!(scope, Scope::Fleet),
+            Self::Fleet => false,
+        }
+    }
+}
+
 /// Load of the reporter at one endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointLoad {
@@ -60,6 +72,17 @@
     pub urgent: u16,
 }
 
+/// What an endpoint has said of itself to the reporter.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointNotice {
+    /// Digest of the endpoint's id.
+    pub endpoint: u64,
+    /// Start time of the incarnation that said it, on the endpoint's own clock, in milliseconds.
+    pub started_ms: u64,
+    /// Whether the endpoint leaves.
+    pub leaving: bool,
+}
+
 /// Identifies the last report that the reporter received from the recipient.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Echo {
@@ -131,4 +154,7 @@
     pub crashes: Vec<(BodyDigest, u32)>,
     /// Entries that the reporter knows; not in every report.
     pub members: Vec<MemberStatus>,
+    /// What endpoints have said of themselves.
+    #[serde(default)]
+    pub notices: Vec<EndpointNotice>,
 }
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -25,6 +25,7 @@
 use super::confirmation::Confirmation;
 use super::endpoint_table::{EndpointTable, Run};
 use super::members::Members;
+use super::peer_notices::PeerNotices;
 use super::plan::{EndpointId, EndpointRecord, Plan};
 use super::rate_limit::RateLimiter;
 use super::report::{Identity, ServiceLoad, Source};
@@ -74,6 +75,7 @@
     rate_limiters: HashMap<u64, RateLimiter>,
     spending: Spending,
     suspects: Suspects,
+    peer_notices: PeerNotices,
     /// Average slot time in seconds, by kind of request.
     slot_times: HashMap<Arc<str>, f64>,
     members: Members,
@@ -117,6 +119,7 @@
             rate_limiters: HashMap::new(),
             spending: Spending::default(),
             suspects: Suspects::default(),
+            peer_notices: PeerNotices::default(),
             slot_times: HashMap::new(),
             members: Members::new(own),
             topology: Topology::new(own, &identity),
--- a/crates/core/src/direct/scheduler/availability.rs
+++ b/crates/core/src/direct/scheduler/availability.rs
@@ -3,6 +3,7 @@
 use super::{PlacementRequest, Reason, Scheduler};
 use crate::direct::endpoint_table::{EndpointState, Notice, NoticeEffect};
 use crate::direct::plan::EndpointRecord;
+use crate::direct::report::{EndpointNotice, Scope, Source};
 use crate::time::Timestamp;
 
 impl Scheduler {
@@ -21,6 +22,12 @@
         !self.endpoints.availability(record).is_leaving()
     }
 
+    /// Returns what endpoints have said of themselves, for a report of the given scope.
+    pub(super) fn notices(&self, scope: Scope, recipient: Option<Source>) -> Vec<EndpointNotice> {
+        let own = self.endpoints.notices();
+        self.peer_notices.reported(own, scope, recipient)
+    }
+
     /// Returns why a service without a usable endpoint has none.
     pub(super) fn absence(&self, service: &str, now: Timestamp) -> Reason {
         let mut listed = self.listed(service, now).peekable();
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -310,6 +310,9 @@
         if state.is_unlisted() {
             cost += UNLISTED_MS;
         }
+        cost += self
+            .peer_notices
+            .cost(state.digest(), state.record().started_ms);
         if state.record().centre != self.centre {
             cost += REMOTE_MS;
         }
--- a/crates/core/src/direct/scheduler/reports.rs
+++ b/crates/core/src/direct/scheduler/reports.rs
@@ -114,6 +114,7 @@
             spent: self.spending.counters(Scope::Entry, self.own),
             crashes: self.suspects.reported(Scope::Entry, None, now),
             members: Vec::new(),
+            notices: self.notices(Scope::Entry, None),
         }
     }
 
@@ -160,6 +161,7 @@
             services,
             spent: self.spending.counters(target.scope, target.address),
             crashes: self.suspects.reported(target.scope, Some(recipient), now),
+            notices: self.notices(target.scope, Some(recipient)),
             ..base
         }
     }
@@ -243,6 +245,7 @@
         }
         self.suspects.apply_report(source, &report.crashes, now);
         self.endpoints.apply_report(source, report.loads);
+        self.peer_notices.apply_report(source, report.notices);
         let interval = Duration::from_millis(report.interval.into());
         let demand = Demand {
             services: report.services,
@@ -289,6 +292,7 @@
     fn drop_load(&mut self, source: Source) {
         self.demand.remove(&source);
         self.endpoints.apply_report(source, Vec::new());
+        self.peer_notices.apply_report(source, Vec::new());
     }
 
     /// Returns how far this entry has read the store.
--- a/crates/core/src/direct/suspects.rs
+++ b/crates/core/src/direct/suspects.rs
@@ -87,12 +87,7 @@
             *counts.entry(*digest).or_default() += crashes.count;
         }
         for ((digest, source), crashes) in &self.peers {
-            let included = match source {
-                Source::Entry(_) => scope != Scope::Entry,
-                Source::Centre(_) => scope == Scope::Fleet,
-                Source::Fleet => false,
-            };
-            if included && Some(*source) != recipient && is_fresh(crashes) {
+            if source.is_within(scope) && Some(*source) != recipient && is_fresh(crashes) {
                 *counts.entry(*digest).or_default() += crashes.count;
             }
         }
--- a/crates/core/tests/core/direct/availability.rs
+++ b/crates/core/tests/core/direct/availability.rs
@@ -6,7 +6,8 @@
     EndpointRecord, Notice, NoticeEffect, Outcome, Reason, Scheduler, Ticket,
 };
 
-use super::{at, endpoint_record, placed, placement_request, scheduler};
+use super::fleet_network::FleetNetwork;
+use super::{address, at, endpoint_record, placed, placement_request, scheduler};
 
 const LEAVING: Notice = Notice { leaving: true };
 
@@ -117,3 +118,69 @@
         Some(Reason::EndpointsLeaving)
     );
 }
+
+/// Submits eight requests and returns how many of them were placed at `x`.
+fn placed_at_x(scheduler: &mut Scheduler, millis: u64) -> usize {
+    let placed_at = |ticket| placed(submit(scheduler, ticket, millis));
+    let endpoints: Vec<_> = (millis..millis + 8).filter_map(placed_at).collect();
+    endpoints.iter().filter(|id| *id == "x").count()
+}
+
+/// Guards against entries that each have to be told by the endpoint, and against a peer's word that
+/// takes an endpoint away: it stays in use where there is no other, and its next incarnation too.
+#[test]
+fn a_peers_word_is_a_cost_and_no_ban() {
+    let mut informed = scheduler_with_x();
+    informed.record_notice(&record("x", 1), &LEAVING);
+    let mut scheduler = scheduler(2, &[1, 2]);
+    for (id, host) in [("x", 1), ("y", 2)] {
+        let many_slots = EndpointRecord {
+            slots: 100,
+            ..record(id, host)
+        };
+        scheduler.upsert_endpoint(many_slots, at(0));
+    }
+    scheduler.apply_report(address(1), informed.report(at(10)), at(10));
+    assert_eq!(placed_at_x(&mut scheduler, 20), 0);
+    scheduler.mark_unlisted("y", at(20));
+    scheduler.remove_expired(at(20));
+    assert_eq!(placed_at_x(&mut scheduler, 30), 8);
+    assert!(scheduler.may_send(&record("x", 1)));
+    scheduler.upsert_endpoint(record("y", 2), at(40));
+    let reborn = EndpointRecord {
+        started_ms: 2,
+        slots: 100,
+        ..record("x", 1)
+    };
+    scheduler.upsert_endpoint(reborn, at(40));
+    assert!(placed_at_x(&mut scheduler, 50) > 0);
+}
+
+/// Guards against a word that stays with the entry that heard it, in a fleet that reports through
+/// aggregators.
+#[test]
+fn the_word_of_a_leaving_endpoint_reaches_every_entry() {
+    for count in [3, 30, 100] {
+        let mut fleet = FleetNetwork::new(count);
+        fleet.run(2_000);
+        let now = fleet.now;
+        for entry in fleet.entries.iter_mut().flatten() {
+            for (id, host) in [("x", 1), ("y", 2)] {
+                let many_slots = EndpointRecord {
+                    slots: 10_000,
+                    ..record(id, host)
+                };
+                entry.upsert_endpoint(many_slots, at(now));
+            }
+        }
+        let hearer = fleet.entries[count - 1].as_mut().expect("it runs");
+        hearer.record_notice(&record("x", 1), &LEAVING);
+        fleet.run(1_200);
+        let now = fleet.now;
+        let mut misled = 0;
+        for entry in fleet.entries.iter_mut().flatten() {
+            misled += placed_at_x(entry, now);
+        }
+        assert_eq!(misled, 0, "{count} entries");
+    }
+}
