Endpoints that leave or pause by their own word, seen from outside

An operator could not tell why an endpoint that the store lists as ready received nothing, or why a request was refused while slots were free.

Log lines with the request whose answer said so: endpoint leaves by its own word; endpoint paused, with its length, its end and whether it was bounded; a Retry-After that is no number of seconds, once for each endpoint. A counter of notices by kind, and leaving and paused in the debug line of each endpoint. The direct entry has no other dump of its state.

--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -317,7 +317,9 @@
                 slope = (state.latency().slope() * 1e5).round() / 1e5,
                 failures = (state.failure_rate(now) * 100.0).round() / 100.0,
                 cold = state.is_cold(now),
-                suspect = state.is_avoided(now);
+                suspect = state.is_avoided(now),
+                leaving = state.record().leaving || state.availability().is_leaving(),
+                paused = clock::millis(state.availability().paused_until().since(now));
                 "endpoint"
             );
         }
--- a/crates/direct/src/endpoint_call.rs
+++ b/crates/direct/src/endpoint_call.rs
@@ -90,15 +90,16 @@
         if notice == Notice::default() {
             return;
         }
-        let now = clock::now();
-        let effect = self
-            .scheduler
-            .borrow_mut()
-            .record_notice(record, &notice, now);
+        let mut scheduler = self.scheduler.borrow_mut();
+        let effect = scheduler.record_notice(record, &notice, clock::now());
+        drop(scheduler);
+        let count = |notice| self.metrics.notices.with_label_values(&[notice]).inc();
         if effect.leaves {
+            count("leaving");
             log::info!(request = cause, endpoint:% = record.id; "endpoint leaves by its own word");
         }
         if let Some(pause) = effect.paused {
+            count("paused");
             log::info!(
                 request = cause,
                 endpoint:% = record.id,
@@ -109,6 +110,7 @@
             );
         }
         if effect.malformed {
+            count("malformed");
             log::warn!(request = cause, endpoint:% = record.id; "ignoring a Retry-After that is no number of seconds");
         }
     }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -15,6 +15,8 @@
     pub answers: IntCounterVec,
     /// Sends to endpoints by outcome.
     pub sends: IntCounterVec,
+    /// What endpoints said of themselves for the first time, or of a longer pause.
+    pub notices: IntCounterVec,
     /// Seconds that requests waited for a slot.
     pub waits: Histogram,
     /// Seconds from a request's arrival to the first byte of its answer.
@@ -60,6 +62,11 @@
                 "Requests sent to endpoints by outcome",
                 &["outcome"],
             )?,
+            notices: counter(
+                "comfreyhaven_endpoint_notices_total",
+                "Endpoints that said that they leave or want a pause, and pauses that cannot be read",
+                &["notice"],
+            )?,
             waits: histogram(
                 "comfreyhaven_wait_seconds",
                 "Time that requests waited for a place",
