An incarnation that has left does not replace a later one

A record of an incarnation that has said that it leaves is not taken while another one is known under its id. Start times are not compared: a clock that was set back would hide a new incarnation for ever.

availability::an_incarnation_that_left_does_not_replace_a_later_one failed before (placed nowhere); it passes.

--- a/crates/core/src/direct/endpoint_table.rs
+++ b/crates/core/src/direct/endpoint_table.rs
@@ -52,7 +52,8 @@
 
 impl EndpointTable {
     /// Adds an endpoint or updates its record. A record of another incarnation under the same id
-    /// replaces the state of the endpoint.
+    /// replaces the state of the endpoint, unless that incarnation has said that it leaves: then the
+    /// known one is the later one.
     pub fn upsert(&mut self, record: EndpointRecord, now: Timestamp) {
         let cold = now + record.cold;
         if let Some(state) = self.endpoints.get_mut(&record.id)
@@ -71,6 +72,9 @@
             state.record = record;
             return;
         }
+        if self.endpoints.contains_key(&record.id) && self.former.has_left(&record) {
+            return;
+        }
         self.remove(&record.id);
         if !self.take_address(&record) {
             return;
--- a/crates/core/src/direct/endpoint_table/availability.rs
+++ b/crates/core/src/direct/endpoint_table/availability.rs
@@ -146,6 +146,11 @@
             .map_or_else(Availability::default, |(_, _, availability)| availability)
     }
 
+    /// Returns whether a removed endpoint had said that it leaves.
+    pub(super) fn has_left(&self, record: &EndpointRecord) -> bool {
+        self.get(record).is_some_and(Availability::is_leaving)
+    }
+
     fn get(&self, record: &EndpointRecord) -> Option<&Availability> {
         self.0
             .get(self.position(record)?)
--- a/crates/core/tests/core/direct/availability.rs
+++ b/crates/core/tests/core/direct/availability.rs
@@ -109,6 +109,21 @@
     assert_eq!(refusal(outcome), Some(Reason::EndpointsLeaving));
 }
 
+/// Guards against losing an endpoint that started again, by an old record of its incarnation that has
+/// left: a peer's snapshot or a page of the store may be older than what this entry knows.
+#[test]
+fn an_incarnation_that_left_does_not_replace_a_later_one() {
+    let mut scheduler = scheduler_with_x();
+    scheduler.record_notice(&record("x", 1), &LEAVING, at(10));
+    let reborn = EndpointRecord {
+        started_ms: 2,
+        ..record("x", 1)
+    };
+    scheduler.upsert_endpoint(reborn, at(10));
+    scheduler.upsert_endpoint(record("x", 1), at(20));
+    assert_eq!(placed(submit(&mut scheduler, 1, 30)).as_deref(), Some("x"));
+}
+
 /// Guards against waiting for an endpoint that will take no requests any more.
 #[test]
 fn waiting_requests_are_refused_once_all_endpoints_leave() {
