--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -13,6 +13,7 @@
 mod load_sum;
 mod members;
 mod origin_lookup;
+mod peer_notices;
 mod plan;
 mod process_lag;
 mod rate_limit;
@@ -31,7 +32,10 @@
 
 pub use build_history::{BuildHistory, SeenBuilds};
 pub use confirmation::Confirmation;
-pub use endpoint_table::{EndpointState, EndpointTable, Load, Run, digest};
+pub use endpoint_table::{
+    Availability, EndpointState, EndpointTable, Load, Notice, NoticeEffect, PAUSE_LIMIT, Pause,
+    Run, digest,
+};
 pub use event_interval::EventInterval;
 pub use latency_model::LatencyModel;
 pub use members::Members;
@@ -42,7 +46,9 @@
 };
 pub use process_lag::ProcessLag;
 pub use rate_limit::{FleetView, RateExceeded, RateLimiter, RatePolicy};
-pub use report::{Echo, EndpointLoad, Identity, MemberStatus, Report, Scope, ServiceLoad, Source};
+pub use report::{
+    Echo, EndpointLoad, EndpointNotice, Identity, MemberStatus, Report, Scope, ServiceLoad, Source,
+};
 pub use retry_budget::RetryBudget;
 pub use scheduler::{
     Bounds, Ending, Outcome, Placement, PlacementRefusal, PlacementRequest, Reason, ReportEffect,
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -1,6 +1,7 @@
 //! State machine of a direct entry. It decides which endpoint serves a request, and whether the
 //! request waits or is refused.
 
+mod availability;
 mod limits;
 mod message;
 mod origins;
@@ -26,6 +27,7 @@
 use super::endpoint_table::{EndpointTable, Run};
 use super::members::Members;
 use super::origin_lookup::OriginLookup;
+use super::peer_notices::PeerNotices;
 use super::plan::{EndpointId, EndpointRecord, Plan};
 use super::rate_limit::RateLimiter;
 use super::report::{Identity, ServiceLoad, Source};
@@ -37,6 +39,7 @@
 use super::topology::Topology;
 use super::wait_queue::{QueuePosition, WaitQueue};
 use crate::time::Timestamp;
+use availability::Absence;
 
 /// Range of the delay after which a refused caller may retry. The delay is drawn at random, so that
 /// callers refused together do not return together.
@@ -76,6 +79,7 @@
     rate_limiters: HashMap<u64, RateLimiter>,
     spending: Spending,
     suspects: Suspects,
+    peer_notices: PeerNotices,
     /// Average slot time in seconds, by kind of request.
     slot_times: HashMap<Arc<str>, f64>,
     members: Members,
@@ -121,6 +125,7 @@
             rate_limiters: HashMap::new(),
             spending: Spending::default(),
             suspects: Suspects::default(),
+            peer_notices: PeerNotices::default(),
             slot_times: HashMap::new(),
             members: Members::new(own),
             topology: Topology::new(own, &identity),
@@ -267,7 +272,8 @@
         request.average_time = self.average_slot_time(&request);
         let late = self.is_late(&request, now);
         if self.has_no_endpoint(&request, now) {
-            return Some(self.refuse(&request, Reason::NoEndpoint, now));
+            let absence = self.absence(&request.service, now);
+            return Some(self.refuse_absent(&request, &absence, now));
         }
         let position = QueuePosition::new(&request, late);
         let queue = self.queues.get(&request.service);
@@ -335,9 +341,10 @@
             else {
                 continue;
             };
+            let absence = self.hopeless(request, now);
             let overdue = self.is_overdue(&position, request, now);
             let is_full = full.contains(&request.build);
-            if is_full && !overdue {
+            if is_full && !overdue && absence.is_none() {
                 continue;
             }
             let request = request.clone();
@@ -349,7 +356,10 @@
             if placed.is_none() && !is_full {
                 full.push(request.build.clone());
             }
-            let refused = || overdue.then(|| self.refuse(&request, Reason::Overloaded, now));
+            let refused = || match absence {
+                Some(absence) => Some(self.refuse_absent(&request, &absence, now)),
+                None => overdue.then(|| self.refuse(&request, Reason::Overloaded, now)),
+            };
             if let Some(outcome) = placed.or_else(refused) {
                 outcomes.push((request.ticket, outcome));
                 if let Some(queue) = self.queues.get_mut(service) {
@@ -396,6 +406,23 @@
         })
     }
 
+    /// Refuses a request whose service has no usable endpoint. If all of them have asked for a pause,
+    /// the delay ends after the first one.
+    fn refuse_absent(
+        &mut self,
+        request: &PlacementRequest,
+        absence: &Absence,
+        now: Timestamp,
+    ) -> Outcome {
+        match self.return_delay(absence, now) {
+            Some(retry_after) => Outcome::Refused(PlacementRefusal {
+                reason: absence.reason,
+                retry_after,
+            }),
+            None => self.refuse(request, absence.reason, now),
+        }
+    }
+
     /// Records the first byte of an answer.
     pub fn record_first_byte(&mut self, run: &mut Run, now: Timestamp) {
         self.endpoints.record_first_byte(run, now);
--- a/crates/core/src/direct/scheduler/message.rs
+++ b/crates/core/src/direct/scheduler/message.rs
@@ -74,6 +74,10 @@
     Overloaded,
     /// The service has no usable endpoint.
     NoEndpoint,
+    /// Every endpoint of the service has said that it leaves.
+    EndpointsLeaving,
+    /// Every endpoint of the service has said that it leaves, or has asked for a pause.
+    EndpointsPaused,
 }
 
 /// The refusal of a placement request.
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -1,5 +1,6 @@
 //! Tests of the direct entry: its components alone, and several entries over simulated endpoints.
 
+mod availability;
 mod builds;
 mod cold;
 mod components;
@@ -11,6 +12,7 @@
 mod members;
 mod origins;
 mod overload;
+mod pauses;
 mod rate_limit;
 mod simulation;
 mod store_progress;
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -140,7 +140,7 @@
             Ok(Ok(Begun::Stream(start))) => stream::start(self, *start).await,
             Ok(Err(Failure::Refused(refusal))) => self.fail(|| self.refuse_unplaced(&refusal)),
             Ok(Err(_)) if self.possible_runs.get() == 0 => {
-                self.refuse(RefusalKind::Overloaded, Some(RETRY_DELAY))
+                self.refuse(RefusalKind::Overloaded, Some(self.retry_delay()))
             }
             Ok(Err(_)) => self.fail(|| self.refuse(RefusalKind::OutcomeUnknown, None)),
             Err(_) if self.possible_runs.get() > 0 => {
@@ -150,6 +150,13 @@
         }
     }
 
+    /// Returns after which delay a caller may return whose request no endpoint has run.
+    fn retry_delay(&self) -> Duration {
+        let mut scheduler = self.context.scheduler.borrow_mut();
+        let paused = scheduler.pause_delay(&self.service, clock::now());
+        paused.unwrap_or(RETRY_DELAY)
+    }
+
     /// Answers with what an endpoint has answered.
     fn answer(&self, response: Response<AnswerBody>) -> Response<AnswerBody> {
         self.count_answer(response.status(), "endpoint");
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -79,7 +79,7 @@
             let header = &self.context.dialect.reservation.header;
             set_header(request.headers_mut(), header, &id);
         }
-        let reply = match self.context.upstream.send(record, request).await {
+        let reply = match self.context.send(record, request).await {
             Ok(reply) => reply,
             Err(error) => return Err(self.handle_error(&error, record, slot)),
         };
@@ -187,6 +187,9 @@
     ) {
         self.log_outcome(outcome, record);
         log::info!(request = self.incoming.head.id_text(), endpoint:% = record.id; "no answer: {error}");
+        if matches!(error, SendError::Unwanted) {
+            return slot.end(Ending::Cancelled);
+        }
         slot.end(Ending::Broken);
         self.context.upstream.close(&record.id);
     }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -17,6 +17,8 @@
     pub sends: IntCounterVec,
     /// Requests that take a stream up, by what was known of its origin.
     pub resumptions: IntCounterVec,
+    /// What endpoints said of themselves for the first time, or of a longer pause.
+    pub notices: IntCounterVec,
     /// Seconds that requests waited for a slot.
     pub waits: Histogram,
     /// Seconds from a request's arrival to the first byte of its answer.
@@ -67,6 +69,11 @@
                 "Requests that take a stream up, by what was known of its origin",
                 &["origin"],
             )?,
+            notices: counter(
+                "comfreyhaven_endpoint_notices_total",
+                "Endpoints that said that they leave or want a pause, and pauses that cannot be read",
+                &["notice"],
+            )?,
             waits: histogram(
                 "comfreyhaven_wait_seconds",
                 "Time that requests waited for a place",
