Revisions of the store carry the era that they belong to

No change of behaviour: every revision is of era 0.

Rule: the platform's store may come back from a copy some seconds old. Its revisions then go back to those of the copy and are given out again, so a bare number no longer tells which of two revisions is the later one.

Ruled out: a mapping of each era's numbers to one growing number. Two entries that see different eras would have to agree on the offset.

Reports of two programs with and without the era do not understand each other, as after any change of their format.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -21,6 +21,7 @@
 mod spending;
 pub mod stall;
 mod store_progress;
+mod store_revision;
 mod suspects;
 mod topology;
 mod wait_queue;
@@ -44,5 +45,6 @@
 };
 pub use send_window::{SendWindow, split_limit};
 pub use store_progress::{Section, SectionStatus, StoreProgress};
+pub use store_revision::StoreRevision;
 pub use suspects::Suspects;
 pub use topology::Role;
--- a/crates/core/src/direct/endpoint_table.rs
+++ b/crates/core/src/direct/endpoint_table.rs
@@ -15,6 +15,7 @@
 use super::plan::{EndpointId, EndpointRecord};
 use super::report::{EndpointLoad, Source};
 use super::send_window::SendWindow;
+use super::store_revision::StoreRevision;
 use crate::time::{Timestamp, whole_millis};
 use service_baseline::ServiceBaseline;
 
@@ -128,7 +129,7 @@
             backoffs: 0,
             avoided_until: Timestamp::ZERO,
             full_until: Timestamp::ZERO,
-            revision: u64::MAX,
+            revision: StoreRevision::LAST,
             record,
         };
         state.mark_changed(&mut self.changed);
@@ -222,7 +223,7 @@
     }
 
     /// Assigns `revision` of the store to the changes that have none yet.
-    pub fn set_revision(&mut self, revision: u64) {
+    pub fn set_revision(&mut self, revision: StoreRevision) {
         for id in std::mem::take(&mut self.changed) {
             if let Some(state) = self.endpoints.get_mut(&id) {
                 state.revision = revision;
@@ -241,7 +242,7 @@
     #[must_use]
     pub fn records_since(
         &self,
-        revision: u64,
+        revision: StoreRevision,
         now: Timestamp,
     ) -> Vec<(EndpointRecord, Option<u32>)> {
         let current = |state: &EndpointState| {
--- a/crates/core/src/direct/endpoint_table/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_table/endpoint_state.rs
@@ -7,6 +7,7 @@
 use super::super::latency_model::LatencyModel;
 use super::super::plan::{EndpointId, EndpointRecord};
 use super::super::send_window::SendWindow;
+use super::super::store_revision::StoreRevision;
 use crate::time::Timestamp;
 
 /// Time constant with which the failure rate decays while nothing is sent.
@@ -50,13 +51,13 @@
     pub(super) avoided_until: Timestamp,
     pub(super) full_until: Timestamp,
     /// Revision of the store at which the record changed last, or a later one.
-    pub(super) revision: u64,
+    pub(super) revision: StoreRevision,
 }
 
 impl EndpointState {
     /// Adds the endpoint to `changed`; the revision of the change is not known yet.
     pub(super) fn mark_changed(&mut self, changed: &mut Vec<EndpointId>) {
-        self.revision = u64::MAX;
+        self.revision = StoreRevision::LAST;
         changed.push(Arc::clone(&self.record.id));
     }
 
--- a/crates/core/src/direct/scheduler/reports.rs
+++ b/crates/core/src/direct/scheduler/reports.rs
@@ -10,6 +10,7 @@
 use crate::direct::report::{EndpointLoad, Report, Scope, ServiceLoad, Source};
 use crate::direct::spending::ReportedCounters;
 use crate::direct::store_progress::{Section, StoreProgress, retry_delay};
+use crate::direct::store_revision::StoreRevision;
 use crate::direct::topology::{Role, Target};
 use crate::time::{Timestamp, whole_millis};
 
@@ -299,7 +300,12 @@
 
     /// Records the answer to a read of the store that was sent at `read_at` and whose newest change
     /// is that of `revision`.
-    pub fn record_store_answer(&mut self, section: Section, revision: u64, read_at: Timestamp) {
+    pub fn record_store_answer(
+        &mut self,
+        section: Section,
+        revision: StoreRevision,
+        read_at: Timestamp,
+    ) {
         self.store_progress
             .record_answer(section, revision, read_at);
         if section == Section::Endpoints {
--- a/crates/core/src/direct/scheduler/snapshot.rs
+++ b/crates/core/src/direct/scheduler/snapshot.rs
@@ -10,6 +10,7 @@
 use crate::direct::endpoint_table::digest;
 use crate::direct::plan::{EndpointRecord, Plan};
 use crate::direct::store_progress::Section;
+use crate::direct::store_revision::StoreRevision;
 use crate::time::{Timestamp, whole_millis};
 
 /// The state of the store that an entry sends to a peer which knows less of it.
@@ -25,7 +26,7 @@
     /// The closed data centres.
     pub closed: Vec<Arc<str>>,
     /// The store's revision of the newest known change, by section.
-    pub revisions: [u64; 2],
+    pub revisions: [StoreRevision; 2],
     /// Version of the configuration in force.
     pub version: u64,
     /// Milliseconds since that version was last confirmed, if it ever was.
@@ -36,7 +37,7 @@
     /// Returns the snapshot for a peer that holds the configuration `version` and knows the
     /// endpoints up to `revision` of the store.
     #[must_use]
-    pub fn snapshot(&self, version: u64, revision: u64, now: Timestamp) -> Snapshot {
+    pub fn snapshot(&self, version: u64, revision: StoreRevision, now: Timestamp) -> Snapshot {
         Snapshot {
             plan: (self.plan.version > version).then(|| Plan::clone(&self.plan)),
             endpoints: self.endpoints.records_since(revision, now),
--- a/crates/core/src/direct/store_progress.rs
+++ b/crates/core/src/direct/store_progress.rs
@@ -12,6 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::store_revision::StoreRevision;
 use crate::time::{Timestamp, whole_millis};
 
 /// Number of entries that always read the store.
@@ -86,14 +87,14 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SectionStatus {
     /// The store's revision of the newest change that the reporter knows.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Milliseconds since that revision was last confirmed to be the newest, if known.
     pub age: Option<u32>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
 struct SectionProgress {
-    revision: u64,
+    revision: StoreRevision,
     /// Time at which the known revision was last confirmed to be the newest.
     confirmed: Option<Timestamp>,
     /// Time of this entry's last read of the store.
@@ -114,7 +115,7 @@
 
     /// Records the answer to a read that was sent at `read_at` and whose newest change is that of
     /// `revision`.
-    pub fn record_answer(&mut self, section: Section, revision: u64, read_at: Timestamp) {
+    pub fn record_answer(&mut self, section: Section, revision: StoreRevision, read_at: Timestamp) {
         let progress = &mut self.sections[section as usize];
         progress.revision = progress.revision.max(revision);
         progress.confirmed = progress.confirmed.max(Some(read_at));
@@ -124,12 +125,12 @@
     /// holds the whole section as of `revision`; any other holds only changes, the last one at
     /// `changed`.
     #[must_use]
-    pub const fn covers(
+    pub fn covers(
         &self,
         section: Section,
         complete: bool,
-        changed: u64,
-        revision: u64,
+        changed: StoreRevision,
+        revision: StoreRevision,
     ) -> bool {
         let known = self.revision(section);
         if complete {
@@ -161,7 +162,7 @@
 
     /// Records that everything up to `revision` was fetched from a peer. Returns whether it was
     /// newer.
-    pub const fn adopt(&mut self, section: Section, revision: u64) -> bool {
+    pub fn adopt(&mut self, section: Section, revision: StoreRevision) -> bool {
         let progress = &mut self.sections[section as usize];
         let newer = revision > progress.revision;
         if newer {
@@ -170,9 +171,9 @@
         newer
     }
 
-    /// Returns the revision of the newest known change, or 0.
+    /// Returns the revision of the newest known change.
     #[must_use]
-    pub const fn revision(&self, section: Section) -> u64 {
+    pub const fn revision(&self, section: Section) -> StoreRevision {
         self.sections[section as usize].revision
     }
 
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -20,7 +20,7 @@
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
     Bounds, EndpointRecord, Outcome, PlacementRequest, Plan, PlanTeam, RatePolicy, Scheduler,
-    ServicePlan, Ticket, Unit,
+    ServicePlan, StoreRevision, Ticket, Unit,
 };
 
 pub const SERVICE: &str = "model";
@@ -33,6 +33,11 @@
     SocketAddr::from(([10, 0, 0, index], 7_600))
 }
 
+/// Returns a revision of a store that was never restored.
+pub const fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(0, number)
+}
+
 pub fn rate_policy(first_start: bool) -> RatePolicy {
     RatePolicy {
         window: Duration::from_secs(8),
--- a/crates/core/tests/core/direct/confirmation.rs
+++ b/crates/core/tests/core/direct/confirmation.rs
@@ -6,7 +6,7 @@
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{Confirmation, Section};
 
-use super::{at, scheduler};
+use super::{at, revision, scheduler};
 
 const LIMIT: Duration = Duration::from_secs(4);
 
@@ -88,8 +88,8 @@
     let (mut reader, mut other) = (scheduler(1, &[2]), scheduler(2, &[1]));
     reader.configure(super::plan(9), at(100));
     reader.confirm(9, at(100));
-    reader.record_store_answer(Section::Configuration, 9, at(100));
-    let snapshot = reader.snapshot(1, 0, at(300));
+    reader.record_store_answer(Section::Configuration, revision(9), at(100));
+    let snapshot = reader.snapshot(1, revision(0), at(300));
     assert!(other.apply_snapshot(snapshot, at(290), at(310)));
     let age = other.confirmation().age(at(310));
     assert_eq!(age, Some(Duration::from_millis(220)));
--- a/crates/core/tests/core/direct/fleet_network.rs
+++ b/crates/core/tests/core/direct/fleet_network.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::{at, bounds, plan, rate_policy};
+use super::{at, bounds, plan, rate_policy, revision};
 
 /// Data centres of the fleet.
 pub const CENTRES: [&str; 5] = ["a", "b", "c", "d", "e"];
@@ -255,7 +255,7 @@
             if self.store_up {
                 self.failed[index] = (0, now);
                 entry.configure(Arc::clone(&plan), now);
-                entry.record_store_answer(section, self.version, now);
+                entry.record_store_answer(section, revision(self.version), now);
                 entry.confirm(self.version, now);
             }
         }
@@ -294,7 +294,7 @@
             && let Some(sender) = &self.entries[self.indices[&from]]
             && let Some(entry) = &self.entries[to]
         {
-            let snapshot = sender.snapshot(entry.plan().version, 0, now);
+            let snapshot = sender.snapshot(entry.plan().version, revision(0), now);
             if let Some(entry) = &mut self.entries[to] {
                 entry.apply_snapshot(snapshot, now, now);
             }
--- a/crates/core/tests/core/direct/store_progress.rs
+++ b/crates/core/tests/core/direct/store_progress.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::{address, at, endpoint_record, plan, scheduler};
+use super::{address, at, endpoint_record, plan, revision, scheduler};
 
 /// Time between two steps of the simulation, in milliseconds.
 const STEP: u64 = 10;
@@ -83,9 +83,11 @@
             return;
         }
         entry.configure(plan(self.version), now);
-        entry
-            .store_progress_mut()
-            .record_answer(Section::Configuration, self.version, now);
+        entry.store_progress_mut().record_answer(
+            Section::Configuration,
+            revision(self.version),
+            now,
+        );
         entry.confirm(self.version, now);
     }
 
@@ -105,7 +107,7 @@
             let effect = self.entries[to].apply_report(address(from as u8 + 1), report, now);
             if effect.newer {
                 let held = self.entries[to].plan().version;
-                let snapshot = self.entries[from].snapshot(held, 0, now);
+                let snapshot = self.entries[from].snapshot(held, revision(0), now);
                 self.entries[to].apply_snapshot(snapshot, now, now);
             }
         }
@@ -162,7 +164,7 @@
             entry
                 .store_progress_mut()
                 .record_read(Section::Endpoints, now);
-            entry.record_store_answer(Section::Endpoints, 20, now);
+            entry.record_store_answer(Section::Endpoints, revision(20), now);
             watches += 1;
         }
     }
@@ -249,8 +251,8 @@
     }
     one.upsert_endpoint(endpoint_record("e4", 4), at(0));
     one.mark_unlisted("e1", at(900));
-    one.record_store_answer(Section::Endpoints, 20, at(0));
-    two.apply_snapshot(one.snapshot(0, 0, at(100)), at(100), at(100));
+    one.record_store_answer(Section::Endpoints, revision(20), at(0));
+    two.apply_snapshot(one.snapshot(0, revision(0), at(100)), at(100), at(100));
     assert_eq!(two.endpoints().ids().len(), 4);
     assert!(
         two.endpoints()
@@ -265,7 +267,7 @@
     assert_eq!(two.remove_expired(at(900)), ["e1".into()]);
     // A snapshot without a newer revision changes nothing.
     one.mark_unlisted("e2", at(1_000));
-    two.apply_snapshot(one.snapshot(0, 20, at(950)), at(950), at(950));
+    two.apply_snapshot(one.snapshot(0, revision(20), at(950)), at(950), at(950));
     assert!(!two.endpoints().get("e2").expect("listed").is_unlisted());
 }
 
@@ -275,10 +277,10 @@
     for id in ["e1", "e2", "e3"] {
         one.upsert_endpoint(endpoint_record(id, 4), at(0));
     }
-    one.record_store_answer(Section::Endpoints, 20, at(0));
-    assert_eq!(one.snapshot(0, 0, at(1)).endpoints.len(), 3);
-    two.apply_snapshot(one.snapshot(0, 0, at(1)), at(1), at(1));
-    assert!(one.snapshot(0, 20, at(1)).endpoints.is_empty());
+    one.record_store_answer(Section::Endpoints, revision(20), at(0));
+    assert_eq!(one.snapshot(0, revision(0), at(1)).endpoints.len(), 3);
+    two.apply_snapshot(one.snapshot(0, revision(0), at(1)), at(1), at(1));
+    assert!(one.snapshot(0, revision(20), at(1)).endpoints.is_empty());
     let leaving = EndpointRecord {
         leaving: true,
         sequence: 2,
@@ -288,8 +290,8 @@
     one.upsert_endpoint(endpoint_record("e4", 4), at(10));
     one.mark_unlisted("e1", at(10));
     one.remove_expired(at(11));
-    one.record_store_answer(Section::Endpoints, 23, at(11));
-    let snapshot = one.snapshot(0, 20, at(12));
+    one.record_store_answer(Section::Endpoints, revision(23), at(11));
+    let snapshot = one.snapshot(0, revision(20), at(12));
     assert_eq!(snapshot.endpoints.len(), 2);
     two.apply_snapshot(snapshot, at(12), at(12));
     two.remove_expired(at(12));
@@ -302,22 +304,22 @@
     assert_eq!(names, ["e2", "e3", "e4"]);
     assert!(!two.endpoints().get("e2").expect("known").is_usable(at(12)));
     // Changes fetched from a peer are included in later snapshots.
-    assert_eq!(two.snapshot(0, 20, at(13)).endpoints.len(), 2);
-    assert!(two.snapshot(0, 23, at(13)).endpoints.is_empty());
+    assert_eq!(two.snapshot(0, revision(20), at(13)).endpoints.len(), 2);
+    assert!(two.snapshot(0, revision(23), at(13)).endpoints.is_empty());
 }
 
 #[test]
 fn an_answer_older_than_a_peers_snapshot_is_covered() {
     let mut entry = scheduler(1, &[2]);
     let progress = entry.store_progress_mut();
-    progress.record_answer(Section::Endpoints, 20, at(0));
-    assert!(progress.adopt(Section::Endpoints, 26));
-    assert!(!progress.adopt(Section::Endpoints, 24));
-    assert!(progress.covers(Section::Endpoints, false, 23, 24));
-    assert!(!progress.covers(Section::Endpoints, false, 28, 28));
+    progress.record_answer(Section::Endpoints, revision(20), at(0));
+    assert!(progress.adopt(Section::Endpoints, revision(26)));
+    assert!(!progress.adopt(Section::Endpoints, revision(24)));
+    assert!(progress.covers(Section::Endpoints, false, revision(23), revision(24)));
+    assert!(!progress.covers(Section::Endpoints, false, revision(28), revision(28)));
     // A complete answer may reflect removals although its newest record is old.
-    assert!(!progress.covers(Section::Endpoints, true, 20, 27));
-    assert!(progress.covers(Section::Endpoints, true, 20, 25));
+    assert!(!progress.covers(Section::Endpoints, true, revision(20), revision(27)));
+    assert!(progress.covers(Section::Endpoints, true, revision(20), revision(25)));
 }
 
 /// A peer's confirmation counts from the time of the entry's own report. In a large fleet, or where
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{EndpointId, Plan};
+use comfreyhaven_core::direct::{EndpointId, Plan, StoreRevision};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
@@ -53,7 +53,7 @@
 
     /// Reads and watches the section until `stop`.
     pub(crate) async fn run(mut self, stop: CancellationToken) {
-        let mut after: Option<u64> = None;
+        let mut after: Option<StoreRevision> = None;
         let mut full_read = false;
         while !stop.is_cancelled() {
             let sent = clock::now();
@@ -108,13 +108,13 @@
 
     /// Returns the revision of the newest known change, which may come from a peer. A watch can
     /// start from it.
-    fn known_revision(&self) -> Option<u64> {
+    fn known_revision(&self) -> Option<StoreRevision> {
         let scheduler = self.context.scheduler.borrow();
         let revision = scheduler.store_progress().revision(self.section);
-        Some(revision).filter(|revision| *revision > 0)
+        Some(revision).filter(|revision| !revision.is_unknown())
     }
 
-    async fn call(&self, after: Option<u64>) -> Result<Page, StoreError> {
+    async fn call(&self, after: Option<StoreRevision>) -> Result<Page, StoreError> {
         match after {
             None => self.store.read(self.section).await,
             Some(after) => self.store.watch(self.section, after, self.wait()).await,
--- a/crates/direct/src/snapshot.rs
+++ b/crates/direct/src/snapshot.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use comfreyhaven_core::direct::{Section, Snapshot};
+use comfreyhaven_core::direct::{Section, Snapshot, StoreRevision};
 use derive_more::{Display, Error, From};
 use http_body_util::{BodyExt, Empty, Full, Limited};
 use hyper::body::Incoming;
@@ -17,7 +17,7 @@
 use crate::upstream::{SendError, open};
 
 /// Path of the snapshot. It is followed by the version of the configuration that the requesting
-/// entry has, and by the revision of the store up to which it knows the endpoints.
+/// entry has, and by the era and the revision of the store up to which it knows the endpoints.
 const SNAPSHOT_PATH: &str = "/snapshot/";
 
 /// How long a peer may take to answer with its snapshot.
@@ -47,8 +47,7 @@
 pub(crate) fn answer(request: &Request<Incoming>, context: &Context) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     let known = request.uri().path().strip_prefix(SNAPSHOT_PATH);
-    let known = known.and_then(|known| known.split_once('/'));
-    let known = known.and_then(|(v, r)| Some((v.parse().ok()?, r.parse().ok()?)));
+    let known = known.and_then(parse_known);
     let Some((version, revision)) = known.filter(|_| request.method() == Method::GET) else {
         *response.status_mut() = StatusCode::NOT_FOUND;
         return response;
@@ -67,12 +66,26 @@
     response
 }
 
+/// Parses what the requesting entry knows: its version, and the era and revision of the store.
+fn parse_known(text: &str) -> Option<(u64, StoreRevision)> {
+    let mut parts = text.split('/').map(|part| part.parse().ok());
+    let (version, era, revision) = (parts.next()??, parts.next()??, parts.next()??);
+    parts
+        .next()
+        .is_none()
+        .then_some((version, StoreRevision::new(era, revision)))
+}
+
 /// Fetches a peer's snapshot and applies what is newer.
 pub(crate) async fn fetch(context: &Rc<Context>, from: SocketAddr) {
     let known = {
         let scheduler = context.scheduler.borrow();
         let revision = scheduler.store_progress().revision(Section::Endpoints);
-        format!("{SNAPSHOT_PATH}{}/{revision}", scheduler.plan().version)
+        let StoreRevision { era, revision } = revision;
+        format!(
+            "{SNAPSHOT_PATH}{}/{era}/{revision}",
+            scheduler.plan().version
+        )
     };
     let requested = clock::now();
     let snapshot = match tokio::time::timeout(FETCH_TIMEOUT, request(from, &known)).await {
@@ -81,7 +94,7 @@
         Err(_) => return log::info!(peer:% = from; "cannot fetch snapshot: no answer in time"),
     };
     let [configuration, endpoints] = snapshot.revisions;
-    log::info!(peer:% = from, configuration = configuration, endpoints = endpoints; "snapshot fetched from a peer");
+    log::info!(peer:% = from, configuration:% = configuration, endpoints:% = endpoints; "snapshot fetched from a peer");
     let mut scheduler = context.scheduler.borrow_mut();
     if scheduler.apply_snapshot(snapshot, requested, clock::now()) {
         let version = scheduler.plan().version;
--- a/crates/direct/src/store.rs
+++ b/crates/direct/src/store.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-pub use comfreyhaven_core::direct::Section;
 use comfreyhaven_core::direct::{EndpointId, EndpointRecord, Plan};
+pub use comfreyhaven_core::direct::{Section, StoreRevision};
 use derive_more::{Display, Error};
 
 /// One item that the store holds, or no longer holds.
@@ -35,9 +35,9 @@
     /// The items of the section, or those that have changed.
     pub changes: Vec<Change>,
     /// Revision from which the next watch starts.
-    pub revision: u64,
-    /// Revision of the newest of these changes, or 0.
-    pub newest: u64,
+    pub revision: StoreRevision,
+    /// Revision of the newest of these changes; zero if there are none.
+    pub newest: StoreRevision,
 }
 
 /// Why a call to the store failed.
@@ -71,7 +71,7 @@
     fn watch(
         &self,
         section: Section,
-        after: u64,
+        after: StoreRevision,
         wait: Duration,
     ) -> impl Future<Output = Result<Page, StoreError>>;
 }
