Answers of two eras of the store are never mixed

Rule: a store that was restored from a copy states a higher era (header Store-Era; a store without it is in era 0). Its revisions exist again with other changes behind them.

A watch answered in another era than that of its revision finds no history. - ReadCursor decides in core whether a section is watched or read as a whole: after 410 it is read as a whole, unless a peer has brought a newer revision meanwhile.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -14,6 +14,7 @@
 mod plan;
 mod process_lag;
 mod rate_limit;
+mod read_cursor;
 mod report;
 mod retry_budget;
 mod scheduler;
@@ -37,6 +38,7 @@
 };
 pub use process_lag::ProcessLag;
 pub use rate_limit::{FleetView, RateExceeded, RateLimiter, RatePolicy};
+pub use read_cursor::ReadCursor;
 pub use report::{Echo, EndpointLoad, Identity, MemberStatus, Report, Scope, ServiceLoad, Source};
 pub use retry_budget::RetryBudget;
 pub use scheduler::{
--- a/crates/core/src/direct/scheduler/snapshot.rs
+++ b/crates/core/src/direct/scheduler/snapshot.rs
@@ -38,9 +38,15 @@
     /// endpoints up to `revision` of the store.
     #[must_use]
     pub fn snapshot(&self, version: u64, revision: StoreRevision, now: Timestamp) -> Snapshot {
+        let newest = self.store_progress.revision(Section::Endpoints);
+        let since = if revision.era < newest.era {
+            StoreRevision::default()
+        } else {
+            revision
+        };
         Snapshot {
             plan: (self.plan.version > version).then(|| Plan::clone(&self.plan)),
-            endpoints: self.endpoints.records_since(revision, now),
+            endpoints: self.endpoints.records_since(since, now),
             known: self.endpoints.digests(),
             closed: self.closed.iter().cloned().collect(),
             revisions: Section::ALL.map(|section| self.store_progress.revision(section)),
@@ -77,7 +83,9 @@
         {
             self.set_closed_centres(snapshot.closed.into_iter().collect(), now);
         }
-        if self.store_progress.adopt(Section::Endpoints, endpoints) || self.endpoints.is_empty() {
+        let known = self.store_progress.revision(Section::Endpoints);
+        let is_needed = self.endpoints.is_empty() && endpoints.era >= known.era;
+        if self.store_progress.adopt(Section::Endpoints, endpoints) || is_needed {
             self.replace_endpoints(snapshot.endpoints, &snapshot.known, now);
             self.endpoints.set_revision(endpoints);
         }
--- a/crates/core/src/direct/store_progress.rs
+++ b/crates/core/src/direct/store_progress.rs
@@ -114,9 +114,12 @@
     }
 
     /// Records the answer to a read that was sent at `read_at` and whose newest change is that of
-    /// `revision`.
+    /// `revision`. An answer of an earlier era than the known one has no effect.
     pub fn record_answer(&mut self, section: Section, revision: StoreRevision, read_at: Timestamp) {
         let progress = &mut self.sections[section as usize];
+        if revision.era < progress.revision.era {
+            return;
+        }
         progress.revision = progress.revision.max(revision);
         progress.confirmed = progress.confirmed.max(Some(read_at));
     }
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -10,6 +10,7 @@
 mod members;
 mod overload;
 mod rate_limit;
+mod restoration;
 mod simulation;
 mod store_progress;
 
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{EndpointId, Plan, StoreRevision};
+use comfreyhaven_core::direct::{EndpointId, Plan, ReadCursor, StoreRevision};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
@@ -53,8 +53,7 @@
 
     /// Reads and watches the section until `stop`.
     pub(crate) async fn run(mut self, stop: CancellationToken) {
-        let mut after: Option<StoreRevision> = None;
-        let mut full_read = false;
+        let mut cursor = ReadCursor::default();
         while !stop.is_cancelled() {
             let sent = clock::now();
             let delay = self
@@ -80,7 +79,7 @@
                 .borrow_mut()
                 .store_progress_mut()
                 .record_read(self.section, sent);
-            after = after.max(self.known_revision()).filter(|_| !full_read);
+            let after = cursor.next(self.known_revision());
             let result = tokio::select! {
                 () = stop.cancelled() => break,
                 result = self.call(after) => result,
@@ -89,14 +88,14 @@
             match result {
                 Ok(page) => {
                     self.record_success();
-                    let revision = page.revision;
+                    cursor.record_answer(page.revision);
                     self.apply(page, after.is_none(), sent);
-                    after = Some(revision);
-                    full_read = false;
                 }
                 Err(StoreError::HistoryGone) => {
                     log::info!(section:% = self.section; "the store dropped its history; reading the whole section");
-                    full_read = true;
+                    if let Some(after) = after {
+                        cursor.record_gone(after);
+                    }
                 }
                 Err(error) => {
                     let delay = self.record_failure(&error);
@@ -108,10 +107,9 @@
 
     /// Returns the revision of the newest known change, which may come from a peer. A watch can
     /// start from it.
-    fn known_revision(&self) -> Option<StoreRevision> {
+    fn known_revision(&self) -> StoreRevision {
         let scheduler = self.context.scheduler.borrow();
-        let revision = scheduler.store_progress().revision(self.section);
-        Some(revision).filter(|revision| !revision.is_unknown())
+        scheduler.store_progress().revision(self.section)
     }
 
     async fn call(&self, after: Option<StoreRevision>) -> Result<Page, StoreError> {
--- a/crates/direct/src/store.rs
+++ b/crates/direct/src/store.rs
@@ -43,8 +43,8 @@
 /// Why a call to the store failed.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum StoreError {
-    /// The store no longer has the history since the given revision; the section must be read
-    /// again.
+    /// The store no longer has the history since the given revision, because it has dropped it or was
+    /// restored from a copy; the section must be read again.
     #[display("the store no longer has the history")]
     HistoryGone,
     /// The store answered with an unexpected status.
@@ -63,11 +63,12 @@
 
 /// Reads the store and watches it for changes.
 pub trait Store {
-    /// Reads all items of a section. The returned revision is that of the first page: the pages are
+    /// Reads all items of a section, in one era of the store. The returned revision is that of the first page: the pages are
     /// not a consistent snapshot, and a watch from that revision returns what changed between them.
     fn read(&self, section: Section) -> impl Future<Output = Result<Page, StoreError>>;
 
-    /// Waits for a change in a section after the revision `after`, for at most `wait`.
+    /// Waits for a change in a section after the revision `after`, for at most `wait`. In another era
+    /// than that of `after`, the history is gone.
     fn watch(
         &self,
         section: Section,
