A restored store takes back neither the configuration nor a closed data centre

Rule: a store that comes back from a copy has lost what was written since, until the operator writes it again. A configuration in force never goes back, a withdrawn key stays withdrawn, and the service goes on.

What stood before: the version in force did not go back, but a read that showed an older version confirmed it as the newest; data centres that the copy did not show as closed were reopened at once; nothing of it was visible.

- Restoration (core) keeps the newest era and the version that the store shows in it.
While the store shows an older version than the one in force, reads confirm nothing, for 10 s at most; nor while a peer reports a newer version that is not fetched yet.
A read by an entry that starts in a later era than the first counts once a peer has reported, or after 1.5 s.
- Confirmations that are old for this reason do not make every entry read the store.
- Limits of teams are those of the version in force.
- A version counts in reports once it is applied, also while it is not confirmed.
In a healed cut the other half did not learn of a version that was in force but not confirmed (found by a_restoration_during_a_cut_is_known_after_it_heals).
- The log line 'the store was restored' (old and new era, revision, what is kept), a counter and a gauge.

Ruled out: no confirmation by any read until the operator has written in the new era, which refuses all keys after each restoration of a current copy; and a wait of some 2 s, which changes nothing, since the last confirmation lasts longer. Not covered: a version that no entry has read before its loss, and that is written again more than 4 s later.

Tests: core direct::restoration over 3, 30, 100 and 300 entries (the store's calls counted in each second), direct::restored_records, platform restoration.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -16,6 +16,7 @@
 mod rate_limit;
 mod read_cursor;
 mod report;
+mod restoration;
 mod retry_budget;
 mod scheduler;
 mod send_window;
@@ -40,10 +41,11 @@
 pub use rate_limit::{FleetView, RateExceeded, RateLimiter, RatePolicy};
 pub use read_cursor::ReadCursor;
 pub use report::{Echo, EndpointLoad, Identity, MemberStatus, Report, Scope, ServiceLoad, Source};
+pub use restoration::Restoration;
 pub use retry_budget::RetryBudget;
 pub use scheduler::{
-    Bounds, Ending, Outcome, Placement, PlacementRefusal, PlacementRequest, Reason, ReportEffect,
-    Scheduler, Snapshot, Ticket, Totals,
+    Bounds, Ending, Outcome, Placement, PlacementRefusal, PlacementRequest, Reason, Released,
+    ReportEffect, Restored, Scheduler, Snapshot, Ticket, Totals,
 };
 pub use send_window::{SendWindow, split_limit};
 pub use store_progress::{Section, SectionStatus, StoreProgress};
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -5,12 +5,14 @@
 mod message;
 mod placement;
 mod reports;
+mod restoration;
 mod snapshot;
 
 pub use message::{
     Bounds, Ending, Outcome, Placement, PlacementRefusal, PlacementRequest, Reason, Ticket, Totals,
 };
 pub use reports::ReportEffect;
+pub use restoration::{Released, Restored};
 pub use snapshot::Snapshot;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -27,6 +29,7 @@
 use super::plan::{EndpointId, EndpointRecord, Plan};
 use super::rate_limit::RateLimiter;
 use super::report::{Identity, ServiceLoad, Source};
+use super::restoration::Restoration;
 use super::retry_budget::RetryBudget;
 use super::spending::Spending;
 use super::store_progress::StoreProgress;
@@ -68,6 +71,8 @@
     plan: Arc<Plan>,
     endpoints: EndpointTable,
     closed: BTreeSet<Arc<str>>,
+    /// Data centres that stay closed after a restoration of the store, and until when.
+    kept_closed: BTreeMap<Arc<str>, Timestamp>,
     queues: BTreeMap<Arc<str>, WaitQueue>,
     budgets: HashMap<Arc<str>, RetryBudget>,
     rate_limiters: HashMap<u64, RateLimiter>,
@@ -81,6 +86,11 @@
     demand: HashMap<Source, Demand>,
     confirmation: Confirmation,
     store_progress: StoreProgress,
+    restoration: Restoration,
+    /// A restoration of the store that has not been logged yet.
+    restored: Option<Restored>,
+    /// When a read was sent that confirms the configuration once a peer has reported.
+    unconfirmed_read: Option<Timestamp>,
     random: ChaCha8Rng,
 }
 
@@ -111,6 +121,7 @@
             plan: Arc::default(),
             endpoints: EndpointTable::default(),
             closed: BTreeSet::new(),
+            kept_closed: BTreeMap::new(),
             queues: BTreeMap::new(),
             budgets: HashMap::new(),
             rate_limiters: HashMap::new(),
@@ -122,6 +133,9 @@
             demand: HashMap::new(),
             confirmation: Confirmation::default(),
             store_progress: StoreProgress::default(),
+            restoration: Restoration::default(),
+            restored: None,
+            unconfirmed_read: None,
             random: ChaCha8Rng::seed_from_u64(boot),
         }
     }
@@ -163,8 +177,8 @@
         self.confirmation.confirm(version, read_at);
     }
 
-    /// Applies a configuration if it is newer than the one in force. Returns whether it was
-    /// applied.
+    /// Applies a configuration if it is newer than the one in force. It is not confirmed yet. Returns
+    /// whether it was applied.
     pub fn configure(&mut self, plan: Arc<Plan>, now: Timestamp) -> bool {
         if plan.version <= self.plan.version {
             return false;
@@ -179,6 +193,7 @@
                 .and_modify(|limiter| limiter.configure(rate, burst))
                 .or_insert_with(|| RateLimiter::new(rate, burst, policy, now));
         }
+        self.confirmation.adopt(plan.version);
         self.plan = plan;
         true
     }
@@ -207,6 +222,11 @@
     /// Closes or reopens a data centre. Its endpoints may be cold when it is reopened, so all of
     /// them are marked as cold then.
     pub fn set_centre_closed(&mut self, centre: &Arc<str>, closed: bool, now: Timestamp) {
+        self.kept_closed.remove(centre);
+        self.apply_closed(centre, closed, now);
+    }
+
+    fn apply_closed(&mut self, centre: &Arc<str>, closed: bool, now: Timestamp) {
         if closed {
             self.closed.insert(Arc::clone(centre));
         } else if self.closed.remove(centre) {
--- a/crates/core/src/direct/scheduler/reports.rs
+++ b/crates/core/src/direct/scheduler/reports.rs
@@ -181,12 +181,16 @@
         let Some(observed) = observed else {
             return ReportEffect::default();
         };
+        let newer_version = report.version > self.plan.version;
         let mut newer = report.version > self.confirmation.version();
         for section in Section::ALL {
             newer |=
                 self.store_progress
                     .apply_status(section, report.sections[section as usize], now);
         }
+        if newer_version {
+            self.restoration.record_reported(report.version, now);
+        }
         if let (Some(age), Some(echo)) = (report.age, report.echo)
             && echo.boot == self.identity.boot
         {
@@ -197,6 +201,7 @@
                 Timestamp::from_micros(echo.sent),
             );
         }
+        self.confirm_after_report(now);
         if let Some(source) = self.accepted_source(from, &report) {
             self.apply_source(source, from, report, now);
         }
@@ -349,13 +354,15 @@
     /// whatever its peers report. Peers' confirmations count from the time of this entry's own
     /// report.
     fn is_confirmation_old(&self, now: Timestamp) -> bool {
-        self.confirmation.version() > 0
+        let version = self.confirmation.version();
+        version > 0
             && !self.confirmation.is_current(CONFIRMATION_AGE_LIMIT, now)
+            && !self.restoration.delays_confirmation(version, now)
     }
 
     /// Returns whether this entry has read a section of the store once and waits for the first
     /// answers of its seeds. Many entries may start at once, and only a few are to read on.
-    fn is_alone_at_start(&self, section: Section, now: Timestamp) -> bool {
+    pub(super) fn is_alone_at_start(&self, section: Section, now: Timestamp) -> bool {
         let has_seeds = self.seeds.iter().any(|seed| *seed != self.own);
         let starting =
             now.as_micros() < self.identity.started + SEED_ANSWER_TIME.as_micros() as u64;
--- /dev/null
+++ b/crates/core/src/direct/scheduler/restoration.rs
@@ -0,0 +1,142 @@
+//! What an entry keeps when the platform's store is restored from a copy.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Scheduler;
+use crate::direct::restoration::Restoration;
+use crate::direct::store_progress::Section;
+use crate::time::{Timestamp, whole_millis};
+
+/// A restoration of the store, and what this entry keeps from before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Restored {
+    /// The era before.
+    pub before: u64,
+    /// The new era.
+    pub era: u64,
+    /// Version of the configuration that stays in force.
+    pub version: u64,
+    /// Number of endpoints that are kept.
+    pub endpoints: usize,
+    /// Number of data centres that stay closed.
+    pub closed: usize,
+}
+
+/// What an entry no longer keeps after a restoration.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Released {
+    /// Data centres that were not closed again.
+    pub reopened: Vec<Arc<str>>,
+}
+
+impl Scheduler {
+    /// Returns what this entry knows of the store's newest restoration.
+    #[must_use]
+    pub const fn restoration(&self) -> &Restoration {
+        &self.restoration
+    }
+
+    /// Records the era of an answer or of a peer's snapshot.
+    pub fn observe_era(&mut self, era: u64, now: Timestamp) {
+        let Some(before) = self.restoration.observe(era, now) else {
+            return;
+        };
+        if let Some(until) = self.restoration.operator_time() {
+            let closed = self.closed.iter();
+            self.kept_closed = closed.map(|centre| (Arc::clone(centre), until)).collect();
+        }
+        self.restored = Some(Restored {
+            before,
+            era,
+            version: self.plan.version,
+            endpoints: self.endpoints.len(),
+            closed: self.closed.len(),
+        });
+    }
+
+    /// Returns a restoration that has not been returned yet.
+    pub const fn take_restored(&mut self) -> Option<Restored> {
+        self.restored.take()
+    }
+
+    /// Records the version of the configuration that the store shows.
+    pub const fn record_shown(&mut self, version: u64) {
+        self.restoration.record_shown(version);
+    }
+
+    /// Records that a read of the store that was sent at `sent` found no newer configuration than
+    /// the one in force. That confirms it, unless a restored store may have lost a newer one.
+    pub fn confirm_read(&mut self, sent: Timestamp, now: Timestamp) {
+        let version = self.plan.version;
+        if version == 0 || !self.restoration.confirms(version, sent) {
+            return;
+        }
+        let may_have_lost = self.restoration.era() > 0;
+        if may_have_lost && self.is_alone_at_start(Section::Configuration, now) {
+            self.unconfirmed_read = Some(sent);
+            return;
+        }
+        self.confirmation.confirm(version, sent);
+    }
+
+    /// Lets the read of a starting entry confirm the configuration once a peer has reported.
+    pub(super) fn confirm_after_report(&mut self, now: Timestamp) {
+        if let Some(sent) = self.unconfirmed_read.take() {
+            self.confirm_read(sent, now);
+        }
+    }
+
+    /// Returns the data centres that the store shows as closed.
+    pub(super) fn listed_closed(&self) -> Vec<Arc<str>> {
+        let closed = self.closed.iter();
+        let listed = closed.filter(|centre| !self.kept_closed.contains_key(*centre));
+        listed.cloned().collect()
+    }
+
+    /// Returns the data centres that were closed before the store was restored, and the milliseconds
+    /// for which they stay closed.
+    pub(super) fn kept_closed(&self, now: Timestamp) -> Vec<(Arc<str>, u32)> {
+        let kept = self.kept_closed.iter();
+        kept.map(|(centre, until)| (Arc::clone(centre), whole_millis(until.since(now))))
+            .collect()
+    }
+
+    /// Closes the data centres that a peer keeps closed.
+    pub(super) fn keep_closed(&mut self, kept: Vec<(Arc<str>, u32)>, now: Timestamp) {
+        for (centre, remaining) in kept {
+            if !self.closed.contains(&centre) {
+                self.apply_closed(&centre, true, now);
+                let until = now + Duration::from_millis(remaining.into());
+                self.kept_closed.insert(centre, until);
+            }
+        }
+    }
+
+    /// Closes exactly these data centres, and those that were closed before the store was restored
+    /// for as long as the operator needs to write that again.
+    pub fn set_closed_centres(&mut self, mut closed: BTreeSet<Arc<str>>, now: Timestamp) {
+        self.kept_closed
+            .retain(|centre, until| now < *until && !closed.contains(centre));
+        closed.extend(self.kept_closed.keys().cloned());
+        let current = self.closed.clone();
+        for centre in current.difference(&closed) {
+            self.apply_closed(centre, false, now);
+        }
+        for centre in closed.difference(&current) {
+            self.apply_closed(centre, true, now);
+        }
+    }
+
+    /// Ends what was kept for a time after a restoration: reopens data centres whose closing was
+    /// not written again.
+    pub fn release_kept(&mut self, now: Timestamp) -> Released {
+        let due = self.kept_closed.iter().filter(|(_, until)| **until <= now);
+        let reopened: Vec<_> = due.map(|(centre, _)| Arc::clone(centre)).collect();
+        for centre in &reopened {
+            self.set_centre_closed(centre, false, now);
+        }
+        Released { reopened }
+    }
+}
--- a/crates/core/src/direct/scheduler/snapshot.rs
+++ b/crates/core/src/direct/scheduler/snapshot.rs
@@ -23,14 +23,19 @@
     pub endpoints: Vec<(EndpointRecord, Option<u32>)>,
     /// Digests of the ids of all endpoints; any other endpoint has been removed.
     pub known: Vec<u64>,
-    /// The closed data centres.
+    /// The data centres that the store shows as closed.
     pub closed: Vec<Arc<str>>,
+    /// Data centres that were closed before the store was restored, and the milliseconds for which
+    /// they stay closed.
+    pub kept: Vec<(Arc<str>, u32)>,
     /// The store's revision of the newest known change, by section.
     pub revisions: [StoreRevision; 2],
     /// Version of the configuration in force.
     pub version: u64,
     /// Milliseconds since that version was last confirmed, if it ever was.
     pub age: Option<u32>,
+    /// Version of the configuration that the store has shown since it was last restored.
+    pub shown: u64,
 }
 
 impl Scheduler {
@@ -48,10 +53,12 @@
             plan: (self.plan.version > version).then(|| Plan::clone(&self.plan)),
             endpoints: self.endpoints.records_since(since, now),
             known: self.endpoints.digests(),
-            closed: self.closed.iter().cloned().collect(),
+            closed: self.listed_closed(),
+            kept: self.kept_closed(now),
             revisions: Section::ALL.map(|section| self.store_progress.revision(section)),
             version: self.confirmation.version(),
             age: self.confirmation.age(now).map(whole_millis),
+            shown: self.restoration.shown(),
         }
     }
 
@@ -63,25 +70,29 @@
         requested: Timestamp,
         now: Timestamp,
     ) -> bool {
+        let [configuration, endpoints] = snapshot.revisions;
+        let newest = configuration.max(endpoints);
+        if !newest.is_unknown() {
+            self.observe_era(newest.era, requested);
+        }
+        let is_newer = self
+            .store_progress
+            .adopt(Section::Configuration, configuration);
+        if is_newer {
+            self.record_shown(snapshot.shown);
+        }
         let mut configured = false;
         if let Some(plan) = snapshot.plan {
-            let version = plan.version;
             configured = self.configure(Arc::new(plan), now);
-            if configured {
-                self.confirmation.adopt(version);
-            }
         }
         if let Some(age) = snapshot.age {
             let age = Duration::from_millis(age.into());
             self.confirmation
                 .confirm_by_peer(snapshot.version, age, requested);
         }
-        let [configuration, endpoints] = snapshot.revisions;
-        if self
-            .store_progress
-            .adopt(Section::Configuration, configuration)
-        {
+        if is_newer {
             self.set_closed_centres(snapshot.closed.into_iter().collect(), now);
+            self.keep_closed(snapshot.kept, now);
         }
         let known = self.store_progress.revision(Section::Endpoints);
         let is_needed = self.endpoints.is_empty() && endpoints.era >= known.era;
@@ -92,17 +103,6 @@
         configured
     }
 
-    /// Closes exactly these data centres and reopens all others.
-    pub fn set_closed_centres(&mut self, closed: BTreeSet<Arc<str>>, now: Timestamp) {
-        let current = self.closed.clone();
-        for centre in current.difference(&closed) {
-            self.set_centre_closed(centre, false, now);
-        }
-        for centre in closed.difference(&current) {
-            self.set_centre_closed(centre, true, now);
-        }
-    }
-
     fn replace_endpoints(
         &mut self,
         endpoints: Vec<(EndpointRecord, Option<u32>)>,
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -11,6 +11,7 @@
 mod overload;
 mod rate_limit;
 mod restoration;
+mod restored_records;
 mod simulation;
 mod store_progress;
 
--- a/crates/core/tests/core/direct/fleet_network.rs
+++ b/crates/core/tests/core/direct/fleet_network.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{Bounds, Plan, RatePolicy, Report, Scheduler, Section};
+use comfreyhaven_core::direct::{
+    Bounds, Plan, RatePolicy, ReadCursor, Report, Scheduler, Section, StoreRevision,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -60,9 +62,16 @@
     pub loss: f64,
     /// Whether the store answers.
     pub store_up: bool,
-    /// Version of the configuration, which is also its revision.
+    /// Group that does not reach the store.
+    pub without_store: Option<u8>,
+    /// How often the store was restored from a copy.
+    pub era: u64,
+    /// Version of the configuration that the store shows, which is also its revision.
     pub version: u64,
     pub store_calls: usize,
+    /// Reads of a whole section.
+    pub whole_reads: usize,
+    cursors: Vec<[ReadCursor; 2]>,
     /// Until when each entry's watch of the endpoints waits for a change.
     watched: Vec<Timestamp>,
     /// How many reads of each entry have failed in a row, and until when it pauses.
@@ -91,8 +100,12 @@
             groups: vec![0; count],
             loss: 0.01,
             store_up: true,
+            without_store: None,
+            era: 0,
             version: 10,
             store_calls: 0,
+            whole_reads: 0,
+            cursors: vec![Default::default(); count],
             watched: vec![Timestamp::ZERO; count],
             failed: vec![(0, Timestamp::ZERO); count],
             sent: vec![0; count],
@@ -224,6 +237,7 @@
         .with_start(now);
         self.watched[index] = Timestamp::ZERO;
         self.failed[index] = (0, Timestamp::ZERO);
+        self.cursors[index] = Default::default();
         self.entries[index] = Some(scheduler);
         self.schedule(now, index, Event::Read(index));
         self.schedule(now + DELAY, index, Event::Send(index));
@@ -236,6 +250,7 @@
             Event::Read(index),
         );
         let plan = self.plan();
+        let newest = StoreRevision::new(self.era, self.version);
         let Some(entry) = &mut self.entries[index] else {
             return;
         };
@@ -249,14 +264,30 @@
                 self.watched[index] = now + WATCH_TIME;
             }
             self.store_calls += 1;
+            let cursor = &mut self.cursors[index][section as usize];
+            let after = cursor.next(entry.store_progress().revision(section));
             entry.store_progress_mut().record_read(section, now);
             self.failed[index].0 += 1;
             self.failed[index].1 = now + entry.read_retry_delay(self.failed[index].0, now);
-            if self.store_up {
-                self.failed[index] = (0, now);
+            if !self.store_up || self.without_store == Some(self.groups[index]) {
+                continue;
+            }
+            self.failed[index] = (0, now);
+            if let Some(after) = after
+                && (after.era != newest.era || after > newest)
+            {
+                cursor.record_gone(after);
+                self.watched[index] = now;
+                continue;
+            }
+            cursor.record_answer(newest);
+            self.whole_reads += usize::from(after.is_none());
+            entry.observe_era(newest.era, now);
+            entry.record_store_answer(section, newest, now);
+            if section == Section::Configuration {
                 entry.configure(Arc::clone(&plan), now);
-                entry.record_store_answer(section, revision(self.version), now);
-                entry.confirm(self.version, now);
+                entry.record_shown(plan.version);
+                entry.confirm_read(now, now);
             }
         }
     }
@@ -267,6 +298,7 @@
         };
         let reports = entry.reports(now);
         entry.expire_peers(now);
+        entry.release_kept(now);
         let interval = entry.report_interval();
         self.sent[index] += reports.len();
         self.schedule(now + interval, index, Event::Send(index));
@@ -330,6 +362,13 @@
         state.map_or(0, |state| state.load().running)
     }
 
+    /// Restores the store from a copy that holds the configuration `version`. Watches return.
+    pub fn restore(&mut self, version: u64) {
+        self.watched.fill(Timestamp::ZERO);
+        self.era += 1;
+        self.version = version;
+    }
+
     /// Publishes a configuration and returns the milliseconds until every running entry has it.
     pub fn publish(&mut self, limit: u64) -> u64 {
         self.version += 3;
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -13,7 +13,7 @@
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
     Ending, Outcome, Placement, PlacementRefusal, PlacementRequest, ProcessLag, Run, Scheduler,
-    Section, Ticket,
+    Section, StoreRevision, Ticket,
 };
 use tokio::sync::{Notify, oneshot};
 use tokio_util::task::TaskTracker;
@@ -276,6 +276,31 @@
         }
     }
 
+    /// Ends what was kept for a time after a restoration of the store.
+    pub fn release_kept(&self) {
+        let released = self.scheduler.borrow_mut().release_kept(clock::now());
+        for centre in released.reopened {
+            log::info!(centre:% = centre; "data centre reopened: it was not closed again");
+        }
+    }
+
+    /// Logs and counts a restoration of the store that became known with `revision`.
+    pub fn report_restoration(&self, revision: StoreRevision) {
+        let Some(restored) = self.scheduler.borrow_mut().take_restored() else {
+            return;
+        };
+        self.metrics.restorations.inc();
+        log::warn!(
+            before = restored.before,
+            era = restored.era,
+            revision = revision.revision,
+            version = restored.version,
+            endpoints = restored.endpoints,
+            closed = restored.closed;
+            "the store was restored"
+        );
+    }
+
     /// Updates the gauges.
     pub fn update_gauges(&self) {
         let scheduler = self.scheduler.borrow();
@@ -283,6 +308,8 @@
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
         self.metrics.waiting.set(gauge(totals.waiting));
         self.metrics.members.set(gauge(totals.members));
+        let era = scheduler.restoration().era();
+        self.metrics.era.set(i64::try_from(era).unwrap_or(i64::MAX));
         if let Some(age) = scheduler.confirmation().age(clock::now()) {
             self.metrics
                 .age
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -156,6 +156,14 @@
     }
 
     fn apply(&self, page: Page, full_read: bool, sent: Timestamp) {
+        let now = clock::now();
+        let era = page.revision.era;
+        self.context.scheduler.borrow_mut().observe_era(era, now);
+        self.context.report_restoration(page.revision);
+        if era < self.context.scheduler.borrow().restoration().era() {
+            log::info!(section:% = self.section, revision:% = page.revision; "ignoring an answer from before the store was restored");
+            return;
+        }
         let (newest, revision) = (page.newest, page.revision);
         let covered = {
             let scheduler = self.context.scheduler.borrow();
@@ -168,9 +176,8 @@
         }
         let mut scheduler = self.context.scheduler.borrow_mut();
         scheduler.record_store_answer(self.section, newest, sent);
-        let version = scheduler.plan().version;
-        if self.section == Section::Configuration && version > 0 {
-            scheduler.confirm(version, sent);
+        if self.section == Section::Configuration {
+            scheduler.confirm_read(sent, now);
         }
         drop(scheduler);
         self.context.process_queues();
@@ -183,7 +190,11 @@
         let scheduler = &self.context.scheduler;
         for change in changes {
             match change {
-                Change::Plan(plan) => self.apply_plan(plan, now),
+                Change::Plan(plan) => {
+                    let version = plan.version;
+                    self.apply_plan(plan, now);
+                    scheduler.borrow_mut().record_shown(version);
+                }
                 Change::Endpoint(record) => {
                     listed.insert(Arc::clone(&record.id));
                     scheduler.borrow_mut().upsert_endpoint(record, now);
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Counters and histograms of a direct entry.
 
-use prometheus::{Error, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    Error, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
 
 /// Bounds of the histograms, in seconds.
 const BUCKETS: [f64; 14] = [
@@ -25,6 +27,10 @@
     pub members: IntGauge,
     /// Milliseconds since the configuration was last confirmed.
     pub age: IntGauge,
+    /// Restorations of the store that this process has seen.
+    pub restorations: IntCounter,
+    /// Number of restorations of the store, as it states it.
+    pub era: IntGauge,
 }
 
 impl Metrics {
@@ -49,7 +55,13 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, Error>(gauge)
         };
+        let restorations = IntCounter::new(
+            "comfreyhaven_store_restorations_total",
+            "Restorations of the store that this process has seen",
+        )?;
+        registry.register(Box::new(restorations.clone()))?;
         Ok(Self {
+            restorations,
             answers: counter(
                 "comfreyhaven_answers_total",
                 "Answers to callers by status and cause",
@@ -74,6 +86,10 @@
                 "comfreyhaven_configuration_age_milliseconds",
                 "Time since the configuration was confirmed",
             )?,
+            era: gauge(
+                "comfreyhaven_store_era",
+                "Number of restorations of the store, as it states it",
+            )?,
             registry,
         })
     }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -221,6 +221,7 @@
             context.upstream.trim(is_listed);
             drop(scheduler);
             context.remove_expired();
+            context.release_kept();
             context.update_gauges();
             if count.is_multiple_of(TRIM_TICKS * 4) {
                 context.log_endpoints();
--- a/crates/direct/src/snapshot.rs
+++ b/crates/direct/src/snapshot.rs
@@ -95,12 +95,14 @@
     };
     let [configuration, endpoints] = snapshot.revisions;
     log::info!(peer:% = from, configuration:% = configuration, endpoints:% = endpoints; "snapshot fetched from a peer");
+    let newest = configuration.max(endpoints);
     let mut scheduler = context.scheduler.borrow_mut();
     if scheduler.apply_snapshot(snapshot, requested, clock::now()) {
         let version = scheduler.plan().version;
         log::info!(version = version, peer:% = from; "configuration in force, from a peer");
     }
     drop(scheduler);
+    context.report_restoration(newest);
     context.process_queues();
 }
 
