An endpoint that left gets nothing on a restored store's old record

Rule: leaving belongs to an endpoint's incarnation, not to its record. A copy of the store may show an endpoint as ready that was draining or gone, may lack one that runs, and may show an earlier incarnation.

An older sequence of a known endpoint had no effect, as now.

A record that says nothing newer, shown in a later era, is withheld for 10 s; if it is still listed then, its endpoint runs, since the record of one that has ended expires. A newer sequence or a new incarnation counts at once. - An earlier incarnation than the one known from an earlier era is withheld in the same way. - Log lines for records that are withheld and admitted.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -6,6 +6,7 @@
 //! cannot start in time. Entries exchange load reports and share no other state.
 
 mod confirmation;
+mod departures;
 mod endpoint_table;
 mod event_interval;
 mod latency_model;
@@ -41,7 +42,7 @@
 pub use rate_limit::{FleetView, RateExceeded, RateLimiter, RatePolicy};
 pub use read_cursor::ReadCursor;
 pub use report::{Echo, EndpointLoad, Identity, MemberStatus, Report, Scope, ServiceLoad, Source};
-pub use restoration::Restoration;
+pub use restoration::{RECOVERY_TIME, Restoration};
 pub use retry_budget::RetryBudget;
 pub use scheduler::{
     Bounds, Ending, Outcome, Placement, PlacementRefusal, PlacementRequest, Reason, Released,
--- a/crates/core/src/direct/endpoint_table/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_table/endpoint_state.rs
@@ -61,6 +61,11 @@
         changed.push(Arc::clone(&self.record.id));
     }
 
+    /// Returns the revision of the store at which the record changed last, or a later one.
+    pub(in crate::direct) const fn revision(&self) -> StoreRevision {
+        self.revision
+    }
+
     /// Returns the endpoint's record.
     #[must_use]
     pub const fn record(&self) -> &EndpointRecord {
--- a/crates/core/src/direct/restoration.rs
+++ b/crates/core/src/direct/restoration.rs
@@ -8,6 +8,9 @@
 
 use crate::time::Timestamp;
 
+/// Time after the store's return in which running endpoints write their records again.
+pub const RECOVERY_TIME: Duration = Duration::from_millis(1_900);
+
 /// Longest time for which an entry waits for the operator to write again what the store has lost.
 const OPERATOR_TIME: Duration = Duration::from_secs(10);
 
@@ -91,6 +94,13 @@
         self.awaits_operator(in_force, now - REPORT_TIME)
     }
 
+    /// Returns the time by which running endpoints have written their records again, if this entry
+    /// has seen the store being restored.
+    #[must_use]
+    pub fn return_time(&self) -> Option<Timestamp> {
+        self.risen.then(|| self.seen + RECOVERY_TIME)
+    }
+
     /// Returns until when this entry waits for what the operator has to write again, if it has seen
     /// the store being restored.
     #[must_use]
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -24,9 +24,10 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::confirmation::Confirmation;
+use super::departures::Departures;
 use super::endpoint_table::{EndpointTable, Run};
 use super::members::Members;
-use super::plan::{EndpointId, EndpointRecord, Plan};
+use super::plan::{EndpointId, Plan};
 use super::rate_limit::RateLimiter;
 use super::report::{Identity, ServiceLoad, Source};
 use super::restoration::Restoration;
@@ -70,6 +71,7 @@
     bounds: Bounds,
     plan: Arc<Plan>,
     endpoints: EndpointTable,
+    departures: Departures,
     closed: BTreeSet<Arc<str>>,
     /// Data centres that stay closed after a restoration of the store, and until when.
     kept_closed: BTreeMap<Arc<str>, Timestamp>,
@@ -120,6 +122,7 @@
             bounds,
             plan: Arc::default(),
             endpoints: EndpointTable::default(),
+            departures: Departures::default(),
             closed: BTreeSet::new(),
             kept_closed: BTreeMap::new(),
             queues: BTreeMap::new(),
@@ -204,11 +207,6 @@
         &self.endpoints
     }
 
-    /// Adds an endpoint or updates its record.
-    pub fn upsert_endpoint(&mut self, record: EndpointRecord, now: Timestamp) {
-        self.endpoints.upsert(record, now);
-    }
-
     /// Marks an endpoint as no longer listed. It may be used until `until`.
     pub fn mark_unlisted(&mut self, id: &str, until: Timestamp) {
         self.endpoints.mark_unlisted(id, until);
--- a/crates/core/src/direct/scheduler/restoration.rs
+++ b/crates/core/src/direct/scheduler/restoration.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::Scheduler;
+use crate::direct::plan::{EndpointId, EndpointRecord};
 use crate::direct::restoration::Restoration;
 use crate::direct::store_progress::Section;
 use crate::time::{Timestamp, whole_millis};
@@ -29,6 +30,8 @@
 pub struct Released {
     /// Data centres that were not closed again.
     pub reopened: Vec<Arc<str>>,
+    /// Endpoints whose withheld records are still listed.
+    pub admitted: Vec<EndpointId>,
 }
 
 impl Scheduler {
@@ -88,6 +91,53 @@
         }
     }
 
+    /// Adds an endpoint or updates its record, unless a restored store shows it as it was before it
+    /// left or restarted. Returns false in that case.
+    pub fn upsert_endpoint(&mut self, record: EndpointRecord, now: Timestamp) -> bool {
+        let era = self.restoration.era();
+        let until = self.restoration.operator_time();
+        let is_old = self.departures.covers(&record, era, now) || self.is_replaced(&record);
+        if let Some(until) = until.filter(|until| is_old && now < *until) {
+            self.departures.withhold(record, until);
+            return false;
+        }
+        self.departures.forget(&record.id);
+        self.endpoints.upsert(record, now);
+        true
+    }
+
+    /// Returns whether the record is of an earlier incarnation than one known from an earlier era.
+    fn is_replaced(&self, record: &EndpointRecord) -> bool {
+        self.endpoints.get(&record.id).is_some_and(|state| {
+            record.started_ms < state.record().started_ms
+                && state.revision().era < self.restoration.era()
+        })
+    }
+
+    /// Records that an endpoint is no longer listed. It may be used until `until`.
+    pub fn unlist_endpoint(&mut self, id: &EndpointId, until: Timestamp, now: Timestamp) {
+        self.departures.drop_withheld(id);
+        let Some(state) = self.endpoints.get(id) else {
+            return;
+        };
+        let returns = self.restoration.return_time();
+        let may_return = returns.is_some_and(|time| now < time);
+        if state.record().leaving || !may_return {
+            let era = self.restoration.era();
+            self.departures.record(state.record(), era, now);
+        }
+        self.endpoints.mark_unlisted(id, until);
+    }
+
+    /// Returns the ids of all endpoints that the store lists, also of those that are not used because
+    /// a restored store shows them as they were before they left.
+    #[must_use]
+    pub fn listed_endpoints(&self) -> Vec<EndpointId> {
+        let mut ids = self.endpoints.ids();
+        ids.extend(self.departures.withheld());
+        ids
+    }
+
     /// Returns the data centres that the store shows as closed.
     pub(super) fn listed_closed(&self) -> Vec<Arc<str>> {
         let closed = self.closed.iter();
@@ -130,13 +180,18 @@
     }
 
     /// Ends what was kept for a time after a restoration: reopens data centres whose closing was
-    /// not written again.
+    /// not written again, and admits records that are still listed.
     pub fn release_kept(&mut self, now: Timestamp) -> Released {
         let due = self.kept_closed.iter().filter(|(_, until)| **until <= now);
         let reopened: Vec<_> = due.map(|(centre, _)| Arc::clone(centre)).collect();
         for centre in &reopened {
             self.set_centre_closed(centre, false, now);
         }
-        Released { reopened }
+        let mut admitted = Vec::new();
+        for record in self.departures.take_due(now) {
+            admitted.push(Arc::clone(&record.id));
+            self.endpoints.upsert(record, now);
+        }
+        Released { reopened, admitted }
     }
 }
--- a/crates/core/src/direct/scheduler/snapshot.rs
+++ b/crates/core/src/direct/scheduler/snapshot.rs
@@ -110,14 +110,16 @@
         now: Timestamp,
     ) {
         let listed: BTreeSet<_> = listed.iter().copied().collect();
-        for id in self.endpoints.ids() {
+        let returned = self.restoration.return_time();
+        let until = returned.unwrap_or(now).max(now);
+        for id in self.listed_endpoints() {
             if !listed.contains(&digest(&id)) {
-                self.endpoints.mark_unlisted(&id, now);
+                self.unlist_endpoint(&id, until, now);
             }
         }
         for (record, remaining) in endpoints {
             let id = Arc::clone(&record.id);
-            self.endpoints.upsert(record, now);
+            self.upsert_endpoint(record, now);
             if let Some(remaining) = remaining {
                 let until = now + Duration::from_millis(remaining.into());
                 self.endpoints.mark_unlisted(&id, until);
--- a/crates/core/tests/core/direct/fleet_network.rs
+++ b/crates/core/tests/core/direct/fleet_network.rs
@@ -8,7 +8,7 @@
 
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
-    Bounds, Plan, RatePolicy, ReadCursor, Report, Scheduler, Section, StoreRevision,
+    Bounds, EndpointRecord, Plan, RatePolicy, ReadCursor, Report, Scheduler, Section, StoreRevision,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -37,6 +37,9 @@
 /// Time for which a watch of the endpoints waits.
 const WATCH_TIME: Duration = Duration::from_millis(2_000);
 
+/// Time for which an unlisted endpoint stays usable.
+const UNLISTED_TIME: Duration = Duration::from_millis(1_200);
+
 pub fn entry_address(index: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (index / 200) as u8, (index % 200) as u8 + 1], 7_600))
 }
@@ -68,6 +71,8 @@
     pub era: u64,
     /// Version of the configuration that the store shows, which is also its revision.
     pub version: u64,
+    /// The endpoint records that the store shows, if the fleet reads them.
+    pub listed: Option<Vec<EndpointRecord>>,
     pub store_calls: usize,
     /// Reads of a whole section.
     pub whole_reads: usize,
@@ -103,6 +108,7 @@
             without_store: None,
             era: 0,
             version: 10,
+            listed: None,
             store_calls: 0,
             whole_reads: 0,
             cursors: vec![Default::default(); count],
@@ -283,11 +289,16 @@
             cursor.record_answer(newest);
             self.whole_reads += usize::from(after.is_none());
             entry.observe_era(newest.era, now);
-            entry.record_store_answer(section, newest, now);
             if section == Section::Configuration {
+                entry.record_store_answer(section, newest, now);
                 entry.configure(Arc::clone(&plan), now);
                 entry.record_shown(plan.version);
                 entry.confirm_read(now, now);
+            } else if let Some(listed) = self.listed.as_ref().filter(|_| after != Some(newest)) {
+                apply_records(entry, listed, now);
+                entry.record_store_answer(section, newest, now);
+            } else {
+                entry.record_store_answer(section, newest, now);
             }
         }
     }
@@ -298,6 +309,7 @@
         };
         let reports = entry.reports(now);
         entry.expire_peers(now);
+        entry.remove_expired(now);
         entry.release_kept(now);
         let interval = entry.report_interval();
         self.sent[index] += reports.len();
@@ -346,7 +358,7 @@
     pub fn add_endpoint(&mut self, id: &str, slots: u32, cold: Duration) {
         let now = at(self.now);
         for entry in self.entries.iter_mut().flatten() {
-            let record = comfreyhaven_core::direct::EndpointRecord {
+            let record = EndpointRecord {
                 cold,
                 sequence: 2,
                 ..super::endpoint_record(id, slots)
@@ -362,6 +374,13 @@
         state.map_or(0, |state| state.load().running)
     }
 
+    /// Replaces the endpoint records that the store shows, in a new revision. Watches return.
+    pub fn list(&mut self, listed: Vec<EndpointRecord>) {
+        self.watched.fill(Timestamp::ZERO);
+        self.listed = Some(listed);
+        self.version += 1;
+    }
+
     /// Restores the store from a copy that holds the configuration `version`. Watches return.
     pub fn restore(&mut self, version: u64) {
         self.watched.fill(Timestamp::ZERO);
@@ -384,6 +403,19 @@
     }
 }
 
+/// Applies all endpoint records of the store.
+fn apply_records(entry: &mut Scheduler, listed: &[EndpointRecord], now: Timestamp) {
+    for record in listed {
+        entry.upsert_endpoint(record.clone(), now);
+    }
+    let returned = entry.restoration().return_time().unwrap_or(now);
+    for id in entry.listed_endpoints() {
+        if listed.iter().all(|record| record.id != id) {
+            entry.unlist_endpoint(&id, returned.max(now + UNLISTED_TIME), now);
+        }
+    }
+}
+
 /// Returns the team that all entries share.
 pub fn shared_team(entry: &Scheduler) -> Arc<comfreyhaven_core::direct::PlanTeam> {
     Arc::clone(&entry.plan().teams[0])
--- a/crates/core/tests/core/direct/restored_records.rs
+++ b/crates/core/tests/core/direct/restored_records.rs
@@ -1,13 +1,43 @@
-//! Closed data centres and limits that a restored store shows as they were before.
+//! Endpoint records and closed data centres that a restored store shows as they were before, or no
+//! longer shows.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{Scheduler, Section, StoreRevision};
+use comfreyhaven_core::direct::{EndpointRecord, Scheduler, Section, StoreRevision};
 
-use super::{at, revision, scheduler};
+use super::fleet_network::FleetNetwork;
+use super::{at, endpoint_record, revision, scheduler};
+
+const SIZES: [usize; 4] = [3, 30, 100, 300];
+
+fn record(id: &str, sequence: u64) -> EndpointRecord {
+    EndpointRecord {
+        sequence,
+        ..endpoint_record(id, 4)
+    }
+}
+
+fn leaving(id: &str, sequence: u64) -> EndpointRecord {
+    EndpointRecord {
+        leaving: true,
+        ..record(id, sequence)
+    }
+}
+
+fn restarted(id: &str, sequence: u64) -> EndpointRecord {
+    EndpointRecord {
+        started_ms: 2,
+        ..record(id, sequence)
+    }
+}
+
+fn is_usable(entry: &Scheduler, id: &str, now: Timestamp) -> bool {
+    let state = entry.endpoints().get(id);
+    state.is_some_and(|state| state.is_usable(now))
+}
 
 /// An entry that knows the store up to the first era.
 fn entry() -> Scheduler {
@@ -16,6 +46,167 @@
     entry
 }
 
+#[test]
+fn an_endpoint_that_left_gets_nothing_on_its_old_record() {
+    let mut entry = entry();
+    for id in ["draining", "gone", "announced"] {
+        entry.upsert_endpoint(record(id, 3), at(0));
+    }
+    // One has announced its leaving, one is removed without notice, one has done both.
+    for id in ["draining", "announced"] {
+        entry.upsert_endpoint(leaving(id, 5), at(100));
+    }
+    for id in ["gone", "announced"] {
+        entry.unlist_endpoint(&id.into(), at(200), at(200));
+    }
+    entry.remove_expired(at(300));
+    entry.observe_era(1, at(1_000));
+    for id in ["draining", "gone", "announced"] {
+        entry.upsert_endpoint(record(id, 3), at(1_000));
+        assert!(!is_usable(&entry, id, at(1_000)), "{id}");
+    }
+    // A newer word of the same incarnation, and a new incarnation, count at once.
+    entry.upsert_endpoint(record("gone", 6), at(1_100));
+    assert!(is_usable(&entry, "gone", at(1_100)));
+    entry.upsert_endpoint(restarted("announced", 1), at(1_100));
+    assert!(is_usable(&entry, "announced", at(1_100)));
+}
+
+/// The endpoint's record had expired by mistake, and it writes only what has changed.
+#[test]
+fn a_withheld_record_is_admitted_if_it_stays_listed() {
+    let mut entry = entry();
+    for id in ["running", "ended"] {
+        entry.upsert_endpoint(record(id, 3), at(0));
+        entry.unlist_endpoint(&id.into(), at(100), at(100));
+    }
+    entry.remove_expired(at(200));
+    entry.observe_era(1, at(1_000));
+    for id in ["running", "ended"] {
+        entry.upsert_endpoint(record(id, 3), at(1_000));
+    }
+    let listed = entry.listed_endpoints();
+    assert_eq!(listed.len(), 2, "what is withheld is listed: {listed:?}");
+    entry.unlist_endpoint(&"ended".into(), at(5_000), at(4_000));
+    entry.release_kept(at(10_000));
+    assert!(!is_usable(&entry, "running", at(10_000)));
+    entry.release_kept(at(11_100));
+    assert!(is_usable(&entry, "running", at(11_100)));
+    assert!(!is_usable(&entry, "ended", at(11_100)));
+}
+
+/// Guards against an endpoint that restarted just before the restoration: its earlier incarnation
+/// would replace it, without its load and as warm.
+#[test]
+fn an_earlier_incarnation_in_the_copy_does_not_replace_a_later_one() {
+    let mut entry = entry();
+    entry.upsert_endpoint(record("x", 9), at(0));
+    entry.upsert_endpoint(restarted("x", 1), at(100));
+    entry.record_store_answer(Section::Endpoints, revision(20), at(100));
+    entry.observe_era(1, at(1_000));
+    entry.upsert_endpoint(record("x", 9), at(1_000));
+    let started = |entry: &Scheduler| {
+        let state = entry.endpoints().get("x").expect("known");
+        state.record().started_ms
+    };
+    assert_eq!(started(&entry), 2);
+    entry.upsert_endpoint(restarted("x", 7), at(2_000));
+    entry.release_kept(at(12_000));
+    assert_eq!(started(&entry), 2);
+}
+
+#[test]
+fn an_endpoint_that_the_copy_does_not_hold_returns_with_the_same_record() {
+    let mut entry = entry();
+    entry.upsert_endpoint(record("x", 3), at(0));
+    entry.observe_era(1, at(1_000));
+    entry.unlist_endpoint(&"x".into(), at(2_900), at(1_000));
+    assert!(is_usable(&entry, "x", at(2_800)));
+    entry.upsert_endpoint(record("x", 3), at(2_500));
+    entry.remove_expired(at(3_000));
+    assert!(is_usable(&entry, "x", at(3_000)));
+}
+
+/// Guards against removal by the snapshot of a peer that started after the restoration and never
+/// knew the endpoint.
+#[test]
+fn a_snapshot_after_a_restoration_leaves_endpoints_time_to_return() {
+    let (mut old, mut new) = (entry(), scheduler(2, &[1]));
+    for id in ["kept", "lost", "back"] {
+        old.upsert_endpoint(record(id, 3), at(0));
+    }
+    old.record_store_answer(Section::Endpoints, revision(50), at(0));
+    new.observe_era(1, at(1_000));
+    new.upsert_endpoint(record("kept", 3), at(1_000));
+    for section in Section::ALL {
+        new.record_store_answer(section, StoreRevision::new(1, 40), at(1_000));
+    }
+    old.apply_snapshot(
+        new.snapshot(0, revision(50), at(1_100)),
+        at(1_100),
+        at(1_110),
+    );
+    assert_eq!(old.restoration().era(), 1);
+    new.upsert_endpoint(record("back", 4), at(2_000));
+    new.record_store_answer(Section::Endpoints, StoreRevision::new(1, 41), at(2_000));
+    let known = StoreRevision::new(1, 40);
+    old.apply_snapshot(new.snapshot(0, known, at(2_100)), at(2_100), at(2_110));
+    assert!(is_usable(&old, "lost", at(2_900)));
+    assert_eq!(old.remove_expired(at(2_900)), Vec::<Arc<str>>::new());
+    assert_eq!(old.remove_expired(at(3_100)), ["lost".into()]);
+    assert!(is_usable(&old, "back", at(3_100)));
+}
+
+/// Copies are seconds old, so a departure of a minute ago is not undone by one.
+#[test]
+fn departures_are_remembered_for_a_bounded_time() {
+    let mut entry = entry();
+    entry.upsert_endpoint(record("x", 3), at(0));
+    entry.unlist_endpoint(&"x".into(), at(100), at(100));
+    entry.remove_expired(at(200));
+    entry.observe_era(1, at(70_000));
+    entry.upsert_endpoint(record("x", 3), at(70_000));
+    assert!(is_usable(&entry, "x", at(70_000)));
+}
+
+/// One endpoint leaves and one starts after the copy was made. All entries keep to what they knew,
+/// and agree when the records have been written again.
+#[test]
+fn a_fleet_keeps_to_the_newest_records_it_knew() {
+    for count in SIZES {
+        let mut fleet = FleetNetwork::new(count);
+        fleet.list(vec![record("stays", 3), record("leaves", 3)]);
+        fleet.run(2_000);
+        fleet.list(vec![record("stays", 3), leaving("leaves", 5)]);
+        fleet.run(2_500);
+        fleet.list(vec![record("stays", 3), record("starts", 1)]);
+        fleet.run(2_500);
+        fleet.restore(10);
+        fleet.listed = Some(vec![record("stays", 3), record("leaves", 3)]);
+        let assert_kept = |fleet: &mut FleetNetwork| {
+            let now = at(fleet.now);
+            for (index, entry) in fleet.running() {
+                assert!(
+                    is_usable(entry, "stays", now),
+                    "entry {index} of {count} at {}",
+                    fleet.now
+                );
+                assert!(is_usable(entry, "starts", now), "entry {index} of {count}");
+                assert!(!is_usable(entry, "leaves", now), "entry {index} of {count}");
+            }
+        };
+        fleet.run_with(1_400, assert_kept);
+        fleet.list(vec![
+            record("stays", 3),
+            record("leaves", 3),
+            record("starts", 9),
+        ]);
+        fleet.run_with(3_500, assert_kept);
+        fleet.list(vec![record("stays", 3), record("starts", 9)]);
+        fleet.run_with(10_000, assert_kept);
+    }
+}
+
 #[test]
 fn a_closed_data_centre_stays_closed_until_the_operator_had_time_to_close_it_again() {
     let names = |entry: &Scheduler| entry.closed().iter().cloned().collect::<Vec<_>>();
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -282,6 +282,9 @@
         for centre in released.reopened {
             log::info!(centre:% = centre; "data centre reopened: it was not closed again");
         }
+        for id in released.admitted {
+            log::info!(endpoint:% = id; "endpoint admitted: it is still listed");
+        }
     }
 
     /// Logs and counts a restoration of the store that became known with `revision`.
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{EndpointId, Plan, ReadCursor, StoreRevision};
+use comfreyhaven_core::direct::{EndpointId, EndpointRecord, Plan, ReadCursor, StoreRevision};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
@@ -152,7 +152,10 @@
     fn expiry(&self, now: Timestamp) -> Timestamp {
         let limits = &self.context.limits;
         let recovery = self.recovered.map(|since| since + limits.recovery);
-        (now + limits.unlisted).max(recovery.unwrap_or(now))
+        let returned = self.context.scheduler.borrow().restoration().return_time();
+        (now + limits.unlisted)
+            .max(recovery.unwrap_or(now))
+            .max(returned.unwrap_or(now))
     }
 
     fn apply(&self, page: Page, full_read: bool, sent: Timestamp) {
@@ -197,7 +200,7 @@
                 }
                 Change::Endpoint(record) => {
                     listed.insert(Arc::clone(&record.id));
-                    scheduler.borrow_mut().upsert_endpoint(record, now);
+                    self.apply_record(record, now);
                 }
                 Change::EndpointRemoved(id) => self.unlist(&id, now),
                 Change::Closed(centre, state) => {
@@ -228,10 +231,19 @@
         }
     }
 
+    fn apply_record(&self, record: EndpointRecord, now: Timestamp) {
+        let (id, sequence) = (Arc::clone(&record.id), record.sequence);
+        let mut scheduler = self.context.scheduler.borrow_mut();
+        if !scheduler.upsert_endpoint(record, now) {
+            log::info!(endpoint:% = id, sequence = sequence; "endpoint withheld: the restored store shows it as it was before");
+        }
+    }
+
     fn unlist(&self, id: &EndpointId, now: Timestamp) {
         log::info!(endpoint:% = id; "endpoint no longer listed");
         let until = self.expiry(now);
-        self.context.scheduler.borrow_mut().mark_unlisted(id, until);
+        let mut scheduler = self.context.scheduler.borrow_mut();
+        scheduler.unlist_endpoint(id, until, now);
     }
 
     /// Marks endpoints that a full read did not contain as unlisted, and reopens data centres that
@@ -244,7 +256,7 @@
     ) {
         match self.section {
             Section::Endpoints => {
-                let known = self.context.scheduler.borrow().endpoints().ids();
+                let known = self.context.scheduler.borrow().listed_endpoints();
                 for id in known.iter().filter(|id| !listed.contains(*id)) {
                     self.unlist(id, now);
                 }
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -5,7 +5,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use comfreyhaven_core::direct::{Bounds, RatePolicy};
+use comfreyhaven_core::direct::{Bounds, RECOVERY_TIME, RatePolicy};
 use derive_more::{Display, Error};
 use ini::Ini;
 
@@ -20,9 +20,6 @@
 /// still serves.
 const UNLISTED_PART: f64 = 0.6;
 
-/// Time after an outage of the store in which records of running endpoints may still be missing.
-const RECOVERY_TIME: Duration = Duration::from_millis(1_900);
-
 /// All settings of a process.
 #[derive(Debug, Clone)]
 pub struct Settings {
