--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -59,7 +59,14 @@
         self.release(ending);
     }
 
-    fn release(&mut self, ending: Ending) {
+    /// Records that the endpoint failed although the run goes on.
+    pub fn record_failure(&self) {
+        let mut scheduler = self.context.scheduler.borrow_mut();
+        scheduler.record_failure(&self.run, clock::now());
+    }
+
+    /// Releases the slot, if it is not released yet, and records how the run ended.
+    pub fn release(&mut self, ending: Ending) {
         if !std::mem::replace(&mut self.ended, true) {
             let now = clock::now();
             self.context
@@ -208,11 +215,10 @@
         *baseline - deadline
     }
 
-    /// Returns whether no request runs or waits.
-    #[must_use]
-    pub fn is_idle(&self) -> bool {
-        let totals = self.scheduler.borrow().totals();
-        totals.running == 0 && totals.waiting == 0
+    /// Refuses all requests that wait for a slot.
+    pub fn refuse_waiting(&self) {
+        // A request whose waiter is dropped counts as refused.
+        self.waiters.borrow_mut().clear();
     }
 
     /// Returns whether a request waits for a slot.
