A peer in an earlier era does not tell what the restored store shows

An entry that learned of a restoration by its endpoints, and then took the configuration's state from a peer that had not seen it yet, took the version that this peer had been shown for the one of the restored store, and its next read could confirm the version in force. The version shown is taken only from a peer in the same era. a_peer_in_an_earlier_era_does_not_tell_what_the_restored_store_shows failed (confirmed at once) and passes; direct::restoration and direct::restored_records: 26 passed.

--- a/crates/core/src/direct/scheduler/snapshot.rs
+++ b/crates/core/src/direct/scheduler/snapshot.rs
@@ -78,7 +78,7 @@
         let is_newer = self
             .store_progress
             .adopt(Section::Configuration, configuration);
-        if is_newer {
+        if is_newer && configuration.era == self.restoration.era() {
             self.record_shown(snapshot.shown);
         }
         let mut configured = false;
--- a/crates/core/tests/core/direct/restoration.rs
+++ b/crates/core/tests/core/direct/restoration.rs
@@ -122,6 +122,25 @@
     assert!(entry.snapshot(0, known, at(20)).endpoints.is_empty());
 }
 
+/// An entry learns of the restoration by its endpoints, and then of a peer that has not seen it yet.
+#[test]
+fn a_peer_in_an_earlier_era_does_not_tell_what_the_restored_store_shows() {
+    let (mut old, mut new) = (scheduler(1, &[2]), scheduler(2, &[1]));
+    for entry in [&mut old, &mut new] {
+        entry.observe_era(0, at(0));
+        entry.configure(plan(13), at(0));
+        entry.record_shown(13);
+    }
+    old.record_store_answer(Section::Configuration, revision(90), at(0));
+    new.observe_era(1, at(100));
+    new.apply_snapshot(old.snapshot(13, revision(0), at(200)), at(200), at(200));
+    new.confirm_read(at(300), at(300));
+    assert_eq!(new.confirmation().age(at(300)), None);
+    new.record_shown(13);
+    new.confirm_read(at(400), at(400));
+    assert!(new.confirmation().is_current(KEY_LIMIT, at(500)));
+}
+
 /// Guards against a read by each entry: all of them find that the store has no history for them.
 #[test]
 fn a_restoration_is_read_by_the_readers_alone() {
