A peer learns which endpoints had left before the store was restored

Rule: an endpoint that left gets nothing on the record of a copy. Before, only an entry that had seen the leaving itself kept to it.

The peer removes what they cover, unless it knows something newer of the endpoint, and withholds the copy's record.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -30,6 +30,7 @@
 mod wait_queue;
 
 pub use confirmation::Confirmation;
+pub use departures::DepartedEndpoint;
 pub use endpoint_table::{EndpointState, EndpointTable, Load, Run, digest};
 pub use event_interval::EventInterval;
 pub use latency_model::LatencyModel;
--- a/crates/core/src/direct/departures.rs
+++ b/crates/core/src/direct/departures.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::plan::{EndpointId, EndpointRecord};
 use crate::time::Timestamp;
 
@@ -18,11 +20,37 @@
 /// Greatest number of departures that are remembered.
 const MEMORY_LIMIT: usize = 2_048;
 
-/// The last record of an endpoint that has left.
-#[derive(Debug, Clone, Copy)]
+/// The last record of an endpoint that has left, as one entry tells it another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartedEndpoint {
+    /// Id of the endpoint.
+    pub id: EndpointId,
+    /// Start time of the incarnation that left.
+    pub started_ms: u64,
+    /// Sequence of its last record.
+    pub sequence: u64,
+}
+
+impl DepartedEndpoint {
+    /// Creates the departure of the endpoint whose last record is `record`.
+    pub(super) fn new(record: &EndpointRecord) -> Self {
+        Self {
+            id: Arc::clone(&record.id),
+            started_ms: record.started_ms,
+            sequence: record.sequence,
+        }
+    }
+
+    /// Returns whether `record` says nothing newer of the endpoint.
+    pub(super) fn covers(&self, record: &EndpointRecord) -> bool {
+        (record.started_ms, record.sequence) <= (self.started_ms, self.sequence)
+    }
+}
+
+/// A departure and when it became known.
+#[derive(Debug, Clone)]
 struct Departure {
-    started_ms: u64,
-    sequence: u64,
+    last: DepartedEndpoint,
     /// Era in which the departure became known.
     era: u64,
     at: Timestamp,
@@ -37,33 +65,34 @@
 }
 
 impl Departures {
-    /// Records that the endpoint of `record` has left.
-    pub(super) fn record(&mut self, record: &EndpointRecord, era: u64, now: Timestamp) {
+    /// Records that an endpoint has left.
+    pub(super) fn record(&mut self, last: DepartedEndpoint, era: u64, now: Timestamp) {
         if self.departed.len() >= MEMORY_LIMIT {
             self.departed.retain(|_, left| now < left.at + MEMORY_TIME);
         }
         if self.departed.len() >= MEMORY_LIMIT {
             return;
         }
-        let departure = Departure {
-            started_ms: record.started_ms,
-            sequence: record.sequence,
-            era,
-            at: now,
-        };
-        self.departed.insert(Arc::clone(&record.id), departure);
+        let id = Arc::clone(&last.id);
+        let departure = Departure { last, era, at: now };
+        self.departed.insert(id, departure);
     }
 
     /// Returns whether `record` says nothing newer than the departure of its endpoint, which became
     /// known before `era`.
     pub(super) fn covers(&self, record: &EndpointRecord, era: u64, now: Timestamp) -> bool {
         self.departed.get(&record.id).is_some_and(|left| {
-            left.era < era
-                && now < left.at + MEMORY_TIME
-                && (record.started_ms, record.sequence) <= (left.started_ms, left.sequence)
+            left.era < era && now < left.at + MEMORY_TIME && left.last.covers(record)
         })
     }
 
+    /// Returns the endpoints whose departure became known before `era`.
+    pub(super) fn known_before(&self, era: u64, now: Timestamp) -> Vec<DepartedEndpoint> {
+        let departed = self.departed.values();
+        let before = departed.filter(|left| left.era < era && now < left.at + MEMORY_TIME);
+        before.map(|left| left.last.clone()).collect()
+    }
+
     /// Withholds a record until `until`.
     pub(super) fn withhold(&mut self, record: EndpointRecord, until: Timestamp) {
         self.withheld
--- a/crates/core/src/direct/scheduler/restoration.rs
+++ b/crates/core/src/direct/scheduler/restoration.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::Scheduler;
+use crate::direct::departures::DepartedEndpoint;
 use crate::direct::plan::{EndpointId, EndpointRecord};
 use crate::direct::restoration::Restoration;
 use crate::direct::store_progress::Section;
@@ -124,11 +125,32 @@
         let may_return = returns.is_some_and(|time| now < time);
         if state.record().leaving || !may_return {
             let era = self.restoration.era();
-            self.departures.record(state.record(), era, now);
+            let last = DepartedEndpoint::new(state.record());
+            self.departures.record(last, era, now);
         }
         self.endpoints.mark_unlisted(id, until);
     }
 
+    /// Returns the endpoints that left before the store was restored, for a peer that may not know of
+    /// the restoration yet.
+    pub(super) fn departed_before_era(&self, now: Timestamp) -> Vec<DepartedEndpoint> {
+        self.departures.known_before(self.restoration.era(), now)
+    }
+
+    /// Removes the endpoints of which a peer knows that they left before the store was restored, and
+    /// about which nothing newer is known here.
+    pub(super) fn apply_departed(&mut self, departed: Vec<DepartedEndpoint>, now: Timestamp) {
+        let era = self.restoration.era().saturating_sub(1);
+        for last in departed {
+            let state = self.endpoints.get(&last.id);
+            if state.is_some_and(|state| !last.covers(state.record())) {
+                continue;
+            }
+            self.endpoints.remove(&last.id);
+            self.departures.record(last, era, now);
+        }
+    }
+
     /// Returns the ids of all endpoints that the store lists, also of those that are not used because
     /// a restored store shows them as they were before they left.
     #[must_use]
--- a/crates/core/src/direct/scheduler/snapshot.rs
+++ b/crates/core/src/direct/scheduler/snapshot.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Scheduler;
+use crate::direct::departures::DepartedEndpoint;
 use crate::direct::endpoint_table::digest;
 use crate::direct::plan::{EndpointRecord, Plan};
 use crate::direct::store_progress::Section;
@@ -23,6 +24,9 @@
     pub endpoints: Vec<(EndpointRecord, Option<u32>)>,
     /// Digests of the ids of all endpoints; any other endpoint has been removed.
     pub known: Vec<u64>,
+    /// The endpoints that left before the store was restored, if the requesting peer's revision is of
+    /// an earlier era.
+    pub departed: Vec<DepartedEndpoint>,
     /// The data centres that the store shows as closed.
     pub closed: Vec<Arc<str>>,
     /// Data centres that were closed before the store was restored, and the milliseconds for which
@@ -44,15 +48,16 @@
     #[must_use]
     pub fn snapshot(&self, version: u64, revision: StoreRevision, now: Timestamp) -> Snapshot {
         let newest = self.store_progress.revision(Section::Endpoints);
-        let since = if revision.era < newest.era {
-            StoreRevision::default()
+        let (since, departed) = if revision.era < newest.era {
+            (StoreRevision::default(), self.departed_before_era(now))
         } else {
-            revision
+            (revision, Vec::new())
         };
         Snapshot {
             plan: (self.plan.version > version).then(|| Plan::clone(&self.plan)),
             endpoints: self.endpoints.records_since(since, now),
             known: self.endpoints.digests(),
+            departed,
             closed: self.listed_closed(),
             kept: self.kept_closed(now),
             revisions: Section::ALL.map(|section| self.store_progress.revision(section)),
@@ -97,6 +102,7 @@
         let known = self.store_progress.revision(Section::Endpoints);
         let is_needed = self.endpoints.is_empty() && endpoints.era >= known.era;
         if self.store_progress.adopt(Section::Endpoints, endpoints) || is_needed {
+            self.apply_departed(snapshot.departed, now);
             self.replace_endpoints(snapshot.endpoints, &snapshot.known, now);
             self.endpoints.set_revision(endpoints);
         }
--- a/crates/core/tests/core/direct/fleet_network.rs
+++ b/crates/core/tests/core/direct/fleet_network.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::{at, bounds, plan, rate_policy, revision};
+use super::{at, bounds, plan, rate_policy};
 
 /// Data centres of the fleet.
 pub const CENTRES: [&str; 5] = ["a", "b", "c", "d", "e"];
@@ -338,7 +338,8 @@
             && let Some(sender) = &self.entries[self.indices[&from]]
             && let Some(entry) = &self.entries[to]
         {
-            let snapshot = sender.snapshot(entry.plan().version, revision(0), now);
+            let known = entry.store_progress().revision(Section::Endpoints);
+            let snapshot = sender.snapshot(entry.plan().version, known, now);
             if let Some(entry) = &mut self.entries[to] {
                 entry.apply_snapshot(snapshot, now, now);
             }
--- a/crates/core/tests/core/direct/restored_records.rs
+++ b/crates/core/tests/core/direct/restored_records.rs
@@ -157,6 +157,35 @@
     assert!(is_usable(&old, "back", at(3_100)));
 }
 
+/// Only the reader has seen the endpoint leave before the store was restored.
+#[test]
+fn a_peer_learns_which_endpoints_had_left_before_the_restoration() {
+    let (mut reader, mut peer) = (entry(), scheduler(2, &[1]));
+    peer.observe_era(0, at(0));
+    for entry in [&mut reader, &mut peer] {
+        entry.upsert_endpoint(record("stays", 3), at(0));
+        entry.upsert_endpoint(record("leaves", 3), at(0));
+        entry.record_store_answer(Section::Endpoints, revision(50), at(0));
+    }
+    reader.upsert_endpoint(leaving("leaves", 5), at(100));
+    reader.unlist_endpoint(&"leaves".into(), at(200), at(200));
+    reader.observe_era(1, at(1_000));
+    reader.upsert_endpoint(record("leaves", 3), at(1_000));
+    reader.record_store_answer(Section::Endpoints, StoreRevision::new(1, 40), at(1_000));
+    let snapshot = reader.snapshot(0, revision(50), at(1_100));
+    peer.apply_snapshot(snapshot, at(1_100), at(1_100));
+    assert!(is_usable(&peer, "stays", at(1_100)));
+    assert!(!is_usable(&peer, "leaves", at(1_100)));
+    peer.upsert_endpoint(record("leaves", 3), at(1_200));
+    assert!(!is_usable(&peer, "leaves", at(1_200)));
+    // It was not leaving, or is back.
+    peer.upsert_endpoint(record("leaves", 6), at(1_300));
+    reader.record_store_answer(Section::Endpoints, StoreRevision::new(1, 41), at(1_400));
+    let again = reader.snapshot(0, revision(50), at(1_400));
+    peer.apply_snapshot(again, at(1_400), at(1_400));
+    assert!(is_usable(&peer, "leaves", at(1_400)));
+}
+
 /// Copies are seconds old, so a departure of a minute ago is not undone by one.
 #[test]
 fn departures_are_remembered_for_a_bounded_time() {
