A restoration ends the watches of the earlier era

A watch of the endpoints waits 2 s. One that waited while the store was restored learned of an endpoint that left in the new era only at its end, although the reads of the configuration had shown the new era before.

The stand-in's watches from before a restoration now see nothing of the new era until their time is over.

--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -133,6 +133,7 @@
     /// Whether the last read of the configuration failed.
     store_lost: Cell<bool>,
     change: Notify,
+    restoration: Notify,
     /// The longest deadline received for each route. A much shorter one shows that the request
     /// spent the difference on its way here.
     longest_deadlines: RefCell<HashMap<Arc<str>, Duration>>,
@@ -163,6 +164,7 @@
             sections_read: Cell::default(),
             store_lost: Cell::new(false),
             change: Notify::new(),
+            restoration: Notify::new(),
             longest_deadlines: RefCell::default(),
         })
     }
@@ -263,6 +265,11 @@
         self.change.notified().await;
     }
 
+    /// Waits until this entry learns of a restoration of the store.
+    pub async fn restored(&self) {
+        self.restoration.notified().await;
+    }
+
     /// Starts a fetch of a snapshot. Returns false if another fetch is in flight.
     #[must_use]
     pub fn start_fetch(&self) -> bool {
@@ -293,11 +300,13 @@
         }
     }
 
-    /// Logs and counts a restoration of the store that became known with `revision`.
+    /// Logs and counts a restoration of the store that became known with `revision`, and ends the
+    /// watches of the earlier era.
     pub fn report_restoration(&self, revision: StoreRevision) {
         let Some(restored) = self.scheduler.borrow_mut().take_restored() else {
             return;
         };
+        self.restoration.notify_waiters();
         self.metrics.restorations.inc();
         log::warn!(
             before = restored.before,
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -83,6 +83,7 @@
             let result = tokio::select! {
                 () = stop.cancelled() => break,
                 result = self.call(after) => result,
+                () = self.context.restored() => Err(StoreError::HistoryGone),
             };
             self.context.record_read(self.section);
             match result {
