--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -7,6 +7,7 @@
 
 mod build_history;
 mod confirmation;
+mod departures;
 mod endpoint_table;
 mod event_interval;
 mod latency_model;
@@ -17,14 +18,17 @@
 mod plan;
 mod process_lag;
 mod rate_limit;
+mod read_cursor;
 mod rendezvous;
 mod report;
+mod restoration;
 mod retry_budget;
 mod scheduler;
 mod send_window;
 mod spending;
 pub mod stall;
 mod store_progress;
+mod store_revision;
 mod stream_origins;
 mod suspects;
 mod topology;
@@ -32,6 +36,7 @@
 
 pub use build_history::{BuildHistory, SeenBuilds};
 pub use confirmation::Confirmation;
+pub use departures::DepartedEndpoint;
 pub use endpoint_table::{
     Availability, EndpointState, EndpointTable, Load, Notice, NoticeEffect, PAUSE_LIMIT, Pause,
     Run, digest,
@@ -46,16 +51,19 @@
 };
 pub use process_lag::ProcessLag;
 pub use rate_limit::{FleetView, RateExceeded, RateLimiter, RatePolicy};
+pub use read_cursor::ReadCursor;
 pub use report::{
     Echo, EndpointLoad, EndpointNotice, Identity, MemberStatus, Report, Scope, ServiceLoad, Source,
 };
+pub use restoration::{RECOVERY_TIME, Restoration};
 pub use retry_budget::RetryBudget;
 pub use scheduler::{
-    Bounds, Ending, Outcome, Placement, PlacementRefusal, PlacementRequest, Reason, ReportEffect,
-    Scheduler, Snapshot, Ticket, Totals,
+    Bounds, Ending, Outcome, Placement, PlacementRefusal, PlacementRequest, Reason, Released,
+    ReportEffect, Restored, Scheduler, Snapshot, Ticket, Totals,
 };
 pub use send_window::{SendWindow, split_limit};
 pub use store_progress::{Section, SectionStatus, StoreProgress};
+pub use store_revision::StoreRevision;
 pub use stream_origins::{Origin, StreamDigest, StreamOrigins};
 pub use suspects::Suspects;
 pub use topology::Role;
--- a/crates/core/src/direct/endpoint_table/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_table/endpoint_state.rs
@@ -7,6 +7,7 @@
 use super::super::latency_model::LatencyModel;
 use super::super::plan::{EndpointId, EndpointRecord};
 use super::super::send_window::SendWindow;
+use super::super::store_revision::StoreRevision;
 use super::availability::Availability;
 use crate::time::Timestamp;
 
@@ -53,16 +54,21 @@
     /// What the endpoint has said of itself.
     pub(super) availability: Availability,
     /// Revision of the store at which the record changed last, or a later one.
-    pub(super) revision: u64,
+    pub(super) revision: StoreRevision,
 }
 
 impl EndpointState {
     /// Adds the endpoint to `changed`; the revision of the change is not known yet.
     pub(super) fn mark_changed(&mut self, changed: &mut Vec<EndpointId>) {
-        self.revision = u64::MAX;
+        self.revision = StoreRevision::LAST;
         changed.push(Arc::clone(&self.record.id));
     }
 
+    /// Returns the revision of the store at which the record changed last, or a later one.
+    pub(in crate::direct) const fn revision(&self) -> StoreRevision {
+        self.revision
+    }
+
     /// Returns the endpoint's record.
     #[must_use]
     pub const fn record(&self) -> &EndpointRecord {
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -7,12 +7,14 @@
 mod origins;
 mod placement;
 mod reports;
+mod restoration;
 mod snapshot;
 
 pub use message::{
     Bounds, Ending, Outcome, Placement, PlacementRefusal, PlacementRequest, Reason, Ticket, Totals,
 };
 pub use reports::ReportEffect;
+pub use restoration::{Released, Restored};
 pub use snapshot::Snapshot;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -24,13 +26,15 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::confirmation::Confirmation;
+use super::departures::Departures;
 use super::endpoint_table::{EndpointTable, Run};
 use super::members::Members;
 use super::origin_lookup::OriginLookup;
 use super::peer_notices::PeerNotices;
-use super::plan::{EndpointId, EndpointRecord, Plan};
+use super::plan::{EndpointId, Plan};
 use super::rate_limit::RateLimiter;
 use super::report::{Identity, ServiceLoad, Source};
+use super::restoration::Restoration;
 use super::retry_budget::RetryBudget;
 use super::spending::Spending;
 use super::store_progress::StoreProgress;
@@ -73,7 +77,10 @@
     bounds: Bounds,
     plan: Arc<Plan>,
     endpoints: EndpointTable,
+    departures: Departures,
     closed: BTreeSet<Arc<str>>,
+    /// Data centres that stay closed after a restoration of the store, and until when.
+    kept_closed: BTreeMap<Arc<str>, Timestamp>,
     queues: BTreeMap<Arc<str>, WaitQueue>,
     budgets: HashMap<Arc<str>, RetryBudget>,
     rate_limiters: HashMap<u64, RateLimiter>,
@@ -90,6 +97,11 @@
     store_progress: StoreProgress,
     origins: StreamOrigins,
     lookups: BTreeMap<Ticket, OriginLookup>,
+    restoration: Restoration,
+    /// A restoration of the store that has not been logged yet.
+    restored: Option<Restored>,
+    /// When a read was sent that confirms the configuration once a peer has reported.
+    unconfirmed_read: Option<Timestamp>,
     random: ChaCha8Rng,
 }
 
@@ -119,7 +131,9 @@
             bounds,
             plan: Arc::default(),
             endpoints: EndpointTable::default(),
+            departures: Departures::default(),
             closed: BTreeSet::new(),
+            kept_closed: BTreeMap::new(),
             queues: BTreeMap::new(),
             budgets: HashMap::new(),
             rate_limiters: HashMap::new(),
@@ -134,6 +148,9 @@
             store_progress: StoreProgress::default(),
             origins: StreamOrigins::default(),
             lookups: BTreeMap::new(),
+            restoration: Restoration::default(),
+            restored: None,
+            unconfirmed_read: None,
             random: ChaCha8Rng::seed_from_u64(boot),
         }
     }
@@ -175,8 +192,8 @@
         self.confirmation.confirm(version, read_at);
     }
 
-    /// Applies a configuration if it is newer than the one in force. Returns whether it was
-    /// applied.
+    /// Applies a configuration if it is newer than the one in force. It is not confirmed yet. Returns
+    /// whether it was applied.
     pub fn configure(&mut self, plan: Arc<Plan>, now: Timestamp) -> bool {
         if plan.version <= self.plan.version {
             return false;
@@ -191,6 +208,7 @@
                 .and_modify(|limiter| limiter.configure(rate, burst))
                 .or_insert_with(|| RateLimiter::new(rate, burst, policy, now));
         }
+        self.confirmation.adopt(plan.version);
         self.plan = plan;
         true
     }
@@ -201,11 +219,6 @@
         &self.endpoints
     }
 
-    /// Adds an endpoint or updates its record.
-    pub fn upsert_endpoint(&mut self, record: EndpointRecord, now: Timestamp) {
-        self.endpoints.upsert(record, now);
-    }
-
     /// Marks an endpoint as no longer listed. It may be used until `until`.
     pub fn mark_unlisted(&mut self, id: &str, until: Timestamp) {
         self.endpoints.mark_unlisted(id, until);
@@ -219,6 +232,11 @@
     /// Closes or reopens a data centre. Its endpoints may be cold when it is reopened, so all of
     /// them are marked as cold then.
     pub fn set_centre_closed(&mut self, centre: &Arc<str>, closed: bool, now: Timestamp) {
+        self.kept_closed.remove(centre);
+        self.apply_closed(centre, closed, now);
+    }
+
+    fn apply_closed(&mut self, centre: &Arc<str>, closed: bool, now: Timestamp) {
         if closed {
             self.closed.insert(Arc::clone(centre));
         } else if self.closed.remove(centre) {
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -14,6 +14,8 @@
 mod overload;
 mod pauses;
 mod rate_limit;
+mod restoration;
+mod restored_records;
 mod simulation;
 mod store_progress;
 
@@ -24,7 +26,7 @@
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
     Bounds, EndpointRecord, Outcome, PlacementRequest, Plan, PlanTeam, RatePolicy, Scheduler,
-    ServicePlan, Ticket, Unit,
+    ServicePlan, StoreRevision, Ticket, Unit,
 };
 
 pub const SERVICE: &str = "model";
@@ -37,6 +39,11 @@
     SocketAddr::from(([10, 0, 0, index], 7_600))
 }
 
+/// Returns a revision of a store that was never restored.
+pub const fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(0, number)
+}
+
 pub fn rate_policy(first_start: bool) -> RatePolicy {
     RatePolicy {
         window: Duration::from_secs(8),
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -13,7 +13,7 @@
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
     Ending, Outcome, Placement, PlacementRefusal, PlacementRequest, ProcessLag, Run, Scheduler,
-    Section, Ticket,
+    Section, StoreRevision, Ticket,
 };
 use tokio::sync::{Notify, oneshot};
 use tokio_util::task::TaskTracker;
@@ -138,6 +138,7 @@
     /// Whether the last read of the configuration failed.
     store_lost: Cell<bool>,
     change: Notify,
+    restoration: Notify,
     /// The longest deadline received for each route. A much shorter one shows that the request
     /// spent the difference on its way here.
     longest_deadlines: RefCell<HashMap<Arc<str>, Duration>>,
@@ -171,6 +172,7 @@
             sections_read: Cell::default(),
             store_lost: Cell::new(false),
             change: Notify::new(),
+            restoration: Notify::new(),
             longest_deadlines: RefCell::default(),
         })
     }
@@ -271,6 +273,11 @@
         self.change.notified().await;
     }
 
+    /// Waits until this entry learns of a restoration of the store.
+    pub async fn restored(&self) {
+        self.restoration.notified().await;
+    }
+
     /// Starts a fetch of a snapshot. Returns false if another fetch is in flight.
     #[must_use]
     pub fn start_fetch(&self) -> bool {
@@ -290,6 +297,36 @@
         }
     }
 
+    /// Ends what was kept for a time after a restoration of the store.
+    pub fn release_kept(&self) {
+        let released = self.scheduler.borrow_mut().release_kept(clock::now());
+        for centre in released.reopened {
+            log::info!(centre:% = centre; "data centre reopened: it was not closed again");
+        }
+        for id in released.admitted {
+            log::info!(endpoint:% = id; "endpoint admitted: it is still listed");
+        }
+    }
+
+    /// Logs and counts a restoration of the store that became known with `revision`, and ends the
+    /// watches of the earlier era.
+    pub fn report_restoration(&self, revision: StoreRevision) {
+        let Some(restored) = self.scheduler.borrow_mut().take_restored() else {
+            return;
+        };
+        self.restoration.notify_waiters();
+        self.metrics.restorations.inc();
+        log::warn!(
+            before = restored.before,
+            era = restored.era,
+            revision = revision.revision,
+            version = restored.version,
+            endpoints = restored.endpoints,
+            closed = restored.closed;
+            "the store was restored"
+        );
+    }
+
     /// Updates the gauges.
     pub fn update_gauges(&self) {
         let scheduler = self.scheduler.borrow();
@@ -297,6 +334,8 @@
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
         self.metrics.waiting.set(gauge(totals.waiting));
         self.metrics.members.set(gauge(totals.members));
+        let era = scheduler.restoration().era();
+        self.metrics.era.set(i64::try_from(era).unwrap_or(i64::MAX));
         if let Some(age) = scheduler.confirmation().age(clock::now()) {
             self.metrics
                 .age
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{EndpointId, Plan};
+use comfreyhaven_core::direct::{EndpointId, EndpointRecord, Plan, ReadCursor, StoreRevision};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
@@ -53,8 +53,7 @@
 
     /// Reads and watches the section until `stop`.
     pub(crate) async fn run(mut self, stop: CancellationToken) {
-        let mut after: Option<u64> = None;
-        let mut full_read = false;
+        let mut cursor = ReadCursor::default();
         while !stop.is_cancelled() {
             let sent = clock::now();
             let delay = self
@@ -80,23 +79,24 @@
                 .borrow_mut()
                 .store_progress_mut()
                 .record_read(self.section, sent);
-            after = after.max(self.known_revision()).filter(|_| !full_read);
+            let after = cursor.next(self.known_revision());
             let result = tokio::select! {
                 () = stop.cancelled() => break,
                 result = self.call(after) => result,
+                () = self.context.restored() => Err(StoreError::HistoryGone),
             };
             self.context.record_read(self.section);
             match result {
                 Ok(page) => {
                     self.record_success();
-                    let revision = page.revision;
+                    cursor.record_answer(page.revision);
                     self.apply(page, after.is_none(), sent);
-                    after = Some(revision);
-                    full_read = false;
                 }
                 Err(StoreError::HistoryGone) => {
                     log::info!(section:% = self.section; "the store dropped its history; reading the whole section");
-                    full_read = true;
+                    if let Some(after) = after {
+                        cursor.record_gone(after);
+                    }
                 }
                 Err(error) => {
                     let delay = self.record_failure(&error);
@@ -108,13 +108,12 @@
 
     /// Returns the revision of the newest known change, which may come from a peer. A watch can
     /// start from it.
-    fn known_revision(&self) -> Option<u64> {
+    fn known_revision(&self) -> StoreRevision {
         let scheduler = self.context.scheduler.borrow();
-        let revision = scheduler.store_progress().revision(self.section);
-        Some(revision).filter(|revision| *revision > 0)
+        scheduler.store_progress().revision(self.section)
     }
 
-    async fn call(&self, after: Option<u64>) -> Result<Page, StoreError> {
+    async fn call(&self, after: Option<StoreRevision>) -> Result<Page, StoreError> {
         match after {
             None => self.store.read(self.section).await,
             Some(after) => self.store.watch(self.section, after, self.wait()).await,
@@ -154,10 +153,21 @@
     fn expiry(&self, now: Timestamp) -> Timestamp {
         let limits = &self.context.limits;
         let recovery = self.recovered.map(|since| since + limits.recovery);
-        (now + limits.unlisted).max(recovery.unwrap_or(now))
+        let returned = self.context.scheduler.borrow().restoration().return_time();
+        (now + limits.unlisted)
+            .max(recovery.unwrap_or(now))
+            .max(returned.unwrap_or(now))
     }
 
     fn apply(&self, page: Page, full_read: bool, sent: Timestamp) {
+        let now = clock::now();
+        let era = page.revision.era;
+        self.context.scheduler.borrow_mut().observe_era(era, now);
+        self.context.report_restoration(page.revision);
+        if era < self.context.scheduler.borrow().restoration().era() {
+            log::info!(section:% = self.section, revision:% = page.revision; "ignoring an answer from before the store was restored");
+            return;
+        }
         let (newest, revision) = (page.newest, page.revision);
         let covered = {
             let scheduler = self.context.scheduler.borrow();
@@ -170,9 +180,8 @@
         }
         let mut scheduler = self.context.scheduler.borrow_mut();
         scheduler.record_store_answer(self.section, newest, sent);
-        let version = scheduler.plan().version;
-        if self.section == Section::Configuration && version > 0 {
-            scheduler.confirm(version, sent);
+        if self.section == Section::Configuration {
+            scheduler.confirm_read(sent, now);
         }
         drop(scheduler);
         self.context.process_queues();
@@ -185,10 +194,14 @@
         let scheduler = &self.context.scheduler;
         for change in changes {
             match change {
-                Change::Plan(plan) => self.apply_plan(plan, now),
+                Change::Plan(plan) => {
+                    let version = plan.version;
+                    self.apply_plan(plan, now);
+                    scheduler.borrow_mut().record_shown(version);
+                }
                 Change::Endpoint(record) => {
                     listed.insert(Arc::clone(&record.id));
-                    scheduler.borrow_mut().upsert_endpoint(record, now);
+                    self.apply_record(record, now);
                 }
                 Change::EndpointRemoved(id) => self.unlist(&id, now),
                 Change::Closed(centre, state) => {
@@ -219,10 +232,19 @@
         }
     }
 
+    fn apply_record(&self, record: EndpointRecord, now: Timestamp) {
+        let (id, sequence) = (Arc::clone(&record.id), record.sequence);
+        let mut scheduler = self.context.scheduler.borrow_mut();
+        if !scheduler.upsert_endpoint(record, now) {
+            log::info!(endpoint:% = id, sequence = sequence; "endpoint withheld: the restored store shows it as it was before");
+        }
+    }
+
     fn unlist(&self, id: &EndpointId, now: Timestamp) {
         log::info!(endpoint:% = id; "endpoint no longer listed");
         let until = self.expiry(now);
-        self.context.scheduler.borrow_mut().mark_unlisted(id, until);
+        let mut scheduler = self.context.scheduler.borrow_mut();
+        scheduler.unlist_endpoint(id, until, now);
     }
 
     /// Marks endpoints that a full read did not contain as unlisted, and reopens data centres that
@@ -235,7 +257,7 @@
     ) {
         match self.section {
             Section::Endpoints => {
-                let known = self.context.scheduler.borrow().endpoints().ids();
+                let known = self.context.scheduler.borrow().listed_endpoints();
                 for id in known.iter().filter(|id| !listed.contains(*id)) {
                     self.unlist(id, now);
                 }
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -67,7 +67,10 @@
 async fn send_to_peers(context: &Context) {
     let messages = context.scheduler.borrow_mut().reports(clock::now());
     for (to, report) in messages {
-        context.peers.send(to, &PeerMessage::Report(report)).await;
+        context
+            .peers
+            .send(to, &PeerMessage::Report(Box::new(report)))
+            .await;
     }
 }
 
@@ -80,7 +83,7 @@
             received = context.peers.receive(&mut buffer) => received,
         };
         match received {
-            Ok((from, PeerMessage::Report(report))) => apply_report(&context, from, report),
+            Ok((from, PeerMessage::Report(report))) => apply_report(&context, from, *report),
             Ok((from, PeerMessage::Origin(message))) => {
                 origins::apply(&context, from, message).await;
             }
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -16,7 +16,7 @@
 pub(crate) enum PeerMessage {
     /// The state of the sender.
     #[serde(rename = "r")]
-    Report(Report),
+    Report(Box<Report>),
     /// Where a stream began.
     #[serde(rename = "o")]
     Origin(OriginMessage),
--- a/crates/direct/src/store.rs
+++ b/crates/direct/src/store.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-pub use comfreyhaven_core::direct::Section;
 use comfreyhaven_core::direct::{EndpointId, EndpointRecord, Plan};
+pub use comfreyhaven_core::direct::{Section, StoreRevision};
 use derive_more::{Display, Error};
 
 /// One item that the store holds, or no longer holds.
@@ -35,16 +35,16 @@
     /// The items of the section, or those that have changed.
     pub changes: Vec<Change>,
     /// Revision from which the next watch starts.
-    pub revision: u64,
-    /// Revision of the newest of these changes, or 0.
-    pub newest: u64,
+    pub revision: StoreRevision,
+    /// Revision of the newest of these changes; zero if there are none.
+    pub newest: StoreRevision,
 }
 
 /// Why a call to the store failed.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum StoreError {
-    /// The store no longer has the history since the given revision; the section must be read
-    /// again.
+    /// The store no longer has the history since the given revision, because it has dropped it or was
+    /// restored from a copy; the section must be read again.
     #[display("the store no longer has the history")]
     HistoryGone,
     /// The store answered with an unexpected status.
@@ -63,15 +63,16 @@
 
 /// Reads the store and watches it for changes.
 pub trait Store {
-    /// Reads all items of a section. The returned revision is that of the first page: the pages are
+    /// Reads all items of a section, in one era of the store. The returned revision is that of the first page: the pages are
     /// not a consistent snapshot, and a watch from that revision returns what changed between them.
     fn read(&self, section: Section) -> impl Future<Output = Result<Page, StoreError>>;
 
-    /// Waits for a change in a section after the revision `after`, for at most `wait`.
+    /// Waits for a change in a section after the revision `after`, for at most `wait`. In another era
+    /// than that of `after`, the history is gone.
     fn watch(
         &self,
         section: Section,
-        after: u64,
+        after: StoreRevision,
         wait: Duration,
     ) -> impl Future<Output = Result<Page, StoreError>>;
 }
