A complete answer clears the suspicion of crashing endpoints at all entries

What callers saw: 503 for a request that an entry had just served. Cause: a request that ran to its end cleared the crashes counted at its own entry only. The others kept the counts that it had reported, and their own, for 60 s. Ruled out: lost reports, as the counts arrive. Change: the entry forgets all counts of the request, and reports a count of zero for 5 s, on which its peers do the same. A request that crashes each endpoint never runs to its end, so its containment stays. Test: direct::components::a_complete_answer_clears_the_suspicion_at_peers (3 crashes counted instead of 1 before). A log value is written so that the crate also builds alone.

--- a/crates/core/src/direct/suspects.rs
+++ b/crates/core/src/direct/suspects.rs
@@ -2,7 +2,8 @@
 //!
 //! Requests are identified by team, path and body. A request whose endpoint crashes while running
 //! it is suspected. After several crashes, counted over all entries, it is refused for a time, so
-//! that a caller's own resends do not crash every endpoint.
+//! that a caller's own resends do not crash every endpoint. A request that has run to its end crashes
+//! no endpoint by itself; entries tell each other by a count of zero.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -17,7 +18,7 @@
 /// Time for which a crash is counted.
 const RETENTION: Duration = Duration::from_secs(60);
 
-/// Time for which a crash is reported to peers.
+/// Time for which a crash, or that there was none, is reported to peers.
 const REPORT_TIME: Duration = Duration::from_secs(5);
 
 /// Number of remembered requests at which those with expired crashes are removed.
@@ -68,6 +69,9 @@
                 .retain(|_, crashes| now < crashes.last + RETENTION);
         }
         for &(digest, count) in reported {
+            if count == 0 {
+                self.forget_crashes(digest);
+            }
             self.peers
                 .insert((digest, source), Crashes { count, last: now });
         }
@@ -99,9 +103,23 @@
         self.peers.retain(|(_, other), _| *other != source);
     }
 
-    /// Clears the crashes of a request that ran to its end.
-    pub fn clear(&mut self, digest: BodyDigest) {
+    /// Clears the crashes of a request that ran to its end, at all entries.
+    pub fn clear(&mut self, digest: BodyDigest, now: Timestamp) {
+        if self.count(digest, now) > 0 {
+            self.forget_crashes(digest);
+            self.own.insert(
+                digest,
+                Crashes {
+                    count: 0,
+                    last: now,
+                },
+            );
+        }
+    }
+
+    fn forget_crashes(&mut self, digest: BodyDigest) {
         self.own.remove(&digest);
+        self.peers.retain(|(other, _), _| *other != digest);
     }
 
     fn count(&self, digest: BodyDigest, now: Timestamp) -> u32 {
--- a/crates/core/tests/core/direct/components.rs
+++ b/crates/core/tests/core/direct/components.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use comfreyhaven_core::direct::{
-    LatencyModel, ProcessLag, RetryBudget, SendWindow, Suspects, WeightedService,
+    LatencyModel, ProcessLag, RetryBudget, Scope, SendWindow, Source, Suspects, WeightedService,
 };
 use comfreyhaven_core::request::BodyDigest;
 
@@ -79,10 +79,33 @@
     let mut suspects = Suspects::default();
     suspects.record_crash(BodyDigest(1), at(0));
     suspects.record_crash(BodyDigest(1), at(1));
-    suspects.clear(BodyDigest(1));
+    suspects.clear(BodyDigest(1), at(1));
     assert_eq!(suspects.record_crash(BodyDigest(1), at(2)), 1);
 }
 
+/// Guards against a request that is refused at its peers although it ran to its end at one entry.
+#[test]
+fn a_complete_answer_clears_the_suspicion_at_peers() {
+    let sources = [1, 2].map(|number| Source::Entry(address(number)));
+    let mut entries = [Suspects::default(), Suspects::default()];
+    let exchange = |entries: &mut [Suspects; 2], now| {
+        for from in 0..2 {
+            let counts = entries[from].reported(Scope::Entry, None, now);
+            entries[1 - from].apply_report(sources[from], &counts, now);
+        }
+    };
+    entries[0].record_crash(BodyDigest(1), at(0));
+    entries[1].record_crash(BodyDigest(1), at(0));
+    entries[1].record_crash(BodyDigest(1), at(1));
+    exchange(&mut entries, at(2));
+    assert!(entries[0].is_refused(BodyDigest(1), at(3)));
+    entries[0].clear(BodyDigest(1), at(3));
+    exchange(&mut entries, at(40));
+    for entry in &mut entries {
+        assert_eq!(entry.record_crash(BodyDigest(1), at(50)), 1);
+    }
+}
+
 #[test]
 fn a_latency_model_learns_offset_and_slope() {
     let mut model = LatencyModel::new(30.0, 0.008);
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -270,7 +270,9 @@
             .tasks
             .spawn_local(async move { upstream.put_back(lease).await });
         let mut scheduler = self.context.scheduler.borrow_mut();
-        scheduler.suspects_mut().clear(self.incoming.digest);
+        scheduler
+            .suspects_mut()
+            .clear(self.incoming.digest, clock::now());
     }
 
     fn classify<B>(&self, response: &Response<B>) -> AnswerKind {
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -116,7 +116,7 @@
     };
     if let Err(error) = ended {
         let cause = std::error::Error::source(&error).map(ToString::to_string);
-        log::info!(cause = cause; "a caller's connection failed: {error}");
+        log::info!(cause = cause.as_deref().unwrap_or("-"); "a caller's connection failed: {error}");
     }
 }
 
