Read once more: one failure of unanswered requests, one place that counts a crash

No change of behaviour. Whether an unanswered request may have run is told by its count of possible runs, so the two failures that nobody told apart are one.

Left as they stand: Scheduler::record_notice passes on to the endpoint table (the scheduler is the crate's only way in); the first lines of two reservation tests and of two peer-notice tests, which set up different cases.

--- a/crates/core/tests/core/direct/large_fleet.rs
+++ b/crates/core/tests/core/direct/large_fleet.rs
@@ -22,7 +22,7 @@
 }
 
 /// Places a request, if there is a slot for it now.
-fn place(entry: &mut Scheduler, ticket: u64, now: u64) -> Option<Box<Placement>> {
+pub(super) fn place(entry: &mut Scheduler, ticket: u64, now: u64) -> Option<Box<Placement>> {
     match entry.submit(placement_request(ticket, 0, at(now)), at(now)) {
         Some(Outcome::Placed(placement)) => Some(placement),
         Some(Outcome::Refused(_)) => None,
--- a/crates/core/tests/core/direct/pauses.rs
+++ b/crates/core/tests/core/direct/pauses.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use comfreyhaven_core::direct::{
-    Ending, EndpointRecord, Notice, Outcome, PAUSE_LIMIT, PlacementRefusal, Reason, Run, Scheduler,
-    Ticket,
+    Ending, EndpointRecord, Notice, Outcome, PAUSE_LIMIT, PlacementRefusal, Reason, Run,
 };
 
 use super::availability::{placed_at_x, record, scheduler_with_x, submit};
 use super::fleet_network::FleetNetwork;
-use super::{address, at, placed, placement_request, scheduler};
+use super::large_fleet::place;
+use super::{address, at, placed, scheduler};
 
 /// Time in which refused callers return after a pause, in milliseconds.
 const RETURN_SPREAD: u64 = 2_000;
@@ -243,21 +243,6 @@
     }
 }
 
-fn place(
-    entry: &mut Scheduler,
-    ticket: u64,
-    now: u64,
-) -> Option<Box<comfreyhaven_core::direct::Placement>> {
-    match entry.submit(placement_request(ticket, 0, at(now)), at(now)) {
-        Some(Outcome::Placed(placement)) => Some(placement),
-        Some(Outcome::Refused(_)) => None,
-        None => {
-            entry.withdraw(super::SERVICE, Ticket(ticket));
-            None
-        }
-    }
-}
-
 /// Guards against a herd at the end of a pause: the requests that wait at all entries would reach the
 /// endpoint in one instant, and it would ask for the next pause.
 #[test]
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -139,10 +139,12 @@
             Ok(Ok(Begun::Complete(response))) => self.answer(response),
             Ok(Ok(Begun::Stream(start))) => stream::start(self, *start).await,
             Ok(Err(Failure::Refused(refusal))) => self.fail(|| self.refuse_unplaced(&refusal)),
-            Ok(Err(_)) if self.possible_runs.get() == 0 => {
+            Ok(Err(Failure::Unanswered)) if self.possible_runs.get() == 0 => {
                 self.refuse(RefusalKind::Overloaded, Some(self.retry_delay()))
             }
-            Ok(Err(_)) => self.fail(|| self.refuse(RefusalKind::OutcomeUnknown, None)),
+            Ok(Err(Failure::Unanswered)) => {
+                self.fail(|| self.refuse(RefusalKind::OutcomeUnknown, None))
+            }
             Err(_) if self.possible_runs.get() > 0 => {
                 self.fail(|| self.refuse(RefusalKind::DeadlineExceeded, None))
             }
--- a/crates/direct/src/dispatch/attempt.rs
+++ b/crates/direct/src/dispatch/attempt.rs
@@ -32,10 +32,8 @@
 pub(super) enum Failure {
     /// The scheduler found no slot.
     Refused(PlacementRefusal),
-    /// The last endpoint has not run the request.
-    NotRun,
-    /// The last endpoint may have run the request.
-    Unknown,
+    /// No endpoint has answered; the count of possible runs states whether one may have run it.
+    Unanswered,
 }
 
 /// Why one endpoint has not begun to answer.
@@ -76,16 +74,11 @@
             };
             self.exclude(&placement.record);
             let retry = self.may_retry(&fault) && self.take_retry();
-            let failure = match fault {
-                SendFault::Full | SendFault::Unsent | SendFault::NotRun => Failure::NotRun,
-                SendFault::Unknown | SendFault::Failed => Failure::Unknown,
-                SendFault::Cut(first) => {
-                    head.get_or_insert(first);
-                    Failure::Unknown
-                }
-            };
+            if let SendFault::Cut(first) = fault {
+                head.get_or_insert(first);
+            }
             if !retry {
-                return Err(failure);
+                return Err(Failure::Unanswered);
             }
         }
     }
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -134,12 +134,16 @@
         self.context.upstream.close(&source.record.id);
         source.slot.release(Ending::Broken);
         if before_first {
-            let digest = self.incoming.digest;
-            let mut scheduler = self.context.scheduler.borrow_mut();
-            scheduler.suspects_mut().record_crash(digest, clock::now());
+            self.record_crash();
         }
     }
 
+    fn record_crash(&self) {
+        let digest = self.incoming.digest;
+        let mut scheduler = self.context.scheduler.borrow_mut();
+        scheduler.suspects_mut().record_crash(digest, clock::now());
+    }
+
     /// Counts the outcome of a send in the metrics.
     pub(super) fn count_send(&self, outcome: &str) {
         let sends = &self.context.metrics.sends;
@@ -161,9 +165,7 @@
             return self.handle_unsent(error, record, slot);
         }
         self.log_break("broken", error, record, slot);
-        let digest = self.incoming.digest;
-        let mut scheduler = self.context.scheduler.borrow_mut();
-        scheduler.suspects_mut().record_crash(digest, clock::now());
+        self.record_crash();
         SendFault::Unknown
     }
 
