Endpoints' limits seen from outside: log lines, notices, calls by kind

The hypotheses could not be told apart: no line said that an answer named a limit, none said when a request or a reservation was sent to such an endpoint, and no metric counted reservations. The header is now read and kept for the endpoint's incarnation; nothing obeys it yet. A limit ends with the answer to a request that was sent after the last answer with a limit arrived, so that answers which overtake each other do not end it. A value that is no decimal number changes nothing and is logged once.

The parser of decimal numbers is the one of Retry-After, now in a module of its own.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -21,6 +21,7 @@
 mod read_cursor;
 mod rendezvous;
 mod report;
+mod request_limit;
 mod restoration;
 mod retry_budget;
 mod scheduler;
@@ -55,6 +56,7 @@
 pub use report::{
     Echo, EndpointLoad, EndpointNotice, Identity, MemberStatus, Report, Scope, ServiceLoad, Source,
 };
+pub use request_limit::{LimitChange, LimitNotice, RequestLimit};
 pub use restoration::{RECOVERY_TIME, Restoration};
 pub use retry_budget::RetryBudget;
 pub use scheduler::{
--- a/crates/core/src/direct/endpoint_table/availability.rs
+++ b/crates/core/src/direct/endpoint_table/availability.rs
@@ -9,6 +9,7 @@
 
 use super::{EndpointId, EndpointRecord, EndpointState, EndpointTable};
 use crate::direct::report::EndpointNotice;
+use crate::direct::request_limit::{LimitChange, LimitNotice, RequestLimit, StatedLimit};
 use crate::time::{Timestamp, whole_millis};
 
 /// Number of removed endpoints whose own word is remembered.
@@ -32,6 +33,10 @@
     pub pause: Option<Duration>,
     /// Whether the answer states a pause that cannot be read.
     pub malformed: bool,
+    /// The requests that the endpoint takes from all entries together.
+    pub limit: LimitNotice,
+    /// Whether the answer states a limit that cannot be read.
+    pub malformed_limit: bool,
 }
 
 /// A pause that an endpoint has asked for.
@@ -52,6 +57,10 @@
     pub paused: Option<Pause>,
     /// Whether a pause could not be read, for the first time at this endpoint.
     pub malformed: bool,
+    /// How the endpoint's limit changed.
+    pub limit: Option<LimitChange>,
+    /// Whether a limit could not be read, for the first time at this endpoint.
+    pub malformed_limit: bool,
 }
 
 /// What an endpoint's incarnation has said of itself.
@@ -62,6 +71,8 @@
     /// Time at which requests have returned after the pause.
     return_end: Timestamp,
     malformed: bool,
+    limit: StatedLimit,
+    malformed_limit: bool,
 }
 
 impl Availability {
@@ -83,6 +94,12 @@
         !self.leaving && self.paused_until <= now
     }
 
+    /// Returns the requests that the endpoint takes from all entries together, if it names a limit.
+    #[must_use]
+    pub const fn limit(&self) -> Option<RequestLimit> {
+        self.limit.limit()
+    }
+
     /// Returns the part of its slots that may be filled while requests return after a pause.
     #[must_use]
     pub fn return_part(&self, now: Timestamp) -> Option<f64> {
@@ -99,9 +116,12 @@
             leaves: notice.leaving && !self.leaving,
             paused: notice.pause.and_then(|asked| self.pause(asked, now)),
             malformed: notice.malformed && !self.malformed,
+            limit: self.limit.apply(notice.limit, now),
+            malformed_limit: notice.malformed_limit && !self.malformed_limit,
         };
         self.leaving |= notice.leaving;
         self.malformed |= notice.malformed;
+        self.malformed_limit |= notice.malformed_limit;
         effect
     }
 
--- a/crates/core/src/direct/scheduler/availability.rs
+++ b/crates/core/src/direct/scheduler/availability.rs
@@ -8,6 +8,7 @@
 use crate::direct::endpoint_table::{EndpointState, Notice, NoticeEffect};
 use crate::direct::plan::EndpointRecord;
 use crate::direct::report::{EndpointNotice, Scope, Source};
+use crate::direct::request_limit::RequestLimit;
 use crate::direct::send_window::split_limit;
 use crate::time::Timestamp;
 
@@ -39,6 +40,13 @@
         self.endpoints.availability(record).takes_requests(now)
     }
 
+    /// Returns the requests that the endpoint of `record` takes from all entries together, if it
+    /// names a limit.
+    #[must_use]
+    pub fn request_limit(&self, record: &EndpointRecord) -> Option<RequestLimit> {
+        self.endpoints.availability(record).limit()
+    }
+
     /// Returns after which delay a caller may return, if every endpoint of a service has asked for a
     /// pause.
     pub fn pause_delay(&mut self, service: &str, now: Timestamp) -> Option<Duration> {
--- a/crates/core/tests/core/direct/availability.rs
+++ b/crates/core/tests/core/direct/availability.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use comfreyhaven_core::direct::{
-    EndpointRecord, Notice, NoticeEffect, Outcome, Reason, Scheduler, Ticket,
+    EndpointRecord, LimitNotice, Notice, NoticeEffect, Outcome, Reason, Scheduler, Ticket,
 };
 
 use super::fleet_network::FleetNetwork;
@@ -13,6 +13,8 @@
     leaving: true,
     pause: None,
     malformed: false,
+    limit: LimitNotice::Unstated,
+    malformed_limit: false,
 };
 
 /// Returns the record of an endpoint at an address of its own.
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -365,7 +365,8 @@
                 cold = state.is_cold(now),
                 suspect = state.is_avoided(now),
                 leaving = state.record().leaving || state.availability().is_leaving(),
-                paused = clock::millis(state.availability().paused_until().since(now));
+                paused = clock::millis(state.availability().paused_until().since(now)),
+                limit:% = state.availability().limit().map_or_else(|| "-".to_owned(), |limit| limit.to_string());
                 "endpoint"
             );
         }
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -35,6 +35,9 @@
     pub rejected: HeaderName,
     /// Present and `1` if the endpoint leaves.
     pub leaving: HeaderName,
+    /// Requests per second that the endpoint takes from all entries together; present only if it
+    /// limits them.
+    pub limit: HeaderName,
     /// Id of the endpoint that made the answer; not in every answer.
     pub speaker: HeaderName,
     /// Proof that the answer was made by the endpoint itself.
--- a/crates/direct/src/endpoint_call.rs
+++ b/crates/direct/src/endpoint_call.rs
@@ -2,14 +2,16 @@
 //! endpoint says of itself in the head of its answer.
 
 use bytes::Bytes;
-use comfreyhaven_core::direct::{EndpointRecord, Notice};
+use comfreyhaven_core::Timestamp;
+use comfreyhaven_core::direct::{EndpointRecord, LimitChange, LimitNotice, Notice};
 use http_body_util::{BodyExt, Full};
-use hyper::header::HeaderValue;
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 
 use crate::clock;
 use crate::context::Context;
 use crate::retry_after::{self, RetryAfter};
+use crate::stated_limit::{self, StatedLimit};
 use crate::upstream::{Reply, SendError};
 
 /// Value of the header with which an endpoint says that it leaves.
@@ -39,14 +41,28 @@
         id: Option<&HeaderValue>,
         cause: &str,
     ) -> Result<Reply, SendError> {
+        let sent = clock::now();
         let may_send = || self.scheduler.borrow().may_send(record, clock::now());
-        let reply = self.upstream.send(record, request, may_send).await?;
+        let sending = self.upstream.send(record, request, may_send);
+        self.count_call(record, id.is_some(), cause);
+        let reply = sending.await?;
         if self.is_own_answer(record, id, &reply.response) {
-            self.record_notice(record, cause, &reply.response);
+            let notice = self.notice(&reply.response, id.map(|_| sent));
+            self.record_notice(record, cause, &notice);
         }
         Ok(reply)
     }
 
+    /// Counts a request or another call to an endpoint, and logs it if the endpoint names a limit.
+    fn count_call(&self, record: &EndpointRecord, is_request: bool, cause: &str) {
+        let call = if is_request { "request" } else { "reservation" };
+        self.metrics.calls.with_label_values(&[call]).inc();
+        let limit = self.scheduler.borrow().request_limit(record);
+        if let Some(limit) = limit {
+            log::info!(request = cause, endpoint:% = record.id, call = call, limit:% = limit; "sending to a limited endpoint");
+        }
+    }
+
     /// Makes a short call for the caller's request `cause`, reads the whole answer, and returns its
     /// status and body. The connection is kept for the next request to the endpoint.
     ///
@@ -85,13 +101,12 @@
         }
     }
 
-    fn record_notice<B>(&self, record: &EndpointRecord, cause: &str, response: &Response<B>) {
-        let notice = self.notice(response);
-        if notice == Notice::default() {
+    fn record_notice(&self, record: &EndpointRecord, cause: &str, notice: &Notice) {
+        if *notice == Notice::default() {
             return;
         }
         let mut scheduler = self.scheduler.borrow_mut();
-        let effect = scheduler.record_notice(record, &notice, clock::now());
+        let effect = scheduler.record_notice(record, notice, clock::now());
         drop(scheduler);
         let count = |notice| self.metrics.notices.with_label_values(&[notice]).inc();
         if effect.leaves {
@@ -113,10 +128,26 @@
             count("malformed");
             log::warn!(request = cause, endpoint:% = record.id; "ignoring a Retry-After that is no number of seconds");
         }
+        match effect.limit {
+            Some(LimitChange::Named(limit)) => {
+                count("limited");
+                log::info!(request = cause, endpoint:% = record.id, limit:% = limit; "endpoint names a limit");
+            }
+            Some(LimitChange::Lifted) => {
+                count("unlimited");
+                log::info!(request = cause, endpoint:% = record.id; "endpoint names no limit any more");
+            }
+            None => {}
+        }
+        if effect.malformed_limit {
+            count("malformed");
+            log::warn!(request = cause, endpoint:% = record.id; "ignoring a limit that is no decimal number");
+        }
     }
 
-    /// Returns what an endpoint says of itself in the head of its answer.
-    fn notice<B>(&self, response: &Response<B>) -> Notice {
+    /// Returns what an endpoint says of itself in the head of its answer. `sent` is the time at
+    /// which the request was sent, if it is the answer to a request.
+    fn notice<B>(&self, response: &Response<B>, sent: Option<Timestamp>) -> Notice {
         let headers = response.headers();
         let mut stated = headers.get_all(&self.dialect.leaving).iter();
         let leaving = stated.any(|value| value == LEAVING);
@@ -124,10 +155,32 @@
             StatusCode::SERVICE_UNAVAILABLE => retry_after::read(headers),
             _ => RetryAfter::default(),
         };
+        let stated = stated_limit::read(headers, &self.dialect.limit);
         Notice {
             leaving,
             pause: delay.delay,
             malformed: delay.malformed,
+            limit: self.limit_notice(headers, stated, sent),
+            malformed_limit: stated.malformed,
+        }
+    }
+
+    /// Returns what an answer states about the endpoint's limit. Only the answer to a request shows
+    /// that there is none.
+    fn limit_notice(
+        &self,
+        headers: &HeaderMap,
+        stated: StatedLimit,
+        sent: Option<Timestamp>,
+    ) -> LimitNotice {
+        let made_by_endpoint = headers.contains_key(&self.dialect.seal)
+            || headers.contains_key(&self.dialect.rejected);
+        match (stated.limit, sent) {
+            (Some(limit), _) => LimitNotice::Named(limit),
+            (None, Some(sent)) if made_by_endpoint && stated.is_absent() => {
+                LimitNotice::Absent(sent)
+            }
+            (None, _) => LimitNotice::Unstated,
         }
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -9,6 +9,7 @@
 mod answer;
 pub mod clock;
 pub mod context;
+mod decimal;
 pub mod dialect;
 mod dispatch;
 mod endpoint_call;
@@ -26,6 +27,7 @@
 pub mod retry_after;
 pub mod settings;
 mod snapshot;
+pub mod stated_limit;
 pub mod store;
 pub mod upstream;
 
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -17,9 +17,11 @@
     pub answers: IntCounterVec,
     /// Sends to endpoints by outcome.
     pub sends: IntCounterVec,
+    /// Calls to endpoints: requests, and reservations of slots.
+    pub calls: IntCounterVec,
     /// Requests that take a stream up, by what was known of its origin.
     pub resumptions: IntCounterVec,
-    /// What endpoints said of themselves for the first time, or of a longer pause.
+    /// What endpoints said of themselves for the first time, or of a longer pause or another limit.
     pub notices: IntCounterVec,
     /// Seconds that requests waited for a slot.
     pub waits: Histogram,
@@ -76,6 +78,11 @@
                 "Requests sent to endpoints by outcome",
                 &["outcome"],
             )?,
+            calls: counter(
+                "comfreyhaven_endpoint_calls_total",
+                "Calls to endpoints: requests, and reservations of slots",
+                &["call"],
+            )?,
             resumptions: counter(
                 "comfreyhaven_resumptions_total",
                 "Requests that take a stream up, by what was known of its origin",
@@ -83,7 +90,7 @@
             )?,
             notices: counter(
                 "comfreyhaven_endpoint_notices_total",
-                "Endpoints that said that they leave or want a pause, and pauses that cannot be read",
+                "Endpoints that said that they leave, want a pause or name a limit, and values that cannot be read",
                 &["notice"],
             )?,
             waits: histogram(
--- a/crates/direct/src/retry_after.rs
+++ b/crates/direct/src/retry_after.rs
@@ -4,6 +4,8 @@
 
 use hyper::header::{HeaderMap, RETRY_AFTER};
 
+use crate::decimal;
+
 #[cfg(test)]
 mod tests;
 
@@ -52,12 +54,6 @@
 /// Reads a non-negative decimal number of seconds. More than a [`Duration`] holds counts as
 /// [`Duration::MAX`].
 fn seconds(text: &str) -> Option<Duration> {
-    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
-    let is_number =
-        |digits: &str| !digits.is_empty() && digits.bytes().all(|digit| digit.is_ascii_digit());
-    if !is_number(whole) || !is_number(fraction) {
-        return None;
-    }
-    let seconds: f64 = text.parse().ok()?;
+    let seconds = decimal::read(text)?;
     Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
 }
