--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -14,6 +14,7 @@
 mod overload;
 mod pauses;
 mod rate_limit;
+mod request_limits;
 mod restoration;
 mod restored_records;
 mod simulation;
