One place for an entry's part of a limit at an endpoint, computed without copies of ids

Cold endpoints and the return after a pause each split their limit by rank. The choice of the cheapest endpoint no longer looks every endpoint up a second time.

--- a/crates/core/src/direct/endpoint_table.rs
+++ b/crates/core/src/direct/endpoint_table.rs
@@ -9,6 +9,7 @@
 pub use endpoint_state::{EndpointState, Load};
 pub use observations::Run;
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
@@ -99,7 +100,7 @@
             own: Load::default(),
             peers: Load::default(),
             sends: SendWindow::default(),
-            cold_limit: None,
+            rank: Cell::default(),
             last_sent: now,
             cold_until: cold,
             expires: Timestamp::NEVER,
--- a/crates/core/src/direct/endpoint_table/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_table/endpoint_state.rs
@@ -1,10 +1,12 @@
 //! State of one endpoint.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::super::event_interval::EventInterval;
 use super::super::latency_model::LatencyModel;
+use super::super::members::Members;
 use super::super::plan::{EndpointId, EndpointRecord};
 use super::super::send_window::SendWindow;
 use super::super::store_revision::StoreRevision;
@@ -35,9 +37,9 @@
     /// Load that peers reported.
     pub(super) peers: Load,
     pub(super) sends: SendWindow,
-    /// Requests per second that this entry may send while the endpoint is cold, and the generation
-    /// of the members for which that was computed.
-    pub(super) cold_limit: Option<(u64, usize)>,
+    /// This entry's rank for the endpoint, and the generation of the members for which it was
+    /// computed.
+    pub(super) rank: Cell<Option<(u64, usize)>>,
     /// Time at which this entry last sent a request to the endpoint.
     pub(super) last_sent: Timestamp,
     pub(super) cold_until: Timestamp,
@@ -180,21 +182,22 @@
         self.digest
     }
 
-    /// Returns the requests per second that this entry may send while the endpoint is cold, as
-    /// computed for this `generation` of the members.
-    #[must_use]
-    pub fn cold_limit(&self, generation: u64) -> Option<usize> {
-        let (computed, limit) = self.cold_limit?;
-        (computed == generation).then_some(limit)
-    }
-
-    /// Keeps the limit that was computed for a `generation` of the members.
-    pub const fn set_cold_limit(&mut self, generation: u64, limit: usize) {
-        self.cold_limit = Some((generation, limit));
+    /// Returns this entry's rank for the endpoint among `members`. It is computed once for each set
+    /// of members.
+    pub(in crate::direct) fn rank(&self, members: &Members) -> usize {
+        let generation = members.generation();
+        if let Some((computed, rank)) = self.rank.get()
+            && computed == generation
+        {
+            return rank;
+        }
+        let rank = members.rank_for(self.digest);
+        self.rank.set(Some((generation, rank)));
+        rank
     }
 
-    /// Returns the number of requests that this entry sent to the endpoint in the last second.
-    pub fn recent_sends(&mut self, now: Timestamp) -> usize {
-        self.sends.recent(now)
+    /// Returns the requests that this entry has sent to the endpoint.
+    pub(in crate::direct) const fn sends(&self) -> &SendWindow {
+        &self.sends
     }
 }
--- a/crates/core/src/direct/scheduler/availability.rs
+++ b/crates/core/src/direct/scheduler/availability.rs
@@ -9,7 +9,6 @@
 use crate::direct::plan::EndpointRecord;
 use crate::direct::report::{EndpointNotice, Scope, Source};
 use crate::direct::request_limit::RequestLimit;
-use crate::direct::send_window::split_limit;
 use crate::time::Timestamp;
 
 /// Time after the end of a pause in which refused callers may return, each at a random time.
@@ -130,8 +129,6 @@
             return true;
         };
         let limit = (f64::from(Self::slots(state, streaming)) * part).max(1.0);
-        let rank = self.members.rank_for(state.digest());
-        let own_limit = split_limit(limit, self.members.count(), rank);
-        (state.own().running as usize) < own_limit
+        (state.own().running as usize) < self.own_part(state, limit, now)
     }
 }
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -6,6 +6,7 @@
 //! chosen. Endpoints differ in speed, some are full, cold or failing, and the peers' reports of
 //! their load lag.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
@@ -248,31 +249,19 @@
         late: bool,
         now: Timestamp,
     ) -> Option<(EndpointId, f64)> {
-        let service = self.plan.services.get(&request.service);
-        let capacity = service.map_or(0.0, |service| service.cold_capacity);
-        let cold_limit = capacity * self.bounds.cold_factor + self.bounds.cold_extra;
         let left = request.objective.since(now).as_secs_f64() * 1_000.0;
-        let mut found: Option<(EndpointId, f64, f64)> = None;
-        let has_slot = |state: &&EndpointState| {
-            state.load().running < Self::slots(state, request.streaming)
-                && !state.is_full(now)
-                && self.may_return(state, request.streaming, now)
-        };
-        let available = self.available(request, now).filter(has_slot);
-        let ids: Vec<_> = available.map(|state| state.record().id.clone()).collect();
-        for id in ids {
-            let state = self.endpoints.get(&id)?;
-            let is_cold = state.is_cold(now);
-            let (expected, cost) = self.cost(state, request, now);
-            if !late && request.streaming && expected > left {
+        let mut candidates = Vec::new();
+        for state in self.available(request, now) {
+            if !self.has_slot(state, request, now) {
                 continue;
             }
-            if capacity > 0.0 && is_cold {
-                let own_limit = self.cold_limit(&id, cold_limit * COLD_USED_PART, now);
-                if self.endpoints.get_mut(&id)?.recent_sends(now) >= own_limit {
-                    continue;
-                }
+            let (expected, cost) = self.cost(state, request, now);
+            if late || !request.streaming || expected <= left {
+                candidates.push((Arc::clone(&state.record().id), expected, cost));
             }
+        }
+        let mut found: Option<(EndpointId, f64, f64)> = None;
+        for (id, expected, cost) in candidates {
             let cost = cost * self.random.random_range(0.92..1.08);
             if found.as_ref().is_none_or(|(_, _, least)| cost < *least) {
                 found = Some((id, expected, cost));
@@ -281,26 +270,34 @@
         found.map(|(id, expected, _)| (id, expected))
     }
 
-    /// Returns how many requests this entry may send in a second to a cold endpoint for which the
-    /// fleet may send `limit`. Each endpoint ranks the entries in an order of its own, so that two
-    /// entries that know different members seldom both count themselves in.
-    fn cold_limit(&mut self, id: &EndpointId, limit: f64, now: Timestamp) -> usize {
-        let discovering = self.is_discovering(now);
-        let Some(state) = self.endpoints.get_mut(id) else {
-            return 0;
-        };
-        if discovering {
+    /// Returns whether an endpoint has a slot that this entry may use now.
+    fn has_slot(&self, state: &EndpointState, request: &PlacementRequest, now: Timestamp) -> bool {
+        state.load().running < Self::slots(state, request.streaming)
+            && !state.is_full(now)
+            && self.may_return(state, request.streaming, now)
+            && self.may_warm_up(state, now)
+    }
+
+    /// Returns whether this entry stays within its part of what a cold endpoint receives in a second.
+    fn may_warm_up(&self, state: &EndpointState, now: Timestamp) -> bool {
+        let service = self.plan.services.get(&state.record().service);
+        let capacity = service.map_or(0.0, |service| service.cold_capacity);
+        if capacity <= 0.0 || !state.is_cold(now) {
+            return true;
+        }
+        let limit = capacity * self.bounds.cold_factor + self.bounds.cold_extra;
+        state.sends().recent(now) < self.own_part(state, limit * COLD_USED_PART, now)
+    }
+
+    /// Returns this entry's part of a limit on the requests of all entries to an endpoint. Each
+    /// endpoint ranks the entries in an order of its own, so that two entries that know different
+    /// members seldom both count themselves in.
+    pub(super) fn own_part(&self, state: &EndpointState, limit: f64, now: Timestamp) -> usize {
+        if self.is_discovering(now) {
             let rank = self.members.estimated_rank(state.digest(), ASSUMED_MEMBERS);
             return split_limit(limit, ASSUMED_MEMBERS, rank);
         }
-        let generation = self.members.generation();
-        if let Some(own_limit) = state.cold_limit(generation) {
-            return own_limit;
-        }
-        let rank = self.members.rank_for(state.digest());
-        let own_limit = split_limit(limit, self.members.count(), rank);
-        state.set_cold_limit(generation, own_limit);
-        own_limit
+        split_limit(limit, self.members.count(), state.rank(&self.members))
     }
 
     /// Returns the estimated number of events of the answer.
--- a/crates/core/src/direct/send_window.rs
+++ b/crates/core/src/direct/send_window.rs
@@ -1,17 +1,18 @@
-//! Counts the sends to one endpoint in the last second.
+//! Counts the recent sends to one endpoint.
 //!
-//! An endpoint that has just started crashes if it receives too many requests in one second, so
-//! every entry stays within its part of a cold endpoint's capacity.
+//! Some limits hold for the requests of all entries together within a sliding time. Every entry stays
+//! within its part of such a limit.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::time::Timestamp;
 
-/// Length of the sliding window: one second and a margin.
-const WINDOW: Duration = Duration::from_millis(1_050);
+/// Time in which the sends to an endpoint that has just started are counted: one second, in which it
+/// crashes if it receives too many requests, and a margin.
+const COLD_WINDOW: Duration = Duration::from_millis(1_050);
 
-/// Sends to one endpoint in the last second.
+/// Recent sends to one endpoint.
 #[derive(Debug, Default)]
 pub struct SendWindow {
     sends: VecDeque<Timestamp>,
@@ -20,20 +21,21 @@
 impl SendWindow {
     /// Records a send.
     pub fn record(&mut self, now: Timestamp) {
-        self.trim(now);
+        while self
+            .sends
+            .front()
+            .is_some_and(|&at| at + COLD_WINDOW <= now)
+        {
+            self.sends.pop_front();
+        }
         self.sends.push_back(now);
     }
 
     /// Returns the number of sends in the last second.
-    pub fn recent(&mut self, now: Timestamp) -> usize {
-        self.trim(now);
-        self.sends.len()
-    }
-
-    fn trim(&mut self, now: Timestamp) {
-        while self.sends.front().is_some_and(|&at| at + WINDOW <= now) {
-            self.sends.pop_front();
-        }
+    #[must_use]
+    pub fn recent(&self, now: Timestamp) -> usize {
+        let before = self.sends.partition_point(|&at| at + COLD_WINDOW <= now);
+        self.sends.len() - before
     }
 }
 
