The limit that an endpoint names is kept by all entries together

What was seen: endpoints that named limits of 2 to 2.6 requests a second got 21 to 32 in 4 s (allowed 17 to 21). Callers saw nothing; the endpoint was in need and got its usual load.

Cause: nothing in the program knew the limit (hypothesis 1). Ruled out: requests that bypass placement; all sends are placed, also retries and resumed streams, and the limit is kept there.

Change: an entry uses its part of the requests that the limit allows in 4 s, by the rank that the endpoint gives it, as for a cold endpoint. The parts add up to the limit, whichever entries were told, so nothing has to be counted across entries. Sends before the limit was named count. Reports carry what answers to the reporter stated, so that entries without a part learn of the limit and of its end. A limited endpoint is not asked for reservations, and its free slots beyond the limit are no room for others.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -56,7 +56,7 @@
 pub use report::{
     Echo, EndpointLoad, EndpointNotice, Identity, MemberStatus, Report, Scope, ServiceLoad, Source,
 };
-pub use request_limit::{LimitChange, LimitNotice, RequestLimit};
+pub use request_limit::{LimitChange, LimitNotice, LimitStatement, RequestLimit};
 pub use restoration::{RECOVERY_TIME, Restoration};
 pub use retry_budget::RetryBudget;
 pub use scheduler::{
--- a/crates/core/src/direct/endpoint_table/availability.rs
+++ b/crates/core/src/direct/endpoint_table/availability.rs
@@ -96,8 +96,13 @@
 
     /// Returns the requests that the endpoint takes from all entries together, if it names a limit.
     #[must_use]
-    pub const fn limit(&self) -> Option<RequestLimit> {
-        self.limit.limit()
+    pub fn limit(&self, now: Timestamp) -> Option<RequestLimit> {
+        self.limit.limit(now)
+    }
+
+    /// Returns whether the endpoint has said something that matters if it is listed again.
+    fn has_spoken(&self) -> bool {
+        self.leaving || self.paused_until > Timestamp::ZERO || self.limit.is_named()
     }
 
     /// Returns the part of its slots that may be filled while requests return after a pause.
@@ -149,7 +154,7 @@
 impl FormerEndpoints {
     /// Remembers what a removed endpoint had said.
     pub(super) fn keep(&mut self, record: &EndpointRecord, availability: Availability) {
-        if availability == Availability::default() {
+        if !availability.has_spoken() {
             return;
         }
         if self.0.len() >= FORMER_LIMIT {
@@ -208,15 +213,27 @@
     /// Returns what the listed endpoints have said of themselves, for this entry's report.
     #[must_use]
     pub fn notices(&self, now: Timestamp) -> Vec<EndpointNotice> {
-        let takes_none = |state: &&EndpointState| !state.availability.takes_requests(now);
         let notice = |state: &EndpointState| EndpointNotice {
             endpoint: state.digest,
             started_ms: state.record.started_ms,
             leaving: state.availability.leaving,
             pause: whole_millis(state.availability.paused_until.since(now)),
+            limit: state.availability.limit.reported(now),
         };
-        let withdrawn = self.endpoints.values().filter(takes_none);
-        withdrawn.map(notice).collect()
+        let notices = self.endpoints.values().map(notice);
+        notices.filter(|notice| !notice.is_empty()).collect()
+    }
+
+    /// Applies the limits that endpoints have named to peers.
+    pub fn learn_limits(&mut self, notices: &[EndpointNotice], now: Timestamp) {
+        for notice in notices {
+            if let Some(statement) = notice.limit
+                && let Some(state) = self.by_digest(notice.endpoint)
+                && state.record.started_ms == notice.started_ms
+            {
+                state.availability.limit.learn(statement, now);
+            }
+        }
     }
 
     /// Returns what the incarnation of `record` has said of itself.
--- a/crates/core/src/direct/peer_notices.rs
+++ b/crates/core/src/direct/peer_notices.rs
@@ -7,10 +7,11 @@
 use std::time::Duration;
 
 use super::report::{EndpointNotice, Scope, Source};
+use super::request_limit::{LimitStatement, RequestLimit};
 use crate::time::{Timestamp, whole_millis};
 
 /// Most notices in one report.
-const REPORTED_LIMIT: usize = 64;
+const REPORTED_LIMIT: usize = 256;
 
 /// Cost of an endpoint that has said to a peer that it leaves, in milliseconds.
 const LEAVING_MS: f64 = 400.0;
@@ -26,6 +27,8 @@
 struct Heard {
     leaving: bool,
     paused_until: Timestamp,
+    /// The limit, or its end, and when it was stated.
+    limit: Option<(Timestamp, Option<RequestLimit>)>,
 }
 
 impl Heard {
@@ -33,12 +36,22 @@
         Self {
             leaving: notice.leaving,
             paused_until: now + Duration::from_millis(notice.pause.into()),
+            limit: notice.limit.map(|said| (said.stated(now), said.limit)),
         }
     }
 
     fn merge(&mut self, other: &Self) {
         self.leaving |= other.leaving;
         self.paused_until = self.paused_until.max(other.paused_until);
+        self.limit = self.limit.max(other.limit);
+    }
+
+    fn limit_statement(&self, now: Timestamp) -> Option<LimitStatement> {
+        let (stated, limit) = self.limit?;
+        Some(LimitStatement {
+            limit,
+            age: whole_millis(now.since(stated)),
+        })
     }
 }
 
@@ -97,11 +110,12 @@
             started_ms,
             leaving: heard.leaving,
             pause: whole_millis(heard.paused_until.since(now)),
+            limit: heard.limit_statement(now),
         };
         let current = merged
             .into_iter()
             .map(notice)
-            .filter(|n| n.leaving || n.pause > 0);
+            .filter(|notice| !notice.is_empty());
         current.take(REPORTED_LIMIT).collect()
     }
 
--- a/crates/core/src/direct/report.rs
+++ b/crates/core/src/direct/report.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::request_limit::LimitStatement;
 use super::store_progress::SectionStatus;
 use crate::request::BodyDigest;
 
@@ -83,6 +84,16 @@
     pub leaving: bool,
     /// Milliseconds for which the endpoint wants no more requests of the reporter.
     pub pause: u32,
+    /// The requests that the endpoint takes from all entries, if it limits or has limited them.
+    pub limit: Option<LimitStatement>,
+}
+
+impl EndpointNotice {
+    /// Returns whether the endpoint has said nothing.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        !self.leaving && self.pause == 0 && self.limit.is_none()
+    }
 }
 
 /// Identifies the last report that the reporter received from the recipient.
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -7,6 +7,7 @@
 mod origins;
 mod placement;
 mod reports;
+mod request_limit;
 mod restoration;
 mod snapshot;
 
--- a/crates/core/src/direct/scheduler/availability.rs
+++ b/crates/core/src/direct/scheduler/availability.rs
@@ -8,7 +8,6 @@
 use crate::direct::endpoint_table::{EndpointState, Notice, NoticeEffect};
 use crate::direct::plan::EndpointRecord;
 use crate::direct::report::{EndpointNotice, Scope, Source};
-use crate::direct::request_limit::RequestLimit;
 use crate::time::Timestamp;
 
 /// Time after the end of a pause in which refused callers may return, each at a random time.
@@ -39,13 +38,6 @@
         self.endpoints.availability(record).takes_requests(now)
     }
 
-    /// Returns the requests that the endpoint of `record` takes from all entries together, if it
-    /// names a limit.
-    #[must_use]
-    pub fn request_limit(&self, record: &EndpointRecord) -> Option<RequestLimit> {
-        self.endpoints.availability(record).limit()
-    }
-
     /// Returns after which delay a caller may return, if every endpoint of a service has asked for a
     /// pause.
     pub fn pause_delay(&mut self, service: &str, now: Timestamp) -> Option<Duration> {
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -117,6 +117,7 @@
             has_build(state, build)
                 && self.is_available(state, excluded, now)
                 && !state.is_avoided(now)
+                && self.is_allowed(state, now)
                 && state.load().running < Self::slots(state, streaming)
         })
     }
@@ -161,7 +162,7 @@
         let state = self.endpoints.get(&id)?;
         let last_byte = expected + state.stream_ms(self.events(request));
         let record = state.record().clone();
-        let reservation = self.reservation(request, state);
+        let reservation = self.reservation(request, state, now);
         let run = self.endpoints.record_send(&id, request.prompt, now)?;
         Some(Outcome::Placed(Box::new(Placement {
             run,
@@ -174,13 +175,20 @@
 
     /// Returns the time for which a slot is reserved before the request is sent. Several entries may
     /// send to an endpoint that they all believe to have a slot, so where few are free, the endpoint
-    /// is asked. Elsewhere the call would only cost time.
-    fn reservation(&self, request: &PlacementRequest, state: &EndpointState) -> Duration {
+    /// is asked. Elsewhere the call would only cost time. An endpoint that limits its requests is not
+    /// asked, as the call would be one of them.
+    fn reservation(
+        &self,
+        request: &PlacementRequest,
+        state: &EndpointState,
+        now: Timestamp,
+    ) -> Duration {
         let slots = f64::from(Self::slots(state, request.streaming));
         let service = self.plan.services.get(&request.service);
         match service {
             Some(service)
                 if request.streaming
+                    && state.availability().limit(now).is_none()
                     && f64::from(state.load().running) >= slots * UNRESERVED_PART =>
             {
                 service.reservation.min(RESERVATION_TIME)
@@ -193,6 +201,9 @@
     fn has_room(&self, request: &PlacementRequest, late: bool, now: Timestamp) -> bool {
         let (mut free, mut all) = (0, 0);
         for state in self.available(request, now) {
+            if !self.is_allowed(state, now) {
+                continue;
+            }
             let slots = Self::slots(state, request.streaming);
             all += slots;
             free += slots.saturating_sub(state.load().running);
@@ -276,6 +287,7 @@
             && !state.is_full(now)
             && self.may_return(state, request.streaming, now)
             && self.may_warm_up(state, now)
+            && self.is_allowed(state, now)
     }
 
     /// Returns whether this entry stays within its part of what a cold endpoint receives in a second.
--- a/crates/core/src/direct/scheduler/reports.rs
+++ b/crates/core/src/direct/scheduler/reports.rs
@@ -252,6 +252,7 @@
         self.suspects.apply_report(source, &report.crashes, now);
         self.endpoints.apply_report(source, report.loads);
         self.peer_notices.apply_report(source, &report.notices, now);
+        self.endpoints.learn_limits(&report.notices, now);
         let interval = Duration::from_millis(report.interval.into());
         let demand = Demand {
             services: report.services,
--- a/crates/core/src/direct/send_window.rs
+++ b/crates/core/src/direct/send_window.rs
@@ -12,6 +12,9 @@
 /// crashes if it receives too many requests, and a margin.
 const COLD_WINDOW: Duration = Duration::from_millis(1_050);
 
+/// Longest time in which sends are counted.
+pub(super) const WINDOW_MAX: Duration = Duration::from_secs(30);
+
 /// Recent sends to one endpoint.
 #[derive(Debug, Default)]
 pub struct SendWindow {
@@ -21,11 +24,7 @@
 impl SendWindow {
     /// Records a send.
     pub fn record(&mut self, now: Timestamp) {
-        while self
-            .sends
-            .front()
-            .is_some_and(|&at| at + COLD_WINDOW <= now)
-        {
+        while self.sends.front().is_some_and(|&at| at + WINDOW_MAX <= now) {
             self.sends.pop_front();
         }
         self.sends.push_back(now);
@@ -37,6 +36,23 @@
         let before = self.sends.partition_point(|&at| at + COLD_WINDOW <= now);
         self.sends.len() - before
     }
+
+    /// Returns the time from which fewer than `count` sends lie within `span`.
+    #[must_use]
+    pub(super) fn room_for(&self, count: usize, span: Duration) -> Timestamp {
+        let Some(index) = self.sends.len().checked_sub(count) else {
+            return Timestamp::ZERO;
+        };
+        self.sends
+            .get(index)
+            .map_or(Timestamp::NEVER, |&at| at + span)
+    }
+
+    /// Returns the time of the last send.
+    #[must_use]
+    pub(super) fn last(&self) -> Option<Timestamp> {
+        self.sends.back().copied()
+    }
 }
 
 /// Returns the part of a limit that the sender at `index` among `members` senders may use.
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -366,7 +366,7 @@
                 suspect = state.is_avoided(now),
                 leaving = state.record().leaving || state.availability().is_leaving(),
                 paused = clock::millis(state.availability().paused_until().since(now)),
-                limit:% = state.availability().limit().map_or_else(|| "-".to_owned(), |limit| limit.to_string());
+                limit:% = state.availability().limit(now).map_or_else(|| "-".to_owned(), |limit| limit.to_string());
                 "endpoint"
             );
         }
--- a/crates/direct/src/endpoint_call.rs
+++ b/crates/direct/src/endpoint_call.rs
@@ -57,7 +57,7 @@
     fn count_call(&self, record: &EndpointRecord, is_request: bool, cause: &str) {
         let call = if is_request { "request" } else { "reservation" };
         self.metrics.calls.with_label_values(&[call]).inc();
-        let limit = self.scheduler.borrow().request_limit(record);
+        let limit = self.scheduler.borrow().request_limit(record, clock::now());
         if let Some(limit) = limit {
             log::info!(request = cause, endpoint:% = record.id, call = call, limit:% = limit; "sending to a limited endpoint");
         }
