A caller is told at once when a limited endpoint takes its request

Callers of a service whose endpoints all name limits waited for their whole objective and were then refused as overloaded, with a delay that had nothing to do with the limit. A request that no endpoint takes within its objective is now refused at once (endpoints_limited), with the time at which the first one takes it, spread over 2 s; where this entry has no part of any limit, with the usual delay. One that is taken in time waits as before. The new test failed before (not refused).

--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -304,6 +304,9 @@
         if late && self.wait_limit(&request) <= now {
             return Some(self.refuse(&request, Reason::Overloaded, now));
         }
+        if let Some(absence) = self.limited_too_long(&request, now) {
+            return Some(self.refuse_absent(&request, &absence, now));
+        }
         let service = Arc::clone(&request.service);
         self.queues.entry(service).or_default().add(request, late);
         None
@@ -425,8 +428,8 @@
         })
     }
 
-    /// Refuses a request whose service has no usable endpoint. If all of them have asked for a pause,
-    /// the delay ends after the first one.
+    /// Refuses a request that no endpoint of its service takes. If it is known when one takes requests
+    /// again, the delay ends after that.
     fn refuse_absent(
         &mut self,
         request: &PlacementRequest,
--- a/crates/core/src/direct/scheduler/availability.rs
+++ b/crates/core/src/direct/scheduler/availability.rs
@@ -10,15 +10,15 @@
 use crate::direct::report::{EndpointNotice, Scope, Source};
 use crate::time::Timestamp;
 
-/// Time after the end of a pause in which refused callers may return, each at a random time.
+/// Time after the first endpoint takes requests again in which refused callers may return, each at a random time.
 const RETURN_SPREAD: Duration = Duration::from_secs(2);
 
 /// Why a service has no usable endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Absence {
     pub(super) reason: Reason,
-    /// Time at which the first pause ends.
-    until: Option<Timestamp>,
+    /// Time at which the first pause ends, or the first limit allows a request.
+    pub(super) until: Option<Timestamp>,
 }
 
 impl Scheduler {
@@ -45,7 +45,7 @@
         self.return_delay(&absence, now)
     }
 
-    /// Returns a delay until some random time after the first pause ends.
+    /// Returns a delay until some random time after the first endpoint takes requests again.
     pub(super) fn return_delay(&mut self, absence: &Absence, now: Timestamp) -> Option<Duration> {
         let remaining = absence.until?.since(now);
         Some(remaining + RETURN_SPREAD.mul_f64(self.random.random()))
@@ -88,10 +88,10 @@
     }
 
     /// Returns why waiting is of no use, if every endpoint that a request may go to has said that it
-    /// takes none.
+    /// takes none, or takes it too late.
     pub(super) fn hopeless(&self, request: &PlacementRequest, now: Timestamp) -> Option<Absence> {
         if !self.has_no_endpoint(request, now) {
-            return None;
+            return self.limited_too_long(request, now);
         }
         let absence = self.absence(&request.service, now);
         (absence.reason != Reason::NoEndpoint).then_some(absence)
--- a/crates/core/src/direct/scheduler/message.rs
+++ b/crates/core/src/direct/scheduler/message.rs
@@ -78,6 +78,8 @@
     EndpointsLeaving,
     /// Every endpoint of the service has said that it leaves, or has asked for a pause.
     EndpointsPaused,
+    /// Every endpoint that the request may go to has named a limit, and takes it too late.
+    EndpointsLimited,
 }
 
 /// The refusal of a placement request.
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -82,8 +82,17 @@
 
     /// Returns whether the service has no usable endpoint.
     pub(super) fn has_no_endpoint(&self, request: &PlacementRequest, now: Timestamp) -> bool {
-        let mut endpoints = self.endpoints.of_service(&request.service);
-        !endpoints.any(|state| self.is_available_to(request, state, now))
+        self.usable(request, now).next().is_none()
+    }
+
+    /// Returns the endpoints that a request may go to, including avoided ones.
+    pub(super) fn usable<'a>(
+        &'a self,
+        request: &'a PlacementRequest,
+        now: Timestamp,
+    ) -> impl Iterator<Item = &'a EndpointState> {
+        let endpoints = self.endpoints.of_service(&request.service);
+        endpoints.filter(move |state| self.is_available_to(request, state, now))
     }
 
     fn is_available(&self, state: &EndpointState, excluded: &[EndpointId], now: Timestamp) -> bool {
@@ -129,14 +138,9 @@
         request: &'a PlacementRequest,
         now: Timestamp,
     ) -> impl Iterator<Item = &'a EndpointState> {
-        let available = move |state: &&EndpointState| self.is_available_to(request, state, now);
-        let endpoints = || {
-            self.endpoints
-                .of_service(&request.service)
-                .filter(available)
-        };
-        let all_avoided = endpoints().all(|state| state.is_avoided(now));
-        endpoints().filter(move |state| all_avoided || !state.is_avoided(now))
+        let all_avoided = self.usable(request, now).all(|state| state.is_avoided(now));
+        self.usable(request, now)
+            .filter(move |state| all_avoided || !state.is_avoided(now))
     }
 
     pub(super) fn slots(state: &EndpointState, streaming: bool) -> u32 {
--- a/crates/core/src/direct/scheduler/request_limit.rs
+++ b/crates/core/src/direct/scheduler/request_limit.rs
@@ -5,7 +5,8 @@
 
 use std::time::Duration;
 
-use super::Scheduler;
+use super::availability::Absence;
+use super::{PlacementRequest, Reason, Scheduler};
 use crate::direct::endpoint_table::EndpointState;
 use crate::direct::plan::EndpointRecord;
 use crate::direct::request_limit::RequestLimit;
@@ -57,6 +58,27 @@
         room.max(spaced)
     }
 
+    /// Returns when the first endpoint takes a request, if the limits of all endpoints that it may go
+    /// to let it wait too long.
+    pub(super) fn limited_too_long(
+        &self,
+        request: &PlacementRequest,
+        now: Timestamp,
+    ) -> Option<Absence> {
+        let patience = request.objective.max(self.wait_limit(request));
+        let mut first = Timestamp::NEVER;
+        for state in self.usable(request, now) {
+            first = first.min(self.allowed_from(state, now));
+            if first <= patience {
+                return None;
+            }
+        }
+        Some(Absence {
+            reason: Reason::EndpointsLimited,
+            until: (first < Timestamp::NEVER).then_some(first),
+        })
+    }
+
     /// Returns this entry's part of a limit. An endpoint that takes less than one request in the
     /// longest window is asked once in that time, as only its answers tell when it takes more.
     fn allowance(&self, state: &EndpointState, limit: RequestLimit, now: Timestamp) -> Allowance {
--- a/crates/core/tests/core/direct/pauses.rs
+++ b/crates/core/tests/core/direct/pauses.rs
@@ -21,7 +21,7 @@
     }
 }
 
-fn refusal(outcome: Option<Outcome>) -> PlacementRefusal {
+pub fn refusal(outcome: Option<Outcome>) -> PlacementRefusal {
     match outcome {
         Some(Outcome::Refused(refusal)) => refusal,
         Some(Outcome::Placed(_)) | None => panic!("not refused"),
--- a/crates/core/tests/core/direct/request_limits.rs
+++ b/crates/core/tests/core/direct/request_limits.rs
@@ -5,13 +5,15 @@
 use std::time::Duration;
 
 use comfreyhaven_core::direct::{
-    Ending, EndpointRecord, LimitNotice, Notice, Plan, RequestLimit, Run, Scheduler,
+    Ending, EndpointRecord, LimitNotice, Notice, Outcome, Plan, Reason, RequestLimit, Run,
+    Scheduler, Ticket,
 };
 
-use super::availability::{record, scheduler_with_x};
+use super::availability::{record, scheduler_with_x, submit};
 use super::fleet_network::FleetNetwork;
 use super::large_fleet::place;
-use super::{SERVICE, at, plan};
+use super::pauses::refusal;
+use super::{SERVICE, at, placed, plan};
 
 /// Time from the first answer with a limit until the limit is kept, in milliseconds.
 const CONTACT: u64 = 3_000;
@@ -357,3 +359,36 @@
         );
     }
 }
+
+/// Guards against callers that wait for an endpoint which takes their request too late: they are
+/// told at once when there is a place, or to look elsewhere where this entry has no part.
+#[test]
+fn callers_learn_when_a_limited_endpoint_takes_them() {
+    let mut scheduler = scheduler_with_x();
+    scheduler.record_notice(&record("x", 1), &named(0.2), at(0));
+    assert!(place(&mut scheduler, 1, 10).is_some());
+    let first_place = Duration::from_millis(7_980);
+    for ticket in 2..20 {
+        let refusal = refusal(submit(&mut scheduler, ticket, 20));
+        assert_eq!(refusal.reason, Reason::EndpointsLimited);
+        assert!(refusal.retry_after >= first_place, "{refusal:?}");
+    }
+    scheduler.upsert_endpoint(record("y", 2), at(20));
+    let outcome = submit(&mut scheduler, 20, 30);
+    assert_eq!(placed(outcome).as_deref(), Some("y"));
+}
+
+/// Guards against refusing callers for whom there is a place in time.
+#[test]
+fn callers_wait_for_a_limited_endpoint_that_takes_them_in_time() {
+    let mut scheduler = scheduler_with_x();
+    scheduler.record_notice(&record("x", 1), &named(2.0), at(0));
+    assert!(place(&mut scheduler, 1, 10).is_some());
+    assert!(submit(&mut scheduler, 2, 20).is_none(), "it waits");
+    assert_eq!(scheduler.process_queues(at(250)).len(), 0);
+    let outcomes = scheduler.process_queues(at(260));
+    assert!(
+        matches!(outcomes[..], [(Ticket(2), Outcome::Placed(_))]),
+        "{outcomes:?}"
+    );
+}
