--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -179,8 +179,8 @@
 
     /// Returns the time for which a slot is reserved before the request is sent. Several entries may
     /// send to an endpoint that they all believe to have a slot, so where few are free, the endpoint
-    /// is asked. Elsewhere the call would only cost time. An endpoint that limits its requests is not
-    /// asked, as the call would be one of them.
+    /// is asked. Elsewhere the call would only cost time. An endpoint that is cold or limits its
+    /// requests is not asked, as the call would count as one of the few that it takes.
     fn reservation(
         &self,
         request: &PlacementRequest,
@@ -192,6 +192,7 @@
         match service {
             Some(service)
                 if request.streaming
+                    && !state.is_cold(now)
                     && state.availability().limit(now).is_none()
                     && f64::from(state.load().running) >= slots * UNRESERVED_PART =>
             {
--- a/crates/core/tests/core/direct/cold.rs
+++ b/crates/core/tests/core/direct/cold.rs
@@ -1,11 +1,13 @@
 //! Cold endpoints, which crash if all entries together send too many requests in one second.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use comfreyhaven_core::direct::EndpointRecord;
+use comfreyhaven_core::direct::{EndpointRecord, Plan};
 
+use super::large_fleet::place;
 use super::simulation::{Kind, Policy, Simulation};
-use super::{at, endpoint_record};
+use super::{SERVICE, at, endpoint_record, plan, scheduler};
 
 const CHECKS: [Kind; 1] = [Kind {
     rank: 0,
@@ -48,3 +50,28 @@
         }
     }
 }
+
+/// Guards against calls for a reservation beside as many requests as a cold endpoint takes: it gets
+/// twice as many calls in a second.
+#[test]
+fn calls_for_reservations_do_not_exceed_the_capacity_of_a_cold_endpoint() {
+    let mut scheduler = scheduler(1, &[]);
+    let mut reserving = Plan::clone(&plan(2));
+    let service = reserving.services.get_mut(SERVICE).expect("it is planned");
+    service.reservation = Duration::from_secs(2);
+    scheduler.configure(Arc::new(reserving), at(0));
+    let cold = EndpointRecord {
+        cold: Duration::from_secs(3),
+        ..endpoint_record("x", 40)
+    };
+    scheduler.upsert_endpoint(cold, at(0));
+    let mut calls = 0;
+    for ticket in 0..90 {
+        // All requests run on, so that the endpoint is soon half full.
+        if let Some(placement) = place(&mut scheduler, ticket, ticket * 10) {
+            calls += 1 + usize::from(!placement.reservation.is_zero());
+        }
+    }
+    assert!(calls <= CAPACITY_PER_S, "{calls} calls in a second");
+    assert!(calls > CAPACITY_PER_S / 2, "{calls} calls in a second");
+}
