An endpoint that breaks off and goes on has not crashed, and contains no request

What callers saw: 503 no_endpoint for a minute on requests that many callers send alike, after engines had broken off a few of them.

Cause: a crash cannot be seen, and each break before an answer was counted as one, also several of one endpoint that lives, and one for each of the equal requests that were lost in one crash.

Change: incarnations are counted, as a crash ends one, and reported in place of a number. A completion is applied once, not for the 5 s in which it is reported.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -54,7 +54,8 @@
 pub use rate_limit::{FleetView, RateExceeded, RateLimiter, RatePolicy};
 pub use read_cursor::ReadCursor;
 pub use report::{
-    Echo, EndpointLoad, EndpointNotice, Identity, MemberStatus, Report, Scope, ServiceLoad, Source,
+    CrashReport, Echo, EndpointLoad, EndpointNotice, Identity, MemberStatus, Report, Scope,
+    ServiceLoad, Source,
 };
 pub use request_limit::{LimitChange, LimitNotice, LimitStatement, RequestLimit};
 pub use restoration::{RECOVERY_TIME, Restoration};
--- a/crates/core/src/direct/plan.rs
+++ b/crates/core/src/direct/plan.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::endpoint_table::digest;
 use crate::id::KeyDigest;
 
 /// Id of an endpoint.
@@ -208,3 +209,11 @@
     #[serde(rename = "born")]
     pub started_ms: u64,
 }
+
+impl EndpointRecord {
+    /// Returns a digest that identifies the endpoint's incarnation.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        digest(&(&self.id, self.started_ms))
+    }
+}
--- a/crates/core/src/direct/suspects.rs
+++ b/crates/core/src/direct/suspects.rs
@@ -1,19 +1,23 @@
 //! Requests that are suspected of crashing endpoints.
 //!
-//! Requests are identified by team, path and body. A request whose endpoint crashes while running
-//! it is suspected. After several crashes, counted over all entries, it is refused for a time, so
-//! that a caller's own resends do not crash every endpoint. A request that has run to its end crashes
-//! no endpoint by itself; entries tell each other by a count of zero.
+//! Requests are identified by team, path and body. A request whose endpoint breaks off before it
+//! answers is suspected of having crashed it. After several crashes, counted over all entries, it is
+//! refused for a time, so that a caller's own resends do not crash every endpoint.
+//!
+//! A crash ends an incarnation. Several breaks of one incarnation are therefore one crash at most,
+//! and none if the endpoint answers a request that was sent right after the break: it may break off
+//! for other reasons, and equal requests of many callers must not be refused for that. A request that
+//! has run to its end crashes no endpoint by itself.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use super::report::{Scope, Source};
+use super::report::{CrashReport, Scope, Source};
 use crate::request::BodyDigest;
 use crate::time::Timestamp;
 
 /// Crashes over all entries after which a request is refused.
-const CRASH_LIMIT: u32 = 3;
+const CRASH_LIMIT: usize = 3;
 
 /// Time for which a crash is counted.
 const RETENTION: Duration = Duration::from_secs(60);
@@ -21,125 +25,194 @@
 /// Time for which a crash, or that there was none, is reported to peers.
 const REPORT_TIME: Duration = Duration::from_secs(5);
 
+/// Time after a break in which an answer proves that the endpoint has not crashed. Later ones may come
+/// from its next incarnation.
+const PROOF_TIME: Duration = Duration::from_secs(1);
+
 /// Number of remembered requests at which those with expired crashes are removed.
 const SUSPECT_LIMIT: usize = 4_096;
 
 /// Maximum number of requests in one report.
 const REPORTED_LIMIT: usize = 64;
 
-#[derive(Debug, Clone, Copy)]
-struct Crashes {
-    count: u32,
-    last: Timestamp,
+/// Maximum number of crashes of one request in a report. More change nothing.
+const REPORTED_CRASHES: usize = 2 * CRASH_LIMIT;
+
+/// Breaks of one request that this entry has seen.
+#[derive(Debug)]
+struct OwnBreaks {
+    /// Time of the last break by incarnation of the endpoint.
+    incarnations: HashMap<u64, Timestamp>,
+    /// When a break was recorded or withdrawn.
+    changed: Timestamp,
+    /// Whether the request has run to its end since.
+    completed: bool,
+}
+
+/// Breaks of one request that were reported of a source.
+#[derive(Debug)]
+struct ReportedBreaks {
+    incarnations: Vec<u64>,
+    reported: Timestamp,
+    /// Whether the request has run to its end since earlier breaks.
+    completed: bool,
+}
+
+impl ReportedBreaks {
+    fn is_fresh(&self, now: Timestamp) -> bool {
+        now < self.reported + REPORT_TIME
+    }
 }
 
 /// Crashes by request.
 #[derive(Debug, Default)]
 pub struct Suspects {
-    own: HashMap<BodyDigest, Crashes>,
-    /// Counts that were reported, by their source.
-    peers: HashMap<(BodyDigest, Source), Crashes>,
+    own: HashMap<BodyDigest, OwnBreaks>,
+    /// Time of the last break of each incarnation, for [`PROOF_TIME`].
+    recent: HashMap<u64, Timestamp>,
+    peers: HashMap<(BodyDigest, Source), ReportedBreaks>,
 }
 
 impl Suspects {
-    /// Records that an endpoint closed the connection before it answered a request. Returns the
-    /// request's crashes over all entries.
-    pub fn record_crash(&mut self, digest: BodyDigest, now: Timestamp) -> u32 {
+    /// Records that an endpoint closed the connection before it answered a request. `incarnation`
+    /// identifies the endpoint's incarnation. Returns the request's crashes over all entries.
+    pub fn record_break(&mut self, request: BodyDigest, incarnation: u64, now: Timestamp) -> usize {
         if self.own.len() >= SUSPECT_LIMIT {
-            self.own.retain(|_, crashes| now < crashes.last + RETENTION);
+            self.own
+                .retain(|_, breaks| now < breaks.changed + RETENTION);
         }
-        let crashes = self.own.entry(digest).or_insert(Crashes {
-            count: 0,
-            last: now,
+        self.recent.retain(|_, at| now < *at + PROOF_TIME);
+        self.recent.insert(incarnation, now);
+        let breaks = self.own.entry(request).or_insert_with(|| OwnBreaks {
+            incarnations: HashMap::new(),
+            changed: now,
+            completed: false,
         });
-        if crashes.last + RETENTION <= now {
-            crashes.count = 0;
+        breaks.incarnations.retain(|_, at| now < *at + RETENTION);
+        breaks.incarnations.insert(incarnation, now);
+        (breaks.changed, breaks.completed) = (now, false);
+        self.crashes(request, now)
+    }
+
+    /// Returns whether an endpoint's incarnation broke off a moment ago.
+    #[must_use]
+    pub fn broke_recently(&self, incarnation: u64, now: Timestamp) -> bool {
+        let recent = self.recent.get(&incarnation);
+        recent.is_some_and(|at| now < *at + PROOF_TIME)
+    }
+
+    /// Records that an endpoint's incarnation answers a request, or accepts a connection, that was
+    /// sent or opened at `sent`. It has not crashed at a break shortly before that.
+    pub fn record_answer(&mut self, incarnation: u64, sent: Timestamp, now: Timestamp) {
+        let is_proof = |at: &Timestamp| *at <= sent && sent < *at + PROOF_TIME;
+        if !self.recent.get(&incarnation).is_some_and(is_proof) {
+            return;
+        }
+        for breaks in self.own.values_mut() {
+            if breaks.incarnations.get(&incarnation).is_some_and(is_proof) {
+                breaks.incarnations.remove(&incarnation);
+                breaks.changed = now;
+            }
         }
-        *crashes = Crashes {
-            count: crashes.count + 1,
-            last: now,
-        };
-        self.count(digest, now)
     }
 
-    /// Applies the counts that were reported of a source.
-    pub fn apply_report(&mut self, source: Source, reported: &[(BodyDigest, u32)], now: Timestamp) {
+    /// Applies the crashes that were reported of a source.
+    pub fn apply_report(&mut self, source: Source, reported: &[CrashReport], now: Timestamp) {
         if self.peers.len() >= SUSPECT_LIMIT {
             self.peers
-                .retain(|_, crashes| now < crashes.last + RETENTION);
+                .retain(|_, breaks| now < breaks.reported + RETENTION);
         }
-        for &(digest, count) in reported {
-            if count == 0 {
-                self.forget_crashes(digest);
+        for report in reported {
+            let key = (report.request, source);
+            let before = self.peers.get(&key).filter(|breaks| breaks.is_fresh(now));
+            // Further reports of the same completion do not clear what has happened since.
+            if report.completed && !before.is_some_and(|breaks| breaks.completed) {
+                self.forget_request(report.request);
             }
-            self.peers
-                .insert((digest, source), Crashes { count, last: now });
+            let breaks = ReportedBreaks {
+                incarnations: report.incarnations.clone(),
+                reported: now,
+                completed: report.completed,
+            };
+            self.peers.insert(key, breaks);
         }
     }
 
-    /// Returns the counts for a report of the given scope, without those of `recipient`.
+    /// Returns the crashes for a report of the given scope, without those of `recipient`.
     #[must_use]
     pub fn reported(
         &self,
         scope: Scope,
         recipient: Option<Source>,
         now: Timestamp,
-    ) -> Vec<(BodyDigest, u32)> {
-        let is_fresh = |crashes: &Crashes| now < crashes.last + REPORT_TIME;
-        let mut counts: HashMap<BodyDigest, u32> = HashMap::new();
-        for (digest, crashes) in self.own.iter().filter(|(_, crashes)| is_fresh(crashes)) {
-            *counts.entry(*digest).or_default() += crashes.count;
+    ) -> Vec<CrashReport> {
+        let mut crashes: HashMap<BodyDigest, (BTreeSet<u64>, bool)> = HashMap::new();
+        for (request, breaks) in &self.own {
+            if now < breaks.changed + REPORT_TIME {
+                let (incarnations, completed) = crashes.entry(*request).or_default();
+                incarnations.extend(breaks.incarnations.keys());
+                *completed |= breaks.completed;
+            }
         }
-        for ((digest, source), crashes) in &self.peers {
-            if source.is_within(scope) && Some(*source) != recipient && is_fresh(crashes) {
-                *counts.entry(*digest).or_default() += crashes.count;
+        for ((request, source), breaks) in &self.peers {
+            if breaks.is_fresh(now) && source.is_within(scope) && Some(*source) != recipient {
+                let (incarnations, completed) = crashes.entry(*request).or_default();
+                incarnations.extend(&breaks.incarnations);
+                *completed |= breaks.completed;
             }
         }
-        counts.into_iter().take(REPORTED_LIMIT).collect()
+        let reports = crashes
+            .into_iter()
+            .map(|(request, (incarnations, completed))| CrashReport {
+                request,
+                incarnations: incarnations.into_iter().take(REPORTED_CRASHES).collect(),
+                completed,
+            });
+        reports.take(REPORTED_LIMIT).collect()
     }
 
-    /// Forgets the counts of a source that reports no longer.
+    /// Forgets the crashes of a source that reports no longer.
     pub fn forget(&mut self, source: Source) {
         self.peers.retain(|(_, other), _| *other != source);
     }
 
     /// Clears the crashes of a request that ran to its end, at all entries.
-    pub fn clear(&mut self, digest: BodyDigest, now: Timestamp) {
-        if self.count(digest, now) > 0 {
-            self.forget_crashes(digest);
-            self.own.insert(
-                digest,
-                Crashes {
-                    count: 0,
-                    last: now,
-                },
-            );
+    pub fn clear(&mut self, request: BodyDigest, now: Timestamp) {
+        if self.crashes(request, now) > 0 {
+            self.forget_request(request);
+            let cleared = OwnBreaks {
+                incarnations: HashMap::new(),
+                changed: now,
+                completed: true,
+            };
+            self.own.insert(request, cleared);
         }
     }
 
-    fn forget_crashes(&mut self, digest: BodyDigest) {
-        self.own.remove(&digest);
-        self.peers.retain(|(other, _), _| *other != digest);
+    fn forget_request(&mut self, request: BodyDigest) {
+        self.own.remove(&request);
+        self.peers.retain(|(other, _), _| *other != request);
     }
 
-    fn count(&self, digest: BodyDigest, now: Timestamp) -> u32 {
-        let live = |crashes: &&Crashes| now < crashes.last + RETENTION;
-        let own = self
-            .own
-            .get(&digest)
-            .filter(live)
-            .map_or(0, |crashes| crashes.count);
-        if self.peers.is_empty() {
-            return own;
+    /// Returns the number of incarnations that a request may have crashed.
+    fn crashes(&self, request: BodyDigest, now: Timestamp) -> usize {
+        let mut crashed: BTreeSet<u64> = BTreeSet::new();
+        if let Some(breaks) = self.own.get(&request) {
+            let live = breaks.incarnations.iter();
+            let live = live.filter(|(_, at)| now < **at + RETENTION);
+            crashed.extend(live.map(|(incarnation, _)| incarnation));
+        }
+        for ((other, _), breaks) in &self.peers {
+            if *other == request && now < breaks.reported + RETENTION {
+                crashed.extend(&breaks.incarnations);
+            }
         }
-        let peers = self.peers.iter().filter(|((other, _), _)| *other == digest);
-        let peers = peers.map(|(_, crashes)| crashes).filter(live);
-        own + peers.map(|crashes| crashes.count).sum::<u32>()
+        crashed.len()
     }
 
     /// Returns whether a request is refused.
     #[must_use]
-    pub fn is_refused(&self, digest: BodyDigest, now: Timestamp) -> bool {
-        self.count(digest, now) >= CRASH_LIMIT
+    pub fn is_refused(&self, request: BodyDigest, now: Timestamp) -> bool {
+        self.crashes(request, now) >= CRASH_LIMIT
     }
 }
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -19,6 +19,7 @@
 mod restored_records;
 mod simulation;
 mod store_progress;
+mod suspects;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/core/tests/core/direct/components.rs
+++ b/crates/core/tests/core/direct/components.rs
@@ -60,9 +60,9 @@
 fn a_request_that_crashes_endpoints_is_refused_by_all_entries() {
     let digest = BodyDigest(7);
     let (mut one, mut two) = (scheduler(1, &[2]), scheduler(2, &[1]));
-    one.suspects_mut().record_crash(digest, at(0));
-    two.suspects_mut().record_crash(digest, at(10));
-    two.suspects_mut().record_crash(digest, at(20));
+    one.suspects_mut().record_break(digest, 1, at(0));
+    two.suspects_mut().record_break(digest, 2, at(10));
+    two.suspects_mut().record_break(digest, 3, at(20));
     assert!(!one.suspects().is_refused(digest, at(30)));
     let report = two.report(at(40));
     one.apply_report(address(2), report, at(41));
@@ -77,10 +77,10 @@
 #[test]
 fn a_complete_answer_clears_the_suspicion() {
     let mut suspects = Suspects::default();
-    suspects.record_crash(BodyDigest(1), at(0));
-    suspects.record_crash(BodyDigest(1), at(1));
+    suspects.record_break(BodyDigest(1), 1, at(0));
+    suspects.record_break(BodyDigest(1), 2, at(1));
     suspects.clear(BodyDigest(1), at(1));
-    assert_eq!(suspects.record_crash(BodyDigest(1), at(2)), 1);
+    assert_eq!(suspects.record_break(BodyDigest(1), 3, at(2)), 1);
 }
 
 /// Guards against a request that is refused at its peers although it ran to its end at one entry.
@@ -94,15 +94,15 @@
             entries[1 - from].apply_report(sources[from], &counts, now);
         }
     };
-    entries[0].record_crash(BodyDigest(1), at(0));
-    entries[1].record_crash(BodyDigest(1), at(0));
-    entries[1].record_crash(BodyDigest(1), at(1));
+    entries[0].record_break(BodyDigest(1), 1, at(0));
+    entries[1].record_break(BodyDigest(1), 2, at(0));
+    entries[1].record_break(BodyDigest(1), 3, at(1));
     exchange(&mut entries, at(2));
     assert!(entries[0].is_refused(BodyDigest(1), at(3)));
     entries[0].clear(BodyDigest(1), at(3));
     exchange(&mut entries, at(40));
     for entry in &mut entries {
-        assert_eq!(entry.record_crash(BodyDigest(1), at(50)), 1);
+        assert_eq!(entry.record_break(BodyDigest(1), 4, at(50)), 1);
     }
 }
 
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Handles one request: places it, sends it, retries it if the route allows that, and answers it.
 
 mod attempt;
+mod crash_check;
 mod origin;
 mod reserve;
 mod send;
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -1,5 +1,6 @@
 //! One send of a request: builds what the endpoint receives, and interprets its answer.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,6 +10,7 @@
 use hyper::{Request, Response, StatusCode};
 
 use super::attempt::{Begun, SendFault};
+use super::crash_check;
 use super::source::{Next, Source, StreamStart};
 use super::{Dispatch, RETRY_DELAY};
 use crate::answer::{self, AnswerBody};
@@ -134,14 +136,21 @@
         self.context.upstream.close(&source.record.id);
         source.slot.release(Ending::Broken);
         if before_first {
-            self.record_crash();
+            self.record_break(&source.record);
         }
     }
 
-    fn record_crash(&self) {
-        let digest = self.incoming.digest;
+    /// Suspects the request of having crashed the endpoint that broke off.
+    fn record_break(&self, record: &EndpointRecord) {
+        let (incarnation, now) = (record.incarnation(), clock::now());
         let mut scheduler = self.context.scheduler.borrow_mut();
-        scheduler.suspects_mut().record_crash(digest, clock::now());
+        let suspects = scheduler.suspects_mut();
+        let is_checked = suspects.broke_recently(incarnation, now);
+        suspects.record_break(self.incoming.digest, incarnation, now);
+        if !is_checked {
+            let checking = crash_check::check(Rc::clone(&self.context), record.clone());
+            self.context.tasks.spawn_local(checking);
+        }
     }
 
     /// Counts the outcome of a send in the metrics.
@@ -165,7 +174,7 @@
             return self.handle_unsent(error, record, slot);
         }
         self.log_break("broken", error, record, slot);
-        self.record_crash();
+        self.record_break(record);
         SendFault::Unknown
     }
 
--- a/crates/direct/src/endpoint_call.rs
+++ b/crates/direct/src/endpoint_call.rs
@@ -47,6 +47,11 @@
         self.count_call(record, id.is_some(), cause);
         let reply = sending.await?;
         if self.is_own_answer(record, id, &reply.response) {
+            let mut scheduler = self.scheduler.borrow_mut();
+            scheduler
+                .suspects_mut()
+                .record_answer(record.incarnation(), sent, clock::now());
+            drop(scheduler);
             let notice = self.notice(&reply.response, id.map(|_| sent));
             self.record_notice(record, cause, &notice);
         }
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -194,6 +194,7 @@
         .suspects()
         .is_refused(digest, now)
     {
+        log::info!(request = head.id_text(); "contained: equal requests may have crashed endpoints");
         return refuse(context, &parts, RefusalKind::NoEndpoint, None);
     }
     let origin = match &head.resumption {
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -43,6 +43,9 @@
 /// How much earlier than the endpoint an idle connection is closed.
 const IDLE_MARGIN: Duration = Duration::from_millis(600);
 
+/// Time for which a new connection has to stay open to count as accepted by the endpoint.
+const ACCEPTED_TIME: Duration = Duration::from_millis(100);
+
 /// Largest header of an endpoint's answer, in bytes.
 const HEADER_LIMIT_BYTES: usize = 64 * 1024;
 
@@ -224,6 +227,26 @@
         }
     }
 
+    /// Returns whether an endpoint accepts a new connection and keeps it open. The connection is kept
+    /// for the next request.
+    pub async fn accepts(&self, record: &EndpointRecord) -> bool {
+        let Ok(connection) = Connection::open(record.address, &self.tasks).await else {
+            return false;
+        };
+        tokio::time::sleep(ACCEPTED_TIME).await;
+        if connection.sender.is_closed() {
+            return false;
+        }
+        let idle = IdleConnection {
+            connection,
+            started_ms: record.started_ms,
+            expiry: clock::now() + DEFAULT_IDLE_LIMIT - IDLE_MARGIN - ACCEPTED_TIME,
+        };
+        let mut pool = self.idle.borrow_mut();
+        pool.entry(record.id.clone()).or_default().push(idle);
+        true
+    }
+
     fn take(&self, record: &EndpointRecord) -> Option<Connection<Full<Bytes>>> {
         let mut pool = self.idle.borrow_mut();
         let list = pool.get_mut(&record.id)?;
