--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -225,6 +225,13 @@
         origin.is_none_or(|origin| scheduler.is_certain(origin))
     }
 
+    /// Returns whether the request may have crashed too many endpoints.
+    fn is_contained(&self) -> bool {
+        let scheduler = self.context.scheduler.borrow();
+        let digest = self.incoming.digest;
+        scheduler.suspects().is_refused(digest, clock::now())
+    }
+
     /// Waits for a slot at an endpoint.
     async fn place(&self) -> PlacementOutcome {
         let started = clock::now();
--- a/crates/direct/src/dispatch/attempt.rs
+++ b/crates/direct/src/dispatch/attempt.rs
@@ -97,6 +97,7 @@
         let route = &self.incoming.head.route;
         route.retry.is_allowed()
             && self.may_go_on()
+            && !self.is_contained()
             && self.possible_runs.get() < route.max_attempts
     }
 
