--- a/crates/core/src/direct/suspects.rs
+++ b/crates/core/src/direct/suspects.rs
@@ -102,11 +102,12 @@
     }
 
     /// Records that an endpoint's incarnation answers a request, or accepts a connection, that was
-    /// sent or opened at `sent`. It has not crashed at a break shortly before that.
-    pub fn record_answer(&mut self, incarnation: u64, sent: Timestamp, now: Timestamp) {
+    /// sent or opened at `sent`. It has not crashed at a break shortly before that. Returns whether
+    /// there was such a break.
+    pub fn record_answer(&mut self, incarnation: u64, sent: Timestamp, now: Timestamp) -> bool {
         let is_proof = |at: &Timestamp| *at <= sent && sent < *at + PROOF_TIME;
         if !self.recent.get(&incarnation).is_some_and(is_proof) {
-            return;
+            return false;
         }
         for breaks in self.own.values_mut() {
             if breaks.incarnations.get(&incarnation).is_some_and(is_proof) {
@@ -114,6 +115,7 @@
                 breaks.changed = now;
             }
         }
+        true
     }
 
     /// Applies the crashes that were reported of a source.
