A damaged counter in a peer's report does not overflow a team's rate

Found by a new test that applies reports and lending messages with any values to an entry that goes on working (operators of similar systems: one malformed message took a process down). Counters of spent units near the limits of their type overflowed the sum of the window: an error where overflows are checked, a wrong sum for 8 s otherwise.

--- a/crates/core/src/direct/spending.rs
+++ b/crates/core/src/direct/spending.rs
@@ -10,6 +10,10 @@
 
 use super::report::{Scope, Source};
 
+/// Largest counter that is taken over from a report. No fleet spends as much; a larger one is damaged,
+/// and sums of it would overflow.
+const COUNTER_MAX: i64 = 1 << 48;
+
 /// Counters by digest of the team.
 type Counters = HashMap<u64, i64>;
 
@@ -76,7 +80,7 @@
         let mut changes = Vec::new();
         for (team, value) in report.spent {
             let count = source.counted.entry(*team).or_default();
-            let aligned = value + reporter.offsets.get(team).copied().unwrap_or(0);
+            let aligned = bounded(*value) + reporter.offsets.get(team).copied().unwrap_or(0);
             let change = aligned - *count;
             // Aggregators lag behind each other, so a lower counter may only be an older one.
             if change > 0 || (single && change < 0) {
@@ -126,10 +130,18 @@
     }
 }
 
+/// Returns a reported counter, or the largest one that is taken over.
+fn bounded(units: i64) -> i64 {
+    units.clamp(-COUNTER_MAX, COUNTER_MAX)
+}
+
 impl SourceCount {
     /// Returns a new reporter whose counters continue the source's count.
     fn align(&self, report: &ReportedCounters<'_>) -> Reporter {
-        let reported: Counters = report.spent.iter().copied().collect();
+        let reported = report.spent.iter();
+        let reported: Counters = reported
+            .map(|(team, units)| (*team, bounded(*units)))
+            .collect();
         let teams = self.counted.keys().chain(reported.keys());
         let offset = |team: &u64| {
             let counted = self.counted.get(team).copied().unwrap_or(0);
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -10,6 +10,7 @@
 mod fleet_network;
 mod large_fleet;
 mod lending;
+mod malformed_messages;
 mod members;
 mod origins;
 mod overload;
--- /dev/null
+++ b/crates/core/tests/core/direct/malformed_messages.rs
@@ -0,0 +1,203 @@
+//! Messages of peers whose fields hold any values: of another version, damaged, or made up.
+
+use std::net::SocketAddr;
+
+use comfreyhaven_core::direct::{
+    CrashReport, Echo, EndpointLoad, EndpointNotice, Identity, LendingMessage, LimitStatement,
+    MemberStatus, Report, RequestLimit, Scheduler, Scope, SectionStatus, ServiceLoad,
+    StoreRevision, digest,
+};
+use comfreyhaven_core::request::BodyDigest;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::availability::{record, submit};
+use super::{SERVICE, address, at, scheduler, team};
+
+/// Draws numbers at the limits of their types as often as any others.
+struct Values(ChaCha8Rng);
+
+impl Values {
+    fn number(&mut self) -> u64 {
+        match self.0.random_range(0..6) {
+            0 => 0,
+            1 => 1,
+            2 => u64::MAX,
+            3 => i64::MAX as u64,
+            4 => self.0.random_range(0..2_000_000_000),
+            _ => self.0.random(),
+        }
+    }
+
+    fn signed(&mut self) -> i64 {
+        match self.0.random_range(0..4) {
+            0 => i64::MIN,
+            1 => i64::MAX,
+            _ => self.number() as i64,
+        }
+    }
+
+    fn small(&mut self) -> u32 {
+        self.number() as u32
+    }
+
+    fn tiny(&mut self) -> u16 {
+        self.number() as u16
+    }
+
+    fn flag(&mut self) -> bool {
+        self.0.random()
+    }
+
+    fn list<T>(&mut self, mut value: impl FnMut(&mut Self) -> T) -> Vec<T> {
+        let count = self.0.random_range(0..4);
+        (0..count).map(|_| value(self)).collect()
+    }
+
+    fn address(&mut self) -> SocketAddr {
+        address(self.0.random_range(1..=14))
+    }
+
+    /// A digest of something that the entry knows, or any number.
+    fn known(&mut self, name: &str) -> u64 {
+        if self.flag() {
+            digest(name)
+        } else {
+            self.number()
+        }
+    }
+
+    fn identity(&mut self) -> Identity {
+        Identity {
+            boot: self.0.random_range(1_000..1_006),
+            started: self.number(),
+            centre: self.known("a"),
+            capacity: self.tiny(),
+            leaving: self.flag(),
+        }
+    }
+
+    fn revision(&mut self) -> StoreRevision {
+        StoreRevision::new(self.number(), self.number())
+    }
+
+    fn limit(&mut self) -> Option<LimitStatement> {
+        self.flag().then(|| LimitStatement {
+            limit: self
+                .flag()
+                .then(|| RequestLimit::new(self.number() as f64 / 1_000.0)),
+            age: self.small(),
+        })
+    }
+
+    fn report(&mut self) -> Report {
+        let scopes = [Scope::Entry, Scope::Centre, Scope::Fleet];
+        Report {
+            scope: scopes[self.0.random_range(0..3)],
+            identity: self.identity(),
+            sent: self.number(),
+            interval: self.tiny(),
+            expects: self.flag(),
+            echo: self.flag().then(|| Echo {
+                boot: self.0.random_range(1_000..1_006),
+                sent: self.number(),
+            }),
+            lag: self.small(),
+            version: self.number(),
+            age: self.flag().then(|| self.small()),
+            sections: [self.section(), self.section()],
+            loads: self.list(|values| EndpointLoad {
+                endpoint: values.known("x"),
+                running: values.tiny(),
+                pending: values.small(),
+                event_interval: values.tiny(),
+            }),
+            services: self.list(|values| ServiceLoad {
+                service: values.known(SERVICE),
+                running: values.tiny(),
+                waiting: values.tiny(),
+                urgent: values.tiny(),
+            }),
+            spent: self.list(|values| (values.known("kakheti"), values.signed())),
+            crashes: self.list(|values| CrashReport {
+                request: BodyDigest(values.number()),
+                incarnations: values.list(Self::number),
+                completed: values.flag(),
+            }),
+            members: self.list(|values| MemberStatus {
+                address: values.address(),
+                identity: values.identity(),
+                sent: values.number(),
+                age: values.small(),
+            }),
+            notices: self.list(|values| EndpointNotice {
+                endpoint: values.known("x"),
+                started_ms: if values.flag() { 1 } else { values.number() },
+                leaving: values.flag(),
+                pause: values.small(),
+                limit: values.limit(),
+            }),
+        }
+    }
+
+    fn section(&mut self) -> SectionStatus {
+        SectionStatus {
+            revision: self.revision(),
+            age: self.flag().then(|| self.small()),
+        }
+    }
+
+    fn lending(&mut self) -> LendingMessage {
+        let endpoint = (self.known("x"), 1);
+        let number = self.0.random_range(0..4);
+        match self.0.random_range(0..3) {
+            0 => LendingMessage::Ask { endpoint, number },
+            1 => LendingMessage::Lent { endpoint, number },
+            _ => LendingMessage::Denied {
+                endpoint,
+                number,
+                wait: self.small(),
+            },
+        }
+    }
+}
+
+/// Does all that a running entry does between two messages.
+fn go_on(entry: &mut Scheduler, step: u64) {
+    let now = at(step * 20);
+    let team = team(1_000);
+    let _ = entry.charge(&team, 100, 0, now);
+    let _ = submit(entry, step, step * 20);
+    entry.process_queues(now);
+    entry.lending_questions(now);
+    entry.reports(now);
+    entry.expire_peers(now);
+    entry.remove_expired(now);
+    entry.release_kept(now);
+    let _ = entry.report_lag(now);
+}
+
+/// Guards against one message that ends a process, or the task that receives messages: overflows are
+/// errors here.
+#[test]
+fn no_message_of_a_peer_ends_an_entry() {
+    for seed in 0..60 {
+        let mut values = Values(ChaCha8Rng::seed_from_u64(seed));
+        // In a fleet of over eight entries, this one may be an aggregator.
+        let capacity = values.tiny();
+        let mut entry = scheduler(1, &[2, 3]).with_capacity(capacity);
+        entry.upsert_endpoint(record("x", 1), at(0));
+        for step in 1..200 {
+            let from = values.address();
+            let now = at(step * 20);
+            if values.flag() {
+                let report = values.report();
+                entry.apply_report(from, report, now);
+            } else {
+                let message = values.lending();
+                entry.apply_lending_message(from, message, now);
+            }
+            go_on(&mut entry, step);
+        }
+    }
+}
