A stream whose build pauses is told when it may go on

A stream that needs a build whose endpoints all pause was refused as no_endpoint with the usual delay, since others of the service took requests. It is judged for the build now, also after a send that reached nothing. The new test failed before (NoEndpoint).

--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -298,7 +298,7 @@
         request.average_time = self.average_slot_time(&request);
         let late = self.is_late(&request, now);
         if self.has_no_endpoint(&request, now) {
-            let absence = self.absence(&request.service, now);
+            let absence = self.absence(&request.service, request.build.as_deref(), now);
             return Some(self.refuse_absent(&request, &absence, now));
         }
         let position = QueuePosition::new(&request, late);
--- a/crates/core/src/direct/scheduler/availability.rs
+++ b/crates/core/src/direct/scheduler/availability.rs
@@ -4,6 +4,7 @@
 
 use rand::Rng;
 
+use super::placement::has_build;
 use super::{PlacementRequest, Reason, Scheduler};
 use crate::direct::endpoint_table::{EndpointState, Notice, NoticeEffect};
 use crate::direct::plan::EndpointRecord;
@@ -38,10 +39,15 @@
         self.endpoints.availability(record).takes_requests(now)
     }
 
-    /// Returns after which delay a caller may return, if every endpoint of a service has asked for a
-    /// pause.
-    pub fn pause_delay(&mut self, service: &str, now: Timestamp) -> Option<Duration> {
-        let absence = self.absence(service, now);
+    /// Returns after which delay a caller may return, if every endpoint of a service, of the required
+    /// build, has asked for a pause.
+    pub fn pause_delay(
+        &mut self,
+        service: &str,
+        build: Option<&str>,
+        now: Timestamp,
+    ) -> Option<Duration> {
+        let absence = self.absence(service, build, now);
         self.return_delay(&absence, now)
     }
 
@@ -62,11 +68,12 @@
         self.peer_notices.reported(&own, scope, recipient, now)
     }
 
-    /// Returns why a service without a usable endpoint has none.
-    pub(super) fn absence(&self, service: &str, now: Timestamp) -> Absence {
+    /// Returns why a service without a usable endpoint of the required build has none.
+    pub(super) fn absence(&self, service: &str, build: Option<&str>, now: Timestamp) -> Absence {
         let mut until = None;
         let mut reason = Reason::NoEndpoint;
-        for state in self.listed(service, now) {
+        let listed = self.listed(service, now);
+        for state in listed.filter(|state| has_build(state, build)) {
             let availability = state.availability();
             if availability.takes_requests(now) {
                 return Absence {
@@ -93,7 +100,7 @@
         if !self.has_no_endpoint(request, now) {
             return self.limited_too_long(request, now);
         }
-        let absence = self.absence(&request.service, now);
+        let absence = self.absence(&request.service, request.build.as_deref(), now);
         (absence.reason != Reason::NoEndpoint).then_some(absence)
     }
 
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -364,6 +364,6 @@
 }
 
 /// Returns whether an endpoint is of the required build, if one is required.
-fn has_build(state: &EndpointState, required: Option<&str>) -> bool {
+pub(super) fn has_build(state: &EndpointState, required: Option<&str>) -> bool {
     required.is_none_or(|build| *state.record().build == *build)
 }
--- a/crates/core/tests/core/direct/builds.rs
+++ b/crates/core/tests/core/direct/builds.rs
@@ -2,9 +2,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use comfreyhaven_core::direct::{
-    Ending, EndpointRecord, Outcome, PlacementRequest, Reason, Run, Scheduler,
+    Ending, EndpointRecord, Notice, Outcome, PlacementRequest, Reason, Run, Scheduler,
 };
 
 use super::{SERVICE, at, endpoint_record, placed, placement_request, scheduler};
@@ -53,6 +54,31 @@
     assert!(scheduler.may_retry(&service, Some("v1"), &[], true, at(0)));
 }
 
+/// Guards against a refusal that does not tell when a stream may go on: all endpoints of its build have
+/// asked for a pause, while others of the service take requests.
+#[test]
+fn a_stream_whose_build_pauses_is_told_when_it_may_go_on() {
+    let mut scheduler = scheduler(1, &[]);
+    list(&mut scheduler, 1, "v1", 4);
+    list(&mut scheduler, 2, "v2", 4);
+    let paused = scheduler.endpoints().get("v1-1").expect("it is listed");
+    let paused = paused.record().clone();
+    let pause = Notice {
+        pause: Some(Duration::from_secs(9)),
+        ..Notice::default()
+    };
+    scheduler.record_notice(&paused, &pause, at(0));
+    let Some(Outcome::Refused(refusal)) = scheduler.submit(going_on(1, "v1"), at(0)) else {
+        panic!("not refused");
+    };
+    assert_eq!(refusal.reason, Reason::EndpointsPaused);
+    assert!(refusal.retry_after >= Duration::from_secs(9), "{refusal:?}");
+    let delay = scheduler.pause_delay(SERVICE, Some("v1"), at(0));
+    assert!(delay.is_some_and(|delay| delay >= Duration::from_secs(9)));
+    assert_eq!(scheduler.pause_delay(SERVICE, Some("v2"), at(0)), None);
+    assert_eq!(scheduler.pause_delay(SERVICE, None, at(0)), None);
+}
+
 /// One stream that waited for a full build kept all other requests of the service waiting.
 #[test]
 fn a_stream_that_waits_for_its_build_keeps_no_other_request_waiting() {
--- a/crates/core/tests/core/direct/pauses.rs
+++ b/crates/core/tests/core/direct/pauses.rs
@@ -159,7 +159,7 @@
     assert!(delays[74] - delays[24] > spread / 4, "{delays:?}");
     assert!(
         scheduler
-            .pause_delay(super::SERVICE, at(20))
+            .pause_delay(super::SERVICE, None, at(20))
             .is_some_and(|delay| delay >= first)
     );
 }
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -156,7 +156,8 @@
     /// Returns after which delay a caller may return whose request no endpoint has run.
     fn retry_delay(&self) -> Duration {
         let mut scheduler = self.context.scheduler.borrow_mut();
-        let paused = scheduler.pause_delay(&self.service, clock::now());
+        let build = self.build().map(|build| &**build);
+        let paused = scheduler.pause_delay(&self.service, build, clock::now());
         paused.unwrap_or(RETRY_DELAY)
     }
 
