What broke off is seen from outside: parts of the prompt, events, and whether the endpoint crashed

No decision changes.

A line `broken` names the request's digest, the digests of the parts of its prompt, the events that had come and the endpoint's incarnation. Each endpoint that breaks off is checked, also after a first event, and a line and comfreyhaven_endpoint_breaks_total state whether it accepts connections, refuses them or does not react. The check itself is the one that withdrew suspicions; it made no line where it found a crash.

--- a/crates/core/src/direct/suspects.rs
+++ b/crates/core/src/direct/suspects.rs
@@ -77,12 +77,11 @@
     /// Records that an endpoint closed the connection before it answered a request. `incarnation`
     /// identifies the endpoint's incarnation. Returns the request's crashes over all entries.
     pub fn record_break(&mut self, request: BodyDigest, incarnation: u64, now: Timestamp) -> usize {
+        self.observe_break(incarnation, now);
         if self.own.len() >= SUSPECT_LIMIT {
             self.own
                 .retain(|_, breaks| now < breaks.changed + RETENTION);
         }
-        self.recent.retain(|_, at| now < *at + PROOF_TIME);
-        self.recent.insert(incarnation, now);
         let breaks = self.own.entry(request).or_insert_with(|| OwnBreaks {
             incarnations: HashMap::new(),
             changed: now,
@@ -94,11 +93,11 @@
         self.crashes(request, now)
     }
 
-    /// Returns whether an endpoint's incarnation broke off a moment ago.
-    #[must_use]
-    pub fn broke_recently(&self, incarnation: u64, now: Timestamp) -> bool {
-        let recent = self.recent.get(&incarnation);
-        recent.is_some_and(|at| now < *at + PROOF_TIME)
+    /// Records that an endpoint's incarnation broke off, whatever it ran. Returns whether it had not
+    /// done so a moment ago.
+    pub fn observe_break(&mut self, incarnation: u64, now: Timestamp) -> bool {
+        self.recent.retain(|_, at| now < *at + PROOF_TIME);
+        self.recent.insert(incarnation, now).is_none()
     }
 
     /// Records that an endpoint's incarnation answers a request, or accepts a connection, that was
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -64,6 +64,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct BodyDigest(pub u64);
 
+/// Digest of the id of one part of a prompt. Requests share parts, such as instructions or documents.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct PartDigest(pub u64);
+
 /// A request's position in the queue of one agent. It carries no body.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reservation {
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -25,6 +25,8 @@
     pub deadline: HeaderName,
     /// Number of prompt tokens and maximum number of answer tokens, separated by a comma.
     pub cost: HeaderName,
+    /// The parts of the prompt in order, as `ID:TOKENS` separated by commas.
+    pub parts: HeaderName,
     /// The caller's estimate of the number of answer tokens.
     pub length: HeaderName,
     /// Team for which a request runs.
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -132,22 +132,23 @@
     /// Leaves an endpoint whose stream broke off. A request whose stream breaks off before its first
     /// event is suspected of crashing endpoints.
     pub(super) fn leave_broken(&self, source: &mut Source, before_first: bool) {
-        self.log_outcome("broken", &source.record);
+        self.log_broken(&source.record, source.events());
         self.context.upstream.close(&source.record.id);
         source.slot.release(Ending::Broken);
-        if before_first {
-            self.record_break(&source.record);
-        }
+        self.record_break(&source.record, before_first);
     }
 
-    /// Suspects the request of having crashed the endpoint that broke off.
-    fn record_break(&self, record: &EndpointRecord) {
+    /// Checks whether the endpoint that broke off has crashed. Before the first event, the request is
+    /// suspected of having crashed it.
+    fn record_break(&self, record: &EndpointRecord, before_first: bool) {
         let (incarnation, now) = (record.incarnation(), clock::now());
         let mut scheduler = self.context.scheduler.borrow_mut();
         let suspects = scheduler.suspects_mut();
-        let is_checked = suspects.broke_recently(incarnation, now);
-        suspects.record_break(self.incoming.digest, incarnation, now);
-        if !is_checked {
+        let is_first = suspects.observe_break(incarnation, now);
+        if before_first {
+            suspects.record_break(self.incoming.digest, incarnation, now);
+        }
+        if is_first {
             let checking = crash_check::check(Rc::clone(&self.context), record.clone());
             self.context.tasks.spawn_local(checking);
         }
@@ -164,6 +165,24 @@
         log::info!(request = self.incoming.head.id_text(), endpoint:% = record.id, build:% = record.build, send = self.sends.get(); "{outcome}");
     }
 
+    /// Logs that an endpoint broke off after `events` events of its answer, with what may have crashed
+    /// it.
+    fn log_broken(&self, record: &EndpointRecord, events: u32) {
+        self.count_send("broken");
+        let head = &self.incoming.head;
+        log::info!(
+            request = head.id_text(),
+            endpoint:% = record.id,
+            build:% = record.build,
+            send = self.sends.get(),
+            events = events,
+            incarnation:% = format_args!("{:x}", record.incarnation()),
+            digest:% = format_args!("{:x}", self.incoming.digest.0),
+            parts:% = head.parts_text();
+            "broken"
+        );
+    }
+
     fn handle_error(
         &self,
         error: &SendError,
@@ -173,8 +192,9 @@
         if error.is_unsent() {
             return self.handle_unsent(error, record, slot);
         }
-        self.log_break("broken", error, record, slot);
-        self.record_break(record);
+        self.log_broken(record, 0);
+        self.leave_unanswered(error, record, slot);
+        self.record_break(record, true);
         SendFault::Unknown
     }
 
@@ -185,18 +205,12 @@
         record: &EndpointRecord,
         slot: SlotGuard,
     ) -> SendFault {
-        self.log_break("unsent", error, record, slot);
+        self.log_outcome("unsent", record);
+        self.leave_unanswered(error, record, slot);
         SendFault::Unsent
     }
 
-    fn log_break(
-        &self,
-        outcome: &str,
-        error: &SendError,
-        record: &EndpointRecord,
-        slot: SlotGuard,
-    ) {
-        self.log_outcome(outcome, record);
+    fn leave_unanswered(&self, error: &SendError, record: &EndpointRecord, slot: SlotGuard) {
         log::info!(request = self.incoming.head.id_text(), endpoint:% = record.id; "no answer: {error}");
         if matches!(error, SendError::Unwanted) {
             return slot.end(Ending::Cancelled);
@@ -254,7 +268,7 @@
         let (parts, body) = response.into_parts();
         let read = Limited::new(body, BODY_LIMIT_BYTES).collect().await;
         let Ok(body) = read else {
-            self.log_outcome("broken", record);
+            self.log_broken(record, 0);
             slot.end(Ending::Broken);
             return Err(SendFault::Unknown);
         };
--- a/crates/direct/src/dispatch/source.rs
+++ b/crates/direct/src/dispatch/source.rs
@@ -68,6 +68,11 @@
         (Response::from_parts(parts, ()), source)
     }
 
+    /// Returns the number of events received from this endpoint.
+    pub(super) const fn events(&self) -> u32 {
+        self.events
+    }
+
     /// Counts an event. At each power of two it also records the endpoint's event interval.
     pub(super) fn record_event(&mut self) {
         let now = clock::now();
--- a/crates/direct/src/incoming.rs
+++ b/crates/direct/src/incoming.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use comfreyhaven_core::direct::{Access, Plan, PlanTeam, Route, Unit};
 use comfreyhaven_core::refusal::RefusalKind;
-use comfreyhaven_core::request::{BodyDigest, Cost};
+use comfreyhaven_core::request::{BodyDigest, Cost, PartDigest};
 use comfreyhaven_core::{KeyDigest, Timestamp};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -15,6 +15,7 @@
 use hyper::http::request::Parts;
 
 use crate::dialect::Dialect;
+use crate::prompt_parts;
 
 /// How long a caller may take to send its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -66,6 +67,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) team: Option<Arc<PlanTeam>>,
     pub(crate) cost: Option<Cost>,
+    /// The parts of the prompt that requests may share.
+    pub(crate) parts: Arc<[PartDigest]>,
     /// Expected number of tokens of the answer.
     pub(crate) length: u64,
     pub(crate) deadline: Duration,
@@ -81,6 +84,12 @@
         self.id.to_str().unwrap_or("-")
     }
 
+    /// Returns the digests of the prompt's parts as text, for log lines.
+    pub(crate) fn parts_text(&self) -> String {
+        let parts = self.parts.iter().map(|part| format!("{:x}", part.0));
+        parts.collect::<Vec<_>>().join(",")
+    }
+
     /// Returns the rank of the team, which takes precedence over that of the route.
     pub(crate) fn team_rank(&self) -> u8 {
         let team = self.team.as_ref().and_then(|team| team.rank);
@@ -158,6 +167,7 @@
         route: Arc::clone(route),
         team: team.cloned(),
         cost,
+        parts: prompt_parts::read(&parts.headers, &dialect.parts),
         deadline,
         resumption: resumption(&parts.headers, route, dialect)?,
         headers: forwarded(&parts.headers, key, dialect),
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -25,6 +25,7 @@
 mod origins;
 pub mod peers;
 pub mod process;
+mod prompt_parts;
 pub mod retry_after;
 pub mod settings;
 mod snapshot;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -19,6 +19,8 @@
     pub sends: IntCounterVec,
     /// Calls to endpoints: requests, and reservations of slots.
     pub calls: IntCounterVec,
+    /// Endpoints that broke off, by how they reacted to connections after that.
+    pub breaks: IntCounterVec,
     /// Messages about borrowed requests that peers have sent.
     pub lending: IntCounterVec,
     /// Requests that take a stream up, by what was known of its origin.
@@ -87,6 +89,11 @@
                 "Calls to endpoints: requests, and reservations of slots",
                 &["call"],
             )?,
+            breaks: counter(
+                "comfreyhaven_endpoint_breaks_total",
+                "Endpoints that broke off, by how they reacted to connections after that",
+                &["liveness"],
+            )?,
             lending: counter(
                 "comfreyhaven_lending_messages_total",
                 "Messages of peers about borrowed requests to limited endpoints",
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -19,6 +19,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use strum::IntoStaticStr;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio_util::task::TaskTracker;
@@ -49,6 +50,18 @@
 /// Largest header of an endpoint's answer, in bytes.
 const HEADER_LIMIT_BYTES: usize = 64 * 1024;
 
+/// How an endpoint reacts to a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Liveness {
+    /// It accepts the connection and keeps it open.
+    Accepts,
+    /// Nothing listens at its address.
+    Refuses,
+    /// It does not react in time, or closes the connection.
+    Unknown,
+}
+
 /// Why a request got no answer from an endpoint.
 #[derive(Debug, Display, Error)]
 pub enum SendError {
@@ -70,6 +83,15 @@
 }
 
 impl SendError {
+    /// Returns whether nothing listens at the endpoint's address.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        let Self::Connect(error) = self else {
+            return false;
+        };
+        error.kind() == std::io::ErrorKind::ConnectionRefused
+    }
+
     /// Returns whether the endpoint cannot have received the request.
     #[must_use]
     pub const fn is_unsent(&self) -> bool {
@@ -227,15 +249,17 @@
         }
     }
 
-    /// Returns whether an endpoint accepts a new connection and keeps it open. The connection is kept
-    /// for the next request.
-    pub async fn accepts(&self, record: &EndpointRecord) -> bool {
-        let Ok(connection) = Connection::open(record.address, &self.tasks).await else {
-            return false;
+    /// Opens a connection to an endpoint. One that the endpoint keeps open is kept for the next
+    /// request.
+    pub async fn check(&self, record: &EndpointRecord) -> Liveness {
+        let connection = match Connection::open(record.address, &self.tasks).await {
+            Ok(connection) => connection,
+            Err(error) if error.is_refused() => return Liveness::Refuses,
+            Err(_) => return Liveness::Unknown,
         };
         tokio::time::sleep(ACCEPTED_TIME).await;
         if connection.sender.is_closed() {
-            return false;
+            return Liveness::Unknown;
         }
         let idle = IdleConnection {
             connection,
@@ -244,7 +268,7 @@
         };
         let mut pool = self.idle.borrow_mut();
         pool.entry(record.id.clone()).or_default().push(idle);
-        true
+        Liveness::Accepts
     }
 
     fn take(&self, record: &EndpointRecord) -> Option<Connection<Full<Bytes>>> {
