--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -7,6 +7,7 @@
 
 mod build_history;
 mod confirmation;
+mod containment;
 mod departures;
 mod endpoint_table;
 mod event_interval;
@@ -32,12 +33,15 @@
 mod store_progress;
 mod store_revision;
 mod stream_origins;
-mod suspects;
 mod topology;
 mod wait_queue;
 
 pub use build_history::{BuildHistory, SeenBuilds};
 pub use confirmation::Confirmation;
+pub use containment::{
+    BrokenRequest, Contained, Containment, ContainmentReport, CrashStatement, Fate, Fingerprint,
+    HoldStatement, SOUND_TIME, SoundStatement,
+};
 pub use departures::DepartedEndpoint;
 pub use endpoint_table::{
     Availability, EndpointState, EndpointTable, Load, Notice, NoticeEffect, PAUSE_LIMIT, Pause,
@@ -56,8 +60,8 @@
 pub use rate_limit::{FleetView, RateExceeded, RateLimiter, RatePolicy};
 pub use read_cursor::ReadCursor;
 pub use report::{
-    CrashReport, Echo, EndpointLoad, EndpointNotice, Identity, Incarnation, MemberStatus, Report,
-    Scope, ServiceLoad, Source,
+    Echo, EndpointLoad, EndpointNotice, Identity, Incarnation, MemberStatus, Report, Scope,
+    ServiceLoad, Source,
 };
 pub use request_limit::{LimitChange, LimitNotice, LimitStatement, RequestLimit};
 pub use restoration::{RECOVERY_TIME, Restoration};
@@ -70,5 +74,4 @@
 pub use store_progress::{Section, SectionStatus, StoreProgress};
 pub use store_revision::StoreRevision;
 pub use stream_origins::{Origin, StreamDigest, StreamOrigins};
-pub use suspects::Suspects;
 pub use topology::Role;
--- /dev/null
+++ b/crates/core/src/direct/containment/evidence.rs
@@ -0,0 +1,344 @@
+//! What is known of crashes of endpoints, merged over all entries: which incarnations broke off and
+//! what they ran, and which runs went on.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::observations::{Observations, SoundRuns};
+use super::statement::{BrokenRequest, CrashStatement, Fate, SoundStatement};
+use crate::direct::report::{Scope, Source};
+use crate::time::{Timestamp, whole_millis};
+
+/// Time for which a crash is remembered.
+pub(super) const RETENTION: Duration = Duration::from_secs(120);
+
+/// Time after a break in which an answer proves that the endpoint has not crashed. Later ones may come
+/// from its next incarnation.
+const PROOF_TIME: Duration = Duration::from_secs(1);
+
+/// Time after a break in which a refused connection shows that the endpoint has crashed. Later it may
+/// have left.
+const END_TIME: Duration = Duration::from_secs(2);
+
+/// Most remembered crashes. The oldest ones are forgotten.
+const CRASH_LIMIT: usize = 128;
+
+/// Most remembered requests of one crash.
+const REQUEST_LIMIT: usize = 16;
+
+/// Most parts of a prompt that are remembered of one request.
+const PART_LIMIT: usize = 16;
+
+/// Most crashes in one report.
+const REPORTED_CRASHES: usize = 24;
+
+/// Most digests of runs that went on in one report.
+const REPORTED_SOUND: usize = 64;
+
+/// One break of an endpoint's incarnation.
+#[derive(Debug)]
+pub(super) struct Crash {
+    /// When its connections broke.
+    pub(super) at: Timestamp,
+    pub(super) fate: Fate,
+    /// What it ran.
+    pub(super) requests: BTreeSet<BrokenRequest>,
+    seen: Observations,
+}
+
+impl Crash {
+    fn new(at: Timestamp) -> Self {
+        Self {
+            at,
+            fate: Fate::Unknown,
+            requests: BTreeSet::new(),
+            seen: Observations::default(),
+        }
+    }
+
+    fn add(&mut self, mut request: BrokenRequest) -> bool {
+        request.parts.truncate(PART_LIMIT);
+        self.requests.len() < REQUEST_LIMIT && self.requests.insert(request)
+    }
+
+    fn set_fate(&mut self, fate: Fate, now: Timestamp) {
+        self.fate = fate;
+        self.seen.record(None, self.at, now);
+    }
+}
+
+/// All evidence.
+#[derive(Debug, Default)]
+pub(super) struct Evidence {
+    crashes: BTreeMap<u64, Crash>,
+    sound: SoundRuns,
+    /// Digests that stand in a crash.
+    suspected: BTreeSet<u64>,
+    /// When runs of suspected digests began that went on.
+    told: BTreeMap<u64, Observations>,
+}
+
+impl Evidence {
+    /// Returns the remembered crashes.
+    pub(super) fn crashes(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.values()
+    }
+
+    /// Records that an endpoint's incarnation broke off, whatever it ran. Returns whether it has not
+    /// been checked since an earlier break.
+    pub(super) fn observe_break(&mut self, incarnation: u64, now: Timestamp) -> bool {
+        self.forget_expired(now);
+        let is_unchecked = match self.crashes.get_mut(&incarnation) {
+            Some(crash) if crash.fate == Fate::Ended => return false,
+            Some(crash) if now < crash.at + PROOF_TIME => {
+                crash.at = now;
+                std::mem::take(&mut crash.fate) == Fate::Lives
+            }
+            // A later break shows that the earlier one was no crash.
+            _ => {
+                self.crashes.insert(incarnation, Crash::new(now));
+                true
+            }
+        };
+        if let Some(crash) = self.crashes.get_mut(&incarnation) {
+            crash.seen.record(None, now, now);
+        }
+        is_unchecked
+    }
+
+    /// Adds a request that a broken incarnation ran. Returns whether that is new.
+    pub(super) fn add_request(
+        &mut self,
+        incarnation: u64,
+        request: BrokenRequest,
+        now: Timestamp,
+    ) -> bool {
+        let Some(crash) = self.crashes.get_mut(&incarnation) else {
+            return false;
+        };
+        let digests = request.digests();
+        let is_new = crash.add(request);
+        if is_new {
+            crash.seen.record(None, crash.at, now);
+            self.suspect(digests, now);
+        }
+        is_new
+    }
+
+    /// Marks digests as suspected. Peers are told of their runs that went on.
+    fn suspect(&mut self, digests: Vec<u64>, now: Timestamp) {
+        for digest in digests {
+            if self.suspected.insert(digest)
+                && let Some(begun) = self.sound.get(digest)
+            {
+                self.tell(digest, None, begun, now);
+            }
+        }
+    }
+
+    fn tell(&mut self, digest: u64, source: Option<Source>, begun: Timestamp, now: Timestamp) {
+        let told = self.told.entry(digest).or_default();
+        told.record(source, begun, now);
+    }
+
+    /// Records that an endpoint's incarnation answers a request, or accepts a connection, that was
+    /// sent or opened at `sent`. It has not crashed at a break shortly before that. Returns whether
+    /// there was such a break.
+    pub(super) fn record_answer(
+        &mut self,
+        incarnation: u64,
+        sent: Timestamp,
+        now: Timestamp,
+    ) -> bool {
+        let Some(crash) = self.crashes.get_mut(&incarnation) else {
+            return false;
+        };
+        let proves = crash.at <= sent && sent < crash.at + PROOF_TIME;
+        let is_new = proves && crash.fate == Fate::Unknown;
+        if is_new {
+            crash.set_fate(Fate::Lives, now);
+        }
+        is_new
+    }
+
+    /// Records that nothing listens at the address of an incarnation that broke off. Returns whether
+    /// that is new.
+    pub(super) fn record_end(&mut self, incarnation: u64, now: Timestamp) -> bool {
+        let Some(crash) = self.crashes.get_mut(&incarnation) else {
+            return false;
+        };
+        let is_new = crash.fate == Fate::Unknown && now < crash.at + END_TIME;
+        if is_new {
+            crash.set_fate(Fate::Ended, now);
+        }
+        is_new
+    }
+
+    /// Records that a run that began at `begun` went on. Returns whether the digest is suspected.
+    pub(super) fn record_sound(&mut self, digest: u64, begun: Timestamp, now: Timestamp) -> bool {
+        self.sound.record(digest, begun);
+        let is_suspected = self.is_suspected(digest);
+        if is_suspected {
+            self.tell(digest, None, begun, now);
+        }
+        is_suspected
+    }
+
+    /// Returns whether a digest stands in a crash.
+    pub(super) fn is_suspected(&self, digest: u64) -> bool {
+        self.suspected.contains(&digest)
+    }
+
+    /// Returns when the newest run began that went on.
+    pub(super) fn sound_since(&self, digest: u64) -> Option<Timestamp> {
+        self.sound.get(digest)
+    }
+
+    /// Returns whether a run that began no sooner than a crash went on, so that the digest did not cause
+    /// it.
+    pub(super) fn is_cleared(&self, digest: u64, crashed: Timestamp) -> bool {
+        self.sound.get(digest).is_some_and(|begun| begun >= crashed)
+    }
+
+    fn forget_expired(&mut self, now: Timestamp) {
+        let before = self.crashes.len();
+        self.crashes.retain(|_, crash| now < crash.at + RETENTION);
+        if self.crashes.len() >= CRASH_LIMIT {
+            let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at);
+            if let Some(incarnation) = oldest.map(|(incarnation, _)| *incarnation) {
+                self.crashes.remove(&incarnation);
+            }
+        }
+        if self.crashes.len() < before {
+            let requests = self.crashes.values().flat_map(|crash| &crash.requests);
+            self.suspected = requests.flat_map(BrokenRequest::digests).collect();
+        }
+        let suspected = &self.suspected;
+        self.told
+            .retain(|digest, told| suspected.contains(digest) && told.is_fresh(now));
+    }
+
+    /// Applies what a source reports of crashes. Returns whether any of it is new.
+    pub(super) fn apply_crashes(
+        &mut self,
+        source: Source,
+        crashes: Vec<CrashStatement>,
+        now: Timestamp,
+    ) -> bool {
+        let mut is_new = false;
+        for stated in crashes.into_iter().take(REPORTED_CRASHES) {
+            let at = now - Duration::from_millis(stated.age.into());
+            if now < at + RETENTION {
+                is_new |= self.apply_crash(source, stated, at, now);
+            }
+        }
+        is_new
+    }
+
+    fn apply_crash(
+        &mut self,
+        source: Source,
+        stated: CrashStatement,
+        at: Timestamp,
+        now: Timestamp,
+    ) -> bool {
+        let known = self.crashes.get(&stated.incarnation);
+        let is_later =
+            known.is_none_or(|known| known.fate != Fate::Ended && known.at + PROOF_TIME <= at);
+        if is_later {
+            self.forget_expired(now);
+            self.crashes.insert(stated.incarnation, Crash::new(at));
+        }
+        let Some(crash) = self.crashes.get_mut(&stated.incarnation) else {
+            return false;
+        };
+        crash.seen.record(Some(source), at, now);
+        if crash.fate != Fate::Ended {
+            crash.at = crash.at.max(at);
+        }
+        let is_decided = crash.fate < stated.fate;
+        crash.fate = crash.fate.max(stated.fate);
+        let mut added = Vec::new();
+        for request in stated.requests.into_iter().take(REQUEST_LIMIT) {
+            let digests = request.digests();
+            if crash.add(request) {
+                added.extend(digests);
+            }
+        }
+        let is_new = is_later || is_decided || !added.is_empty();
+        self.suspect(added, now);
+        is_new
+    }
+
+    /// Applies what a source reports of runs that went on. Returns whether any of their digests is
+    /// suspected.
+    pub(super) fn apply_sound(
+        &mut self,
+        source: Source,
+        sound: &[SoundStatement],
+        now: Timestamp,
+    ) -> bool {
+        let mut is_any = false;
+        for stated in sound.iter().take(REPORTED_SOUND) {
+            let begun = now - Duration::from_millis(stated.age.into());
+            self.sound.record(stated.digest, begun);
+            if self.is_suspected(stated.digest) {
+                self.tell(stated.digest, Some(source), begun, now);
+                is_any = true;
+            }
+        }
+        is_any
+    }
+
+    /// Returns the crashes for a report of the given scope, without those of `recipient`. The newest
+    /// ones are first.
+    pub(super) fn reported_crashes(
+        &self,
+        scope: Scope,
+        recipient: Option<Source>,
+        now: Timestamp,
+    ) -> Vec<CrashStatement> {
+        let crashes = self.crashes.iter();
+        let reported = crashes.filter_map(|(incarnation, crash)| {
+            let at = crash.seen.reported(scope, recipient, now)?;
+            Some((at, incarnation, crash))
+        });
+        let mut reported: Vec<_> = reported.collect();
+        reported.sort_unstable_by_key(|(at, ..)| std::cmp::Reverse(*at));
+        let statement = |(at, incarnation, crash): (Timestamp, &u64, &Crash)| CrashStatement {
+            incarnation: *incarnation,
+            age: whole_millis(now.since(at)),
+            fate: crash.fate,
+            requests: crash.requests.iter().cloned().collect(),
+        };
+        let newest = reported.into_iter().take(REPORTED_CRASHES);
+        newest.map(statement).collect()
+    }
+
+    /// Returns the runs that went on for a report of the given scope, without those of `recipient`.
+    pub(super) fn reported_sound(
+        &self,
+        scope: Scope,
+        recipient: Option<Source>,
+        now: Timestamp,
+    ) -> Vec<SoundStatement> {
+        let reported = self.told.iter().filter_map(|(digest, told)| {
+            let begun = told.reported(scope, recipient, now)?;
+            Some(SoundStatement {
+                digest: *digest,
+                age: whole_millis(now.since(begun)),
+            })
+        });
+        reported.take(REPORTED_SOUND).collect()
+    }
+
+    /// Forgets what a source that reports no longer has observed, for the reports of this entry.
+    pub(super) fn forget_source(&mut self, source: Source) {
+        for crash in self.crashes.values_mut() {
+            crash.seen.forget_source(source);
+        }
+        for told in self.told.values_mut() {
+            told.forget_source(source);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/containment/explanation.rs
@@ -0,0 +1,148 @@
+//! Which parts of prompts explain the crashes of endpoints.
+//!
+//! A part that crashes each endpoint is in a request of every crash, and no run with it goes on after
+//! that. Parts that many requests share are in most crashes too, but runs with them go on all the time.
+//! The fewest parts that explain all crashes are looked for, those in most crashes first. Parts that
+//! were in the same requests at all crashes cannot be told apart: they explain the crashes together,
+//! and a request with some of them only is still sent.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::evidence::{Crash, Evidence};
+use super::statement::Fate;
+use crate::request::PartDigest;
+use crate::time::Timestamp;
+
+/// Crashes that a part must have been in to be held.
+pub(super) const CRASH_LIMIT: usize = 3;
+
+/// Time within which several crashes count once: endpoints may end together for reasons of their own.
+const JOINT_TIME: Duration = Duration::from_millis(50);
+
+/// The same for a part with which runs have gone on lately.
+const PROVEN_JOINT_TIME: Duration = Duration::from_secs(1);
+
+/// Time for which a run that went on counts for its parts.
+const PROVEN_TIME: Duration = Duration::from_secs(60);
+
+/// Parts that explain crashes together.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Cause {
+    pub(super) parts: BTreeSet<PartDigest>,
+    /// Whether a run with them went on lately.
+    pub(super) proven: bool,
+    /// Time of the newest crash.
+    pub(super) newest: Timestamp,
+}
+
+/// A part that may be the cause of crashes. Causes are taken in descending order.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Candidate {
+    unproven: bool,
+    weight: usize,
+    /// Number of parts that are in all its requests.
+    company: usize,
+    part: PartDigest,
+}
+
+/// Parts that are in the suspected requests of one crash.
+struct OpenCrash {
+    at: Timestamp,
+    requests: Vec<BTreeSet<PartDigest>>,
+}
+
+impl OpenCrash {
+    /// Returns the crash without the parts that did not cause it, or `None` if its incarnation is not
+    /// known to have ended.
+    fn new(crash: &Crash, evidence: &Evidence) -> Option<Self> {
+        let is_suspect = |part: &&PartDigest| !evidence.is_cleared(part.0, crash.at);
+        let requests = crash
+            .requests
+            .iter()
+            .map(|request| request.parts.iter().filter(is_suspect).copied().collect());
+        (crash.fate == Fate::Ended).then(|| Self {
+            at: crash.at,
+            requests: requests.collect(),
+        })
+    }
+
+    fn holds(&self, part: PartDigest) -> bool {
+        self.requests.iter().any(|request| request.contains(&part))
+    }
+
+    fn parts(&self) -> BTreeSet<PartDigest> {
+        self.requests.iter().flatten().copied().collect()
+    }
+}
+
+/// Returns the causes of the crashes that are known, the most certain one first.
+pub(super) fn causes(evidence: &Evidence, now: Timestamp) -> Vec<Cause> {
+    let crashes = evidence.crashes();
+    let mut open: Vec<_> = crashes
+        .filter_map(|crash| OpenCrash::new(crash, evidence))
+        .collect();
+    open.sort_unstable_by_key(|crash| crash.at);
+    let mut causes = Vec::new();
+    while let Some(found) = strongest(&open, evidence, now) {
+        let of_part = open.iter().filter(|crash| crash.holds(found.part));
+        causes.push(Cause {
+            parts: company(&open, found.part),
+            proven: !found.unproven,
+            newest: of_part.map(|crash| crash.at).max().unwrap_or_default(),
+        });
+        open.retain(|crash| !crash.holds(found.part));
+    }
+    causes
+}
+
+fn strongest(open: &[OpenCrash], evidence: &Evidence, now: Timestamp) -> Option<Candidate> {
+    let mut times: BTreeMap<PartDigest, Vec<Timestamp>> = BTreeMap::new();
+    for crash in open {
+        for part in crash.parts() {
+            times.entry(part).or_default().push(crash.at);
+        }
+    }
+    times.retain(|_, times| times.len() >= CRASH_LIMIT);
+    let candidate = |(part, times): (PartDigest, Vec<Timestamp>)| {
+        let sound = evidence.sound_since(part.0);
+        let unproven = sound.is_none_or(|begun| begun + PROVEN_TIME <= now);
+        Candidate {
+            unproven,
+            weight: moments(
+                &times,
+                if unproven {
+                    JOINT_TIME
+                } else {
+                    PROVEN_JOINT_TIME
+                },
+            ),
+            company: company(open, part).len(),
+            part,
+        }
+    };
+    let candidates = times.into_iter().map(candidate);
+    let strong = candidates.filter(|candidate| candidate.weight >= CRASH_LIMIT);
+    strong.max()
+}
+
+/// Returns the parts that are in every suspected request with `part`.
+fn company(open: &[OpenCrash], part: PartDigest) -> BTreeSet<PartDigest> {
+    let requests = open.iter().flat_map(|crash| &crash.requests);
+    let mut with_part = requests.filter(|request| request.contains(&part));
+    let first = with_part.next().cloned().unwrap_or_default();
+    with_part.fold(first, |shared, request| &shared & request)
+}
+
+/// Returns the number of times, in ascending order, that are `apart` from the one counted before.
+fn moments(times: &[Timestamp], apart: Duration) -> usize {
+    let mut counted: Option<Timestamp> = None;
+    let mut count = 0;
+    for at in times {
+        if counted.is_none_or(|last| last + apart <= *at) {
+            counted = Some(*at);
+            count += 1;
+        }
+    }
+    count
+}
--- a/crates/core/src/direct/report.rs
+++ b/crates/core/src/direct/report.rs
@@ -7,9 +7,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::containment::ContainmentReport;
 use super::request_limit::LimitStatement;
 use super::store_progress::SectionStatus;
-use crate::request::BodyDigest;
 
 /// Which entries a report speaks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -100,17 +100,6 @@
     }
 }
 
-/// What the reporter knows of a request that is suspected of crashing endpoints.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// The request's digest.
-    pub request: BodyDigest,
-    /// Digests of the incarnations that may have crashed at it.
-    pub incarnations: Vec<u64>,
-    /// Whether it has run to its end lately, which clears earlier crashes.
-    pub completed: bool,
-}
-
 /// Identifies the last report that the reporter received from the recipient.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Echo {
@@ -181,8 +170,8 @@
     /// Units admitted since the reporter started, less those that were returned, by digest of the
     /// team.
     pub spent: Vec<(u64, i64)>,
-    /// Requests that are suspected of crashing endpoints.
-    pub crashes: Vec<CrashReport>,
+    /// What is known of requests that crash endpoints.
+    pub containment: ContainmentReport,
     /// Entries that the reporter knows; not in every report.
     pub members: Vec<MemberStatus>,
     /// What endpoints have said of themselves.
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -27,10 +27,11 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::confirmation::Confirmation;
+use super::containment::{Contained, Containment, Fingerprint};
 use super::departures::Departures;
 use super::endpoint_table::{EndpointTable, Run};
 use super::lending::Lending;
-use super::members::Members;
+use super::members::{ASSUMED_MEMBERS, Members};
 use super::origin_lookup::OriginLookup;
 use super::peer_notices::PeerNotices;
 use super::plan::{EndpointId, Plan};
@@ -41,9 +42,9 @@
 use super::spending::Spending;
 use super::store_progress::StoreProgress;
 use super::stream_origins::StreamOrigins;
-use super::suspects::Suspects;
 use super::topology::Topology;
 use super::wait_queue::{QueuePosition, WaitQueue};
+use crate::request::PartDigest;
 use crate::time::Timestamp;
 use availability::Absence;
 
@@ -91,7 +92,7 @@
     budgets: HashMap<Arc<str>, RetryBudget>,
     rate_limiters: HashMap<u64, RateLimiter>,
     spending: Spending,
-    suspects: Suspects,
+    containment: Containment,
     peer_notices: PeerNotices,
     /// Average slot time in seconds, by kind of request.
     slot_times: HashMap<Arc<str>, f64>,
@@ -145,7 +146,7 @@
             budgets: HashMap::new(),
             rate_limiters: HashMap::new(),
             spending: Spending::default(),
-            suspects: Suspects::default(),
+            containment: Containment::default(),
             peer_notices: PeerNotices::default(),
             slot_times: HashMap::new(),
             members: Members::new(own),
@@ -265,15 +266,29 @@
         &self.closed
     }
 
-    /// Returns the requests that are suspected of crashing endpoints.
+    /// Returns what is known of requests that crash endpoints.
     #[must_use]
-    pub const fn suspects(&self) -> &Suspects {
-        &self.suspects
+    pub const fn containment(&self) -> &Containment {
+        &self.containment
     }
 
-    /// Returns the requests that are suspected of crashing endpoints.
-    pub const fn suspects_mut(&mut self) -> &mut Suspects {
-        &mut self.suspects
+    /// Returns what is known of requests that crash endpoints.
+    pub const fn containment_mut(&mut self) -> &mut Containment {
+        &mut self.containment
+    }
+
+    /// Returns whether a request that has arrived may be sent, see [`Containment::admit`].
+    ///
+    /// # Errors
+    /// Returns [`Contained`] if requests like it crash endpoints.
+    pub fn admit(&mut self, request: &Fingerprint, now: Timestamp) -> Result<(), Contained> {
+        let members = &self.members;
+        let is_discovering = self.is_discovering(now);
+        let rank = |part: PartDigest| match is_discovering {
+            true => members.estimated_rank(part.0, ASSUMED_MEMBERS),
+            false => members.rank_for(part.0),
+        };
+        self.containment.admit(request, rank, now)
     }
 
     /// Picks one service of a split route at random, by weight.
--- a/crates/core/src/direct/scheduler/reports.rs
+++ b/crates/core/src/direct/scheduler/reports.rs
@@ -114,7 +114,7 @@
                 .filter(|load| load.running > 0 || load.waiting > 0)
                 .collect(),
             spent: self.spending.counters(Scope::Entry, self.own),
-            crashes: self.suspects.reported(Scope::Entry, None, now),
+            containment: self.containment.reported(Scope::Entry, None, now),
             members: Vec::new(),
             notices: self.notices(Scope::Entry, None, now),
         }
@@ -166,7 +166,9 @@
             loads,
             services,
             spent: self.spending.counters(target.scope, target.address),
-            crashes: self.suspects.reported(target.scope, Some(recipient), now),
+            containment: self
+                .containment
+                .reported(target.scope, Some(recipient), now),
             notices: self.notices(target.scope, Some(recipient), now),
             ..base
         }
@@ -255,7 +257,8 @@
                 limiter.record(units, now);
             }
         }
-        self.suspects.apply_report(source, &report.crashes, now);
+        self.containment
+            .apply_report(source, report.containment, now);
         self.endpoints.apply_report(source, report.loads);
         self.peer_notices.apply_report(source, &report.notices, now);
         self.endpoints.learn_limits(&report.notices, now);
@@ -346,7 +349,7 @@
         let dropped: Vec<_> = self.demand.keys().copied().filter(is_dropped).collect();
         for source in dropped {
             self.drop_load(source, now);
-            self.suspects.forget(source);
+            self.containment.forget_source(source);
         }
     }
 
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -73,6 +73,8 @@
     NoEndpoint,
     /// Requests with the same body have crashed endpoints.
     Quarantined,
+    /// Requests that share their body or parts of their prompts with this one have crashed endpoints.
+    Contained,
     /// A request with this idempotency key is running, has run, or has an unknown outcome.
     Duplicate,
     /// The process is leaving or has no confirmed configuration.
@@ -96,7 +98,7 @@
             Self::RateExceeded => 429,
             Self::Duplicate => 409,
             Self::Quarantined => 422,
-            Self::Overloaded | Self::NoEndpoint | Self::Unavailable => 503,
+            Self::Overloaded | Self::NoEndpoint | Self::Contained | Self::Unavailable => 503,
             Self::EndpointFailed | Self::OutcomeUnknown => 502,
             Self::DeadlineExceeded => 504,
         }
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod components;
 mod confirmation;
+mod containment;
 mod endpoints;
 mod event_interval;
 mod fleet_network;
@@ -21,7 +22,6 @@
 mod restored_records;
 mod simulation;
 mod store_progress;
-mod suspects;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/core/tests/core/direct/components.rs
+++ b/crates/core/tests/core/direct/components.rs
@@ -1,14 +1,12 @@
-//! Components tested alone: retry budget, send window, suspects, latency model, split routes and
-//! process lag.
+//! Components tested alone: retry budget, send window, latency model, split routes and process lag.
 
 use std::time::Duration;
 
 use comfreyhaven_core::direct::{
-    LatencyModel, ProcessLag, RetryBudget, Scope, SendWindow, Source, Suspects, WeightedService,
+    LatencyModel, ProcessLag, RetryBudget, SendWindow, WeightedService,
 };
-use comfreyhaven_core::request::BodyDigest;
 
-use super::{address, at, scheduler};
+use super::{at, scheduler};
 
 /// Guards against retries that double the load: every request fails for a minute, and every entry
 /// retries each one.
@@ -56,56 +54,6 @@
     assert_eq!(window.recent(at(3_000)), 0);
 }
 
-#[test]
-fn a_request_that_crashes_endpoints_is_refused_by_all_entries() {
-    let digest = BodyDigest(7);
-    let (mut one, mut two) = (scheduler(1, &[2]), scheduler(2, &[1]));
-    one.suspects_mut().record_break(digest, 1, at(0));
-    two.suspects_mut().record_break(digest, 2, at(10));
-    two.suspects_mut().record_break(digest, 3, at(20));
-    assert!(!one.suspects().is_refused(digest, at(30)));
-    let report = two.report(at(40));
-    one.apply_report(address(2), report, at(41));
-    assert!(one.suspects().is_refused(digest, at(50)));
-    assert!(!one.suspects().is_refused(BodyDigest(8), at(50)));
-    assert!(
-        !one.suspects().is_refused(digest, at(90_000)),
-        "the refusal does not expire"
-    );
-}
-
-#[test]
-fn a_complete_answer_clears_the_suspicion() {
-    let mut suspects = Suspects::default();
-    suspects.record_break(BodyDigest(1), 1, at(0));
-    suspects.record_break(BodyDigest(1), 2, at(1));
-    suspects.clear(BodyDigest(1), at(1));
-    assert_eq!(suspects.record_break(BodyDigest(1), 3, at(2)), 1);
-}
-
-/// Guards against a request that is refused at its peers although it ran to its end at one entry.
-#[test]
-fn a_complete_answer_clears_the_suspicion_at_peers() {
-    let sources = [1, 2].map(|number| Source::Entry(address(number)));
-    let mut entries = [Suspects::default(), Suspects::default()];
-    let exchange = |entries: &mut [Suspects; 2], now| {
-        for from in 0..2 {
-            let counts = entries[from].reported(Scope::Entry, None, now);
-            entries[1 - from].apply_report(sources[from], &counts, now);
-        }
-    };
-    entries[0].record_break(BodyDigest(1), 1, at(0));
-    entries[1].record_break(BodyDigest(1), 2, at(0));
-    entries[1].record_break(BodyDigest(1), 3, at(1));
-    exchange(&mut entries, at(2));
-    assert!(entries[0].is_refused(BodyDigest(1), at(3)));
-    entries[0].clear(BodyDigest(1), at(3));
-    exchange(&mut entries, at(40));
-    for entry in &mut entries {
-        assert_eq!(entry.record_break(BodyDigest(1), 4, at(50)), 1);
-    }
-}
-
 #[test]
 fn a_latency_model_learns_offset_and_slope() {
     let mut model = LatencyModel::new(30.0, 0.008);
--- /dev/null
+++ b/crates/core/tests/core/direct/containment.rs
@@ -0,0 +1,235 @@
+//! Requests that crash endpoints, and endpoints that break off for other reasons.
+
+use comfreyhaven_core::direct::{Containment, Fingerprint, Scheduler, Scope, Source};
+use comfreyhaven_core::request::{BodyDigest, PartDigest};
+
+use super::{address, at, scheduler};
+
+/// Digests of incarnations.
+const X: u64 = 10;
+const Y: u64 = 20;
+const Z: u64 = 30;
+
+/// Returns the request that comes again and again.
+fn equal() -> Fingerprint {
+    request(1, &[])
+}
+
+fn request(body: u64, parts: &[u64]) -> Fingerprint {
+    let mut parts: Vec<_> = parts.iter().map(|part| PartDigest(*part)).collect();
+    parts.sort_unstable();
+    Fingerprint {
+        body: BodyDigest(body),
+        parts: parts.into(),
+    }
+}
+
+/// Two entries that report to each other.
+struct Pair([Containment; 2]);
+
+impl Pair {
+    fn new() -> Self {
+        Self([Containment::default(), Containment::default()])
+    }
+
+    fn exchange(&mut self, millis: u64) {
+        for from in 0..2 {
+            let source = Source::Entry(address(from as u8));
+            let reported = self.0[from].reported(Scope::Entry, None, at(millis));
+            self.0[1 - from].apply_report(source, reported, at(millis));
+        }
+    }
+
+    fn refused(&self, millis: u64) -> [bool; 2] {
+        self.contain(&equal(), millis)
+    }
+
+    fn contain(&self, request: &Fingerprint, millis: u64) -> [bool; 2] {
+        [0, 1].map(|entry| self.0[entry].contained(request, at(millis)).is_some())
+    }
+}
+
+/// Guards against refusing equal requests of many callers, since one endpoint breaks off whatever it
+/// gets.
+#[test]
+fn an_endpoint_that_breaks_off_again_and_again_contains_no_request() {
+    let mut pair = Pair::new();
+    for step in 0..10 {
+        pair.0[step % 2].record_break(&equal(), X, false, at(step as u64 * 100));
+        pair.exchange(step as u64 * 100 + 40);
+    }
+    assert_eq!(pair.refused(2_000), [false, false]);
+}
+
+/// Guards against counting a crash for each of the equal requests that ran in it.
+#[test]
+fn requests_that_break_off_in_one_crash_count_once() {
+    let mut pair = Pair::new();
+    for entry in 0..2 {
+        pair.0[entry].record_break(&equal(), X, false, at(0));
+        pair.0[entry].record_break(&equal(), Y, false, at(10));
+    }
+    pair.exchange(40);
+    assert_eq!(pair.refused(50), [false, false]);
+    pair.0[1].record_break(&equal(), Z, false, at(60));
+    pair.exchange(80);
+    assert_eq!(pair.refused(90), [true, true]);
+}
+
+/// Guards against refusing a request for endpoints that have broken off and go on: at once, and at the
+/// peers.
+#[test]
+fn an_endpoint_that_answers_after_a_break_has_not_crashed() {
+    let mut pair = Pair::new();
+    for (incarnation, millis) in [(X, 0), (Y, 10), (Z, 20)] {
+        pair.0[0].record_break(&equal(), incarnation, false, at(millis));
+    }
+    pair.exchange(40);
+    assert_eq!(pair.refused(50), [true, true]);
+    pair.0[0].record_answer(Y, at(100), at(150));
+    pair.exchange(160);
+    assert_eq!(pair.refused(170), [false, false]);
+}
+
+/// Guards against an answer that the endpoint had sent before, and one of its next incarnation under
+/// the same id, whose record is not known yet.
+#[test]
+fn an_answer_from_before_a_break_or_long_after_it_proves_nothing() {
+    let mut entry = Containment::default();
+    for (incarnation, millis) in [(X, 100), (Y, 110), (Z, 120)] {
+        entry.record_break(&equal(), incarnation, false, at(millis));
+    }
+    entry.record_answer(X, at(99), at(130));
+    entry.record_answer(Y, at(1_110), at(1_200));
+    assert!(entry.contained(&equal(), at(1_300)).is_some());
+}
+
+/// Guards against a request that crashes endpoints again after one complete answer, and is never
+/// refused since its completion is reported for seconds.
+#[test]
+fn a_completion_clears_only_what_was_before_it() {
+    let mut pair = Pair::new();
+    pair.0[0].record_break(&equal(), X, false, at(0));
+    pair.exchange(40);
+    pair.0[0].record_completion(&equal(), at(50));
+    pair.exchange(80);
+    for (incarnation, millis) in [(X, 100), (Y, 110), (Z, 120)] {
+        pair.0[1].record_break(&equal(), incarnation, false, at(millis));
+        pair.exchange(millis + 5);
+    }
+    assert_eq!(pair.refused(200), [true, true]);
+}
+
+#[test]
+fn a_request_that_crashes_endpoints_is_refused_by_all_entries() {
+    let (mut one, mut two) = (scheduler(1, &[2]), scheduler(2, &[1]));
+    let crash = |entry: &mut Scheduler, incarnation, millis| {
+        let containment = entry.containment_mut();
+        containment.record_break(&equal(), incarnation, false, at(millis));
+    };
+    let is_contained = |entry: &Scheduler, body, millis| {
+        let containment = entry.containment();
+        containment
+            .contained(&request(body, &[]), at(millis))
+            .is_some()
+    };
+    crash(&mut one, 1, 0);
+    crash(&mut two, 2, 10);
+    crash(&mut two, 3, 20);
+    assert!(!is_contained(&one, 1, 30));
+    let report = two.report(at(40));
+    one.apply_report(address(2), report, at(41));
+    assert!(is_contained(&one, 1, 50));
+    assert!(!is_contained(&one, 2, 50));
+    assert!(
+        !is_contained(&one, 1, 90_000),
+        "the refusal does not expire"
+    );
+}
+
+/// Returns whether a request is refused after three more breaks, and not sooner.
+fn counts_from_zero(entry: &mut Containment, incarnation: u64, millis: u64) -> bool {
+    let refused = [0, 1, 2].map(|number| {
+        entry.record_break(&equal(), incarnation + number, false, at(millis + number));
+        entry.contained(&equal(), at(millis + number)).is_some()
+    });
+    refused == [false, false, true]
+}
+
+#[test]
+fn a_complete_answer_clears_the_suspicion() {
+    let mut entry = Containment::default();
+    entry.record_break(&equal(), 1, false, at(0));
+    entry.record_break(&equal(), 2, false, at(1));
+    entry.record_completion(&equal(), at(1));
+    assert!(counts_from_zero(&mut entry, 3, 2));
+}
+
+/// Guards against a request that is refused at its peers although it ran to its end at one entry.
+#[test]
+fn a_complete_answer_clears_the_suspicion_at_peers() {
+    let mut pair = Pair::new();
+    pair.0[0].record_break(&equal(), 1, false, at(0));
+    pair.0[1].record_break(&equal(), 2, false, at(0));
+    pair.0[1].record_break(&equal(), 3, false, at(1));
+    pair.exchange(2);
+    assert!(pair.refused(3)[0]);
+    pair.0[0].record_completion(&equal(), at(3));
+    pair.exchange(40);
+    for entry in &mut pair.0 {
+        assert!(counts_from_zero(entry, 4, 50));
+    }
+}
+
+/// Guards against counting crashes that are none: of endpoints that live or may live, and of a part
+/// whose runs go on.
+#[test]
+fn a_part_is_held_for_endpoints_that_have_ended_only() {
+    let mut pair = Pair::new();
+    let crash = |entry: &mut Containment, incarnation, millis, ends| {
+        let crashing = request(incarnation, &[7, 100 + incarnation]);
+        entry.record_break(&crashing, incarnation, false, at(millis));
+        if ends {
+            entry.record_end(incarnation, at(millis + 1));
+        }
+    };
+    let next = request(99, &[7, 99]);
+    for incarnation in 0..8 {
+        crash(&mut pair.0[0], incarnation, incarnation * 200, false);
+    }
+    pair.exchange(2_000);
+    assert_eq!(pair.contain(&next, 2_000), [false, false]);
+    crash(&mut pair.0[0], 20, 3_000, true);
+    crash(&mut pair.0[1], 21, 3_100, true);
+    pair.exchange(3_200);
+    assert_eq!(pair.contain(&next, 3_200), [false, false]);
+    crash(&mut pair.0[0], 22, 3_300, true);
+    pair.exchange(3_400);
+    assert_eq!(pair.contain(&next, 3_400), [true, true]);
+    assert_eq!(pair.contain(&request(98, &[8, 98]), 3_400), [false, false]);
+    pair.0[1].record_sound(&next, at(3_350), at(4_400));
+    pair.exchange(4_450);
+    assert_eq!(pair.contain(&next, 4_450), [false, false]);
+}
+
+/// Guards against refusing sound requests that share with the crashing ones the parts that have been in
+/// all of them.
+#[test]
+fn parts_that_cannot_be_told_apart_are_held_together() {
+    let mut entry = Containment::default();
+    let crash = |entry: &mut Containment, number: u64, parts: &[u64]| {
+        entry.record_break(&request(number, parts), number, false, at(number * 100));
+        entry.record_end(number, at(number * 100 + 1));
+    };
+    for number in 0..3 {
+        crash(&mut entry, number, &[5, 6, 7, 100 + number]);
+    }
+    let is_held = |entry: &Containment, parts: &[u64], millis| {
+        entry.contained(&request(50, parts), at(millis)).is_some()
+    };
+    assert!(is_held(&entry, &[5, 6, 7, 50], 300));
+    assert!(!is_held(&entry, &[5, 6, 50], 300));
+    entry.record_sound(&request(50, &[5, 6, 50]), at(350), at(1_400));
+    assert!(is_held(&entry, &[7, 51], 1_400), "only one part is left");
+    assert!(!is_held(&entry, &[5, 6, 52], 1_400));
+}
--- a/crates/core/tests/core/direct/malformed_messages.rs
+++ b/crates/core/tests/core/direct/malformed_messages.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 
 use comfreyhaven_core::direct::{
-    CrashReport, Echo, EndpointLoad, EndpointNotice, Identity, LendingMessage, LimitStatement,
-    MemberStatus, Report, RequestLimit, Scheduler, Scope, SectionStatus, ServiceLoad,
-    StoreRevision, digest,
+    BrokenRequest, ContainmentReport, CrashStatement, Echo, EndpointLoad, EndpointNotice, Fate,
+    Fingerprint, HoldStatement, Identity, LendingMessage, LimitStatement, MemberStatus, Report,
+    RequestLimit, Scheduler, Scope, SectionStatus, ServiceLoad, SoundStatement, StoreRevision,
+    digest,
 };
-use comfreyhaven_core::request::BodyDigest;
+use comfreyhaven_core::request::{BodyDigest, PartDigest};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -119,11 +120,7 @@
                 urgent: values.tiny(),
             }),
             spent: self.list(|values| (values.known("kakheti"), values.signed())),
-            crashes: self.list(|values| CrashReport {
-                request: BodyDigest(values.number()),
-                incarnations: values.list(Self::number),
-                completed: values.flag(),
-            }),
+            containment: self.containment(),
             members: self.list(|values| MemberStatus {
                 address: values.address(),
                 identity: values.identity(),
@@ -140,6 +137,37 @@
         }
     }
 
+    fn parts(&mut self) -> Vec<PartDigest> {
+        self.list(|values| PartDigest(values.number()))
+    }
+
+    fn containment(&mut self) -> ContainmentReport {
+        let fates = [Fate::Unknown, Fate::Lives, Fate::Ended];
+        ContainmentReport {
+            crashes: self.list(|values| CrashStatement {
+                incarnation: values.number(),
+                age: values.small(),
+                fate: fates[values.0.random_range(0..3)],
+                requests: values.list(|values| BrokenRequest {
+                    body: BodyDigest(values.number()),
+                    parts: values.parts(),
+                    begun: values.flag(),
+                }),
+            }),
+            sound: self.list(|values| SoundStatement {
+                digest: values.number(),
+                age: values.small(),
+            }),
+            holds: self.list(|values| HoldStatement {
+                parts: values.parts(),
+                tests: values.small(),
+                age: values.small(),
+                span: values.small(),
+                evidence: values.small(),
+            }),
+        }
+    }
+
     fn section(&mut self) -> SectionStatus {
         SectionStatus {
             revision: self.revision(),
@@ -165,6 +193,15 @@
 /// Does all that a running entry does between two messages.
 fn go_on(entry: &mut Scheduler, step: u64) {
     let now = at(step * 20);
+    let request = Fingerprint {
+        body: BodyDigest(step % 2),
+        parts: [PartDigest(0), PartDigest(1), PartDigest(u64::MAX)].into(),
+    };
+    let _ = entry.admit(&request, now);
+    let containment = entry.containment_mut();
+    containment.record_break(&request, step % 4, false, now);
+    containment.record_end(step % 4, now);
+    containment.record_sound(&request, at(step * 19), now);
     let team = team(1_000);
     let _ = entry.charge(&team, 100, 0, now);
     let _ = submit(entry, step, step * 20);
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -15,7 +15,7 @@
 
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
-    EndpointId, EndpointRecord, Origin, PlacementRefusal, PlacementRequest,
+    Contained, EndpointId, EndpointRecord, Origin, PlacementRefusal, PlacementRequest,
 };
 use comfreyhaven_core::refusal::RefusalKind;
 use hyper::{Response, StatusCode};
@@ -23,6 +23,7 @@
 use crate::answer::{self, AnswerBody};
 use crate::clock;
 use crate::context::{Context, PlacementOutcome};
+use crate::front::log_contained;
 use crate::incoming::IncomingRequest;
 use attempt::{Begun, Failure};
 
@@ -140,6 +141,9 @@
             Ok(Ok(Begun::Complete(response))) => self.answer(response),
             Ok(Ok(Begun::Stream(start))) => stream::start(self, *start).await,
             Ok(Err(Failure::Refused(refusal))) => self.fail(|| self.refuse_unplaced(&refusal)),
+            Ok(Err(Failure::Contained(contained))) => {
+                self.fail(|| self.refuse_contained(&contained))
+            }
             Ok(Err(Failure::Unanswered)) if self.possible_runs.get() == 0 => {
                 self.refuse(RefusalKind::Overloaded, Some(self.retry_delay()))
             }
@@ -197,6 +201,16 @@
         self.refuse(kind, Some(refusal.retry_after))
     }
 
+    /// Answers a request that is not sent, since requests like it crash endpoints.
+    fn refuse_contained(&self, contained: &Contained) -> Response<AnswerBody> {
+        log_contained(self.incoming.head.id_text(), contained);
+        let kind = match self.possible_runs.get() {
+            0 => RefusalKind::Contained,
+            _ => RefusalKind::OutcomeUnknown,
+        };
+        self.refuse(kind, Some(contained.wait))
+    }
+
     /// Takes a retry from the budget, if there is time for another send. Returns whether the request
     /// may be sent again. The first send that reaches an endpoint is no retry.
     fn take_retry(&self) -> bool {
@@ -226,11 +240,11 @@
         origin.is_none_or(|origin| scheduler.is_certain(origin))
     }
 
-    /// Returns whether the request may have crashed too many endpoints.
-    fn is_contained(&self) -> bool {
+    /// Returns why the request may go to no endpoint, if requests like it crash endpoints.
+    fn contained(&self) -> Option<Contained> {
         let scheduler = self.context.scheduler.borrow();
-        let digest = self.incoming.digest;
-        scheduler.suspects().is_refused(digest, clock::now())
+        let containment = scheduler.containment();
+        containment.contained(&self.incoming.fingerprint, clock::now())
     }
 
     /// Waits for a slot at an endpoint.
--- a/crates/direct/src/dispatch/attempt.rs
+++ b/crates/direct/src/dispatch/attempt.rs
@@ -6,7 +6,7 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use comfreyhaven_core::direct::{Ending, EndpointRecord, Placement, PlacementRefusal};
+use comfreyhaven_core::direct::{Contained, Ending, EndpointRecord, Placement, PlacementRefusal};
 use hyper::Response;
 
 use super::reserve::NotReserved;
@@ -32,6 +32,8 @@
 pub(super) enum Failure {
     /// The scheduler found no slot.
     Refused(PlacementRefusal),
+    /// Requests like it crash endpoints.
+    Contained(Contained),
     /// No endpoint has answered; the count of possible runs states whether one may have run it.
     Unanswered,
 }
@@ -62,6 +64,9 @@
                 PlacementOutcome::Placed(placement, slot) => (placement, slot),
                 PlacementOutcome::Refused(refusal) => return Err(Failure::Refused(refusal)),
             };
+            if let Some(contained) = self.contained() {
+                return Err(Failure::Contained(contained));
+            }
             let fault = match self.attempt(&placement, slot, last).await {
                 Ok(Begun::Stream(mut start)) => {
                     // The caller's answer keeps the head of the first endpoint.
@@ -97,7 +102,7 @@
         let route = &self.incoming.head.route;
         route.retry.is_allowed()
             && self.may_go_on()
-            && !self.is_contained()
+            && self.contained().is_none()
             && self.possible_runs.get() < route.max_attempts
     }
 
--- a/crates/direct/src/dispatch/crash_check.rs
+++ b/crates/direct/src/dispatch/crash_check.rs
@@ -9,28 +9,34 @@
 use crate::context::Context;
 use crate::upstream::Liveness;
 
-/// Time after a break until the endpoint is checked, and between two checks.
+/// Time between two checks. The first one begins at once.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Number of checks. The last one begins before an answer may come from the next incarnation.
-const CHECKS: u32 = 4;
+const CHECKS: u32 = 5;
 
-/// Opens connections to an endpoint that has just broken off, until it accepts one. Requests that
-/// were suspected of having crashed it are not any more then. Its link may fail for a moment too.
+/// Opens connections to an endpoint that has just broken off, until it accepts or refuses one. Requests
+/// that were suspected of having crashed it are not any more if it accepts one. Its link may fail for
+/// a moment too.
 pub(super) async fn check(context: Rc<Context>, record: EndpointRecord) {
     let mut seen = Liveness::Unknown;
-    for _ in 0..CHECKS {
-        tokio::time::sleep(CHECK_INTERVAL).await;
+    for check in 0..CHECKS {
+        if check > 0 {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
         let started = clock::now();
-        match context.upstream.check(&record).await {
+        seen = context.upstream.check(&record).await;
+        let mut scheduler = context.scheduler.borrow_mut();
+        let containment = scheduler.containment_mut();
+        match seen {
             Liveness::Accepts => {
-                seen = Liveness::Accepts;
-                let mut scheduler = context.scheduler.borrow_mut();
-                let suspects = scheduler.suspects_mut();
-                suspects.record_answer(record.incarnation(), started, clock::now());
+                containment.record_answer(record.incarnation(), started, clock::now());
+                break;
+            }
+            Liveness::Refuses => {
+                containment.record_end(record.incarnation(), clock::now());
                 break;
             }
-            Liveness::Refuses => seen = Liveness::Refuses,
             Liveness::Unknown => {}
         }
     }
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use comfreyhaven_core::direct::{Ending, EndpointRecord, stall};
+use comfreyhaven_core::Timestamp;
+use comfreyhaven_core::direct::{Ending, EndpointRecord, SOUND_TIME, stall};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
@@ -16,6 +17,7 @@
 use crate::answer::{self, AnswerBody};
 use crate::clock;
 use crate::context::SlotGuard;
+use crate::prompt_parts;
 use crate::upstream::{Lease, Reply, SendError};
 
 /// Largest answer that is buffered until it is complete, in bytes.
@@ -81,7 +83,10 @@
             let header = &self.context.dialect.reservation.header;
             set_header(request.headers_mut(), header, &id);
         }
-        let reply = match self.context.send(record, request).await {
+        let sending = self
+            .context
+            .send(record, request, &self.incoming.fingerprint);
+        let reply = match sending.await {
             Ok(reply) => reply,
             Err(error) => return Err(self.handle_error(&error, record, slot)),
         };
@@ -118,7 +123,7 @@
         let (head, mut source) = Source::new(reply, slot, self, record.clone());
         let first = source.next().await;
         if matches!(first, Next::Broken) {
-            self.leave_broken(&mut source, true);
+            self.leave_broken(&mut source);
             return Err(SendFault::Cut(head));
         }
         let start = StreamStart {
@@ -129,26 +134,27 @@
         Ok(Begun::Stream(Box::new(start)))
     }
 
-    /// Leaves an endpoint whose stream broke off. A request whose stream breaks off before its first
-    /// event is suspected of crashing endpoints.
-    pub(super) fn leave_broken(&self, source: &mut Source, before_first: bool) {
+    /// Leaves an endpoint whose stream broke off. A request whose stream breaks off soon after its
+    /// first event is suspected of crashing endpoints.
+    pub(super) fn leave_broken(&self, source: &mut Source) {
         self.log_broken(&source.record, source.events());
         self.context.upstream.close(&source.record.id);
         source.slot.release(Ending::Broken);
-        self.record_break(&source.record, before_first);
+        self.record_break(&source.record, source.begun());
     }
 
-    /// Checks whether the endpoint that broke off has crashed. Before the first event, the request is
-    /// suspected of having crashed it.
-    fn record_break(&self, record: &EndpointRecord, before_first: bool) {
+    /// Checks whether the endpoint that broke off has crashed. The request is suspected of it, unless
+    /// its answer began, at `begun`, so long ago that its run is sound.
+    fn record_break(&self, record: &EndpointRecord, begun: Option<Timestamp>) {
         let (incarnation, now) = (record.incarnation(), clock::now());
         let mut scheduler = self.context.scheduler.borrow_mut();
-        let suspects = scheduler.suspects_mut();
-        let is_first = suspects.observe_break(incarnation, now);
-        if before_first {
-            suspects.record_break(self.incoming.digest, incarnation, now);
+        let containment = scheduler.containment_mut();
+        let is_unchecked = containment.observe_break(incarnation, now);
+        if begun.is_none_or(|begun| now < begun + SOUND_TIME) {
+            let fingerprint = &self.incoming.fingerprint;
+            containment.record_break(fingerprint, incarnation, begun.is_some(), now);
         }
-        if is_first {
+        if is_unchecked {
             let checking = crash_check::check(Rc::clone(&self.context), record.clone());
             self.context.tasks.spawn_local(checking);
         }
@@ -177,8 +183,8 @@
             send = self.sends.get(),
             events = events,
             incarnation:% = format_args!("{:x}", record.incarnation()),
-            digest:% = format_args!("{:x}", self.incoming.digest.0),
-            parts:% = head.parts_text();
+            digest:% = format_args!("{:x}", self.incoming.fingerprint.body.0),
+            parts:% = prompt_parts::text(&head.parts);
             "broken"
         );
     }
@@ -194,7 +200,7 @@
         }
         self.log_broken(record, 0);
         self.leave_unanswered(error, record, slot);
-        self.record_break(record, true);
+        self.record_break(record, None);
         SendFault::Unknown
     }
 
@@ -206,6 +212,11 @@
         slot: SlotGuard,
     ) -> SendFault {
         self.log_outcome("unsent", record);
+        if error.is_refused() {
+            let mut scheduler = self.context.scheduler.borrow_mut();
+            let containment = scheduler.containment_mut();
+            containment.record_end(record.incarnation(), clock::now());
+        }
         self.leave_unanswered(error, record, slot);
         SendFault::Unsent
     }
@@ -264,12 +275,14 @@
         ending: Ending,
     ) -> Result<Response<AnswerBody>, SendFault> {
         slot.record_first_byte();
+        let begun = clock::now();
         let (response, lease) = reply.split();
         let (parts, body) = response.into_parts();
         let read = Limited::new(body, BODY_LIMIT_BYTES).collect().await;
         let Ok(body) = read else {
             self.log_broken(record, 0);
             slot.end(Ending::Broken);
+            self.record_break(record, Some(begun));
             return Err(SendFault::Unknown);
         };
         self.count_send("answered");
@@ -282,22 +295,31 @@
             "answered"
         );
         slot.end(ending);
-        self.record_completion(lease);
+        self.record_completion(lease, begun);
         let headers = answer_headers(&parts.headers);
         Ok(answer::complete(parts.status, headers, body.to_bytes()))
     }
 
-    /// Keeps the connection of a complete answer. The request is no longer suspected of crashing
-    /// endpoints.
-    pub(super) fn record_completion(&self, lease: Lease) {
+    /// Keeps the connection of a complete answer, which began at `begun`. The request is no longer
+    /// suspected of crashing endpoints.
+    pub(super) fn record_completion(&self, lease: Lease, begun: Timestamp) {
         let upstream = self.context.upstream.clone();
         self.context
             .tasks
             .spawn_local(async move { upstream.put_back(lease).await });
+        self.record_sound(begun);
+        let mut scheduler = self.context.scheduler.borrow_mut();
+        scheduler
+            .containment_mut()
+            .record_completion(&self.incoming.fingerprint, clock::now());
+    }
+
+    /// Records that the run of the answer that began at `begun` goes on, or went on to its end.
+    pub(super) fn record_sound(&self, begun: Timestamp) {
         let mut scheduler = self.context.scheduler.borrow_mut();
         scheduler
-            .suspects_mut()
-            .clear(self.incoming.digest, clock::now());
+            .containment_mut()
+            .record_sound(&self.incoming.fingerprint, begun, clock::now());
     }
 
     fn classify<B>(&self, response: &Response<B>) -> AnswerKind {
--- a/crates/direct/src/dispatch/source.rs
+++ b/crates/direct/src/dispatch/source.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::EndpointRecord;
+use comfreyhaven_core::direct::{EndpointRecord, SOUND_TIME};
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -44,6 +44,8 @@
     /// Events received from this endpoint; `first` is when the first one arrived.
     events: u32,
     first: Timestamp,
+    /// Whether events have arrived for so long that the run is sound.
+    sound: bool,
 }
 
 impl Source {
@@ -64,17 +66,24 @@
             event_timeout: dispatch.first_byte_timeout(),
             events: 0,
             first: Timestamp::ZERO,
+            sound: false,
         };
         (Response::from_parts(parts, ()), source)
     }
 
+    /// Returns when the first event arrived, if one has.
+    pub(super) fn begun(&self) -> Option<Timestamp> {
+        (self.events > 0).then_some(self.first)
+    }
+
     /// Returns the number of events received from this endpoint.
     pub(super) const fn events(&self) -> u32 {
         self.events
     }
 
     /// Counts an event. At each power of two it also records the endpoint's event interval.
-    pub(super) fn record_event(&mut self) {
+    /// Returns whether this event shows that the run is sound.
+    pub(super) fn record_event(&mut self) -> bool {
         let now = clock::now();
         if self.events == 0 {
             self.first = now;
@@ -84,6 +93,8 @@
         if self.events.is_power_of_two() {
             self.slot.record_events(self.events, now.since(self.first));
         }
+        let is_sound = self.first + SOUND_TIME <= now;
+        is_sound && !std::mem::replace(&mut self.sound, true)
     }
 
     /// Waits for the next event. Nothing is lost if the future is dropped.
--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -164,7 +164,10 @@
     fn record_event(&mut self, event: &Event) -> bool {
         self.source.event_timeout =
             stall::next_event_timeout(self.dispatch.incoming.head.route.event_gap);
-        self.source.record_event();
+        if self.source.record_event() {
+            self.dispatch
+                .record_sound(self.source.begun().unwrap_or_default());
+        }
         self.stats.record_event();
         let received = event.id.is_some_and(|id| self.last >= Some(id));
         self.last = self.last.max(event.id);
@@ -214,8 +217,7 @@
     /// Resumes the stream at another endpoint after its own one has failed. Returns whether that
     /// succeeded.
     async fn replace_broken(&mut self) -> bool {
-        let before_first = self.last.is_none();
-        self.dispatch.leave_broken(&mut self.source, before_first);
+        self.dispatch.leave_broken(&mut self.source);
         self.dispatch.exclude(&self.source.record);
         if !self.dispatch.may_run_again() || !self.dispatch.take_retry() {
             return false;
@@ -257,8 +259,9 @@
         );
         dispatch.count_send("answered");
         dispatch.count_answer(StatusCode::OK, "endpoint");
+        let begun = source.begun().unwrap_or_else(clock::now);
         source.slot.end(Ending::Complete);
-        dispatch.record_completion(source.lease);
+        dispatch.record_completion(source.lease, begun);
     }
 
     /// Logs the end of a stream that did not complete.
--- a/crates/direct/src/endpoint_call.rs
+++ b/crates/direct/src/endpoint_call.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{EndpointRecord, LimitChange, LimitNotice, Notice};
+use comfreyhaven_core::direct::{EndpointRecord, Fingerprint, LimitChange, LimitNotice, Notice};
 use http_body_util::{BodyExt, Full};
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -18,7 +18,8 @@
 const LEAVING: &str = "1";
 
 impl Context {
-    /// Sends a request to an endpoint, unless the endpoint has said that it takes none.
+    /// Sends a request to an endpoint, unless the endpoint has said that it takes none or requests like
+    /// it crash endpoints.
     ///
     /// # Errors
     /// Returns a [`SendError`] if there is no answer; it states whether the request may have run.
@@ -26,30 +27,38 @@
         &self,
         record: &EndpointRecord,
         request: Request<Full<Bytes>>,
+        fingerprint: &Fingerprint,
     ) -> Result<Reply, SendError> {
         let id = request.headers().get(&self.dialect.request).cloned();
         let cause = id.as_ref().and_then(|id| id.to_str().ok());
         let cause = cause.unwrap_or("-").to_owned();
-        self.exchange(record, request, id.as_ref(), &cause).await
+        self.exchange(record, request, id.as_ref(), Some(fingerprint), &cause)
+            .await
     }
 
-    /// Sends a request for the caller's request `cause`. The answer is to echo `id`, if there is one.
+    /// Sends a request for the caller's request `cause`, unless one like it crashes endpoints. The
+    /// answer is to echo `id`, if there is one.
     async fn exchange(
         &self,
         record: &EndpointRecord,
         request: Request<Full<Bytes>>,
         id: Option<&HeaderValue>,
+        fingerprint: Option<&Fingerprint>,
         cause: &str,
     ) -> Result<Reply, SendError> {
         let sent = clock::now();
-        let may_send = || self.scheduler.borrow().may_send(record, clock::now());
+        let may_send = || {
+            let (scheduler, now) = (self.scheduler.borrow(), clock::now());
+            let contained = fingerprint.and_then(|f| scheduler.containment().contained(f, now));
+            contained.is_none() && scheduler.may_send(record, now)
+        };
         let sending = self.upstream.send(record, request, may_send);
         self.count_call(record, id.is_some(), cause);
         let reply = sending.await?;
         if self.is_own_answer(record, id, &reply.response) {
             let mut scheduler = self.scheduler.borrow_mut();
             scheduler
-                .suspects_mut()
+                .containment_mut()
                 .record_answer(record.incarnation(), sent, clock::now());
             drop(scheduler);
             let notice = self.notice(&reply.response, id.map(|_| sent));
@@ -79,7 +88,7 @@
         request: Request<Full<Bytes>>,
         cause: &str,
     ) -> Result<(StatusCode, Bytes), SendError> {
-        let reply = self.exchange(record, request, None, cause).await?;
+        let reply = self.exchange(record, request, None, None, cause).await?;
         let (response, lease) = reply.split();
         let status = response.status();
         let body = response.into_body().collect().await;
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use comfreyhaven_core::direct::{Origin, Route};
+use comfreyhaven_core::direct::{Contained, Fingerprint, Origin, Route};
 use comfreyhaven_core::refusal::RefusalKind;
 use comfreyhaven_core::request::BodyDigest;
 use hyper::body::Incoming;
@@ -26,6 +26,7 @@
 use crate::header_timeout::{ConnectionPhase, MonitoredStream, Overdue, PhaseLimits};
 use crate::incoming::{self, IncomingRequest};
 use crate::origins;
+use crate::prompt_parts;
 use crate::upstream;
 
 /// Retry delay sent to callers while the configuration is not confirmed.
@@ -188,14 +189,19 @@
         parts.uri,
         body_hash(&body)
     )));
-    if context
-        .scheduler
-        .borrow()
-        .suspects()
-        .is_refused(digest, now)
-    {
-        log::info!(request = head.id_text(); "contained: equal requests may have crashed endpoints");
-        return refuse(context, &parts, RefusalKind::NoEndpoint, None);
+    let fingerprint = Fingerprint {
+        body: digest,
+        parts: Arc::clone(&head.parts),
+    };
+    let admitted = context.scheduler.borrow_mut().admit(&fingerprint, now);
+    if let Err(contained) = admitted {
+        log_contained(head.id_text(), &contained);
+        return refuse(
+            context,
+            &parts,
+            RefusalKind::Contained,
+            Some(contained.wait),
+        );
     }
     let origin = match &head.resumption {
         Some(resumption) => match origins::find(context, &head, resumption).await {
@@ -228,7 +234,7 @@
         head,
         parts,
         body,
-        digest,
+        fingerprint,
     };
     Dispatch::new(Rc::clone(context), incoming, service, origin)
         .run()
@@ -245,6 +251,16 @@
     services.find(|name| **name == origin.service).cloned()
 }
 
+/// Logs why a request is not sent, so that the crashes can be found by their parts.
+pub(crate) fn log_contained(request: &str, contained: &Contained) {
+    log::info!(
+        request = request,
+        parts:% = prompt_parts::text(&contained.parts),
+        wait = clock::millis(contained.wait);
+        "contained: requests like it have crashed endpoints"
+    );
+}
+
 fn refuse(
     context: &Context,
     parts: &hyper::http::request::Parts,
--- a/crates/direct/src/incoming.rs
+++ b/crates/direct/src/incoming.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use comfreyhaven_core::direct::{Access, Plan, PlanTeam, Route, Unit};
+use comfreyhaven_core::direct::{Access, Fingerprint, Plan, PlanTeam, Route, Unit};
 use comfreyhaven_core::refusal::RefusalKind;
-use comfreyhaven_core::request::{BodyDigest, Cost, PartDigest};
+use comfreyhaven_core::request::{Cost, PartDigest};
 use comfreyhaven_core::{KeyDigest, Timestamp};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -84,12 +84,6 @@
         self.id.to_str().unwrap_or("-")
     }
 
-    /// Returns the digests of the prompt's parts as text, for log lines.
-    pub(crate) fn parts_text(&self) -> String {
-        let parts = self.parts.iter().map(|part| format!("{:x}", part.0));
-        parts.collect::<Vec<_>>().join(",")
-    }
-
     /// Returns the rank of the team, which takes precedence over that of the route.
     pub(crate) fn team_rank(&self) -> u8 {
         let team = self.team.as_ref().and_then(|team| team.rank);
@@ -113,7 +107,7 @@
     pub(crate) head: Head,
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
-    pub(crate) digest: BodyDigest,
+    pub(crate) fingerprint: Fingerprint,
 }
 
 /// Parses the head. `current` states whether the configuration was confirmed recently; if it was
--- a/crates/direct/src/prompt_parts.rs
+++ b/crates/direct/src/prompt_parts.rs
@@ -28,6 +28,12 @@
     parts.into()
 }
 
+/// Returns the digests of parts as text, for log lines.
+pub(crate) fn text(parts: &[PartDigest]) -> String {
+    let parts = parts.iter().map(|part| format!("{:x}", part.0));
+    parts.collect::<Vec<_>>().join(",")
+}
+
 fn part_id(entry: &str) -> &str {
     let (id, _) = entry.split_once(':').unwrap_or((entry, ""));
     id.trim()
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -71,8 +71,9 @@
     /// No connection was opened in time, so nothing was sent.
     #[display("no connection within {CONNECT_TIMEOUT:?}")]
     ConnectTimeout,
-    /// The endpoint has said that it takes no requests, so nothing was sent.
-    #[display("the endpoint takes no requests now")]
+    /// The endpoint has said that it takes no requests, or requests like it crash endpoints, so nothing
+    /// was sent.
+    #[display("the endpoint takes no such requests now")]
     Unwanted,
     /// The connection closed before any part of the request was written to it.
     #[display("the connection closed before the request was written")]
