Tests: fleets of 1 to 300 entries whose endpoints end on a part of prompts

Over the simulated network: culprits twice a second at every size; once in 20 s, and 50 times a second; three at once; endpoints that end for other causes 0.3 and 3 times a second, and a third of them at the same moment, while one part is in every request; entries killed and restarted; three in ten reports lost and a third of the entries cut off; a part that no longer crashes anything. Bounds: 3 late sends as the rule says, 95 in 100 of the sound requests sent.

--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -6,6 +6,7 @@
 mod components;
 mod confirmation;
 mod containment;
+mod crashing_parts;
 mod endpoints;
 mod event_interval;
 mod fleet_network;
