An endpoint that breaks off several requests at once is checked until the check is decisive

What callers would have seen: equal requests refused as contained for a minute, though their endpoints live.

A connection that was opened before the last break of an incarnation proves nothing about it, and the check ended with the first one that was accepted.

--- a/crates/core/src/direct/containment.rs
+++ b/crates/core/src/direct/containment.rs
@@ -96,6 +96,12 @@
         self.evidence.record_answer(incarnation, sent, now)
     }
 
+    /// Returns what became of an incarnation after its last break.
+    #[must_use]
+    pub fn fate(&self, incarnation: u64) -> Fate {
+        self.evidence.fate(incarnation)
+    }
+
     /// Records that nothing listens at the address of an incarnation that broke off. Returns whether
     /// that is new.
     pub fn record_end(&mut self, incarnation: u64, now: Timestamp) -> bool {
--- a/crates/core/src/direct/containment/evidence.rs
+++ b/crates/core/src/direct/containment/evidence.rs
@@ -161,6 +161,12 @@
         is_new
     }
 
+    /// Returns what became of an incarnation after its last break.
+    pub(super) fn fate(&self, incarnation: u64) -> Fate {
+        let crash = self.crashes.get(&incarnation);
+        crash.map_or(Fate::Unknown, |crash| crash.fate)
+    }
+
     /// Records that nothing listens at the address of an incarnation that broke off. Returns whether
     /// that is new.
     pub(super) fn record_end(&mut self, incarnation: u64, now: Timestamp) -> bool {
--- a/crates/direct/src/dispatch/crash_check.rs
+++ b/crates/direct/src/dispatch/crash_check.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use comfreyhaven_core::direct::EndpointRecord;
+use comfreyhaven_core::Timestamp;
+use comfreyhaven_core::direct::{EndpointRecord, Fate};
 
 use crate::clock;
 use crate::context::Context;
@@ -26,23 +27,31 @@
         }
         let started = clock::now();
         seen = context.upstream.check(&record).await;
-        let mut scheduler = context.scheduler.borrow_mut();
-        let containment = scheduler.containment_mut();
-        match seen {
-            Liveness::Accepts => {
-                containment.record_answer(record.incarnation(), started, clock::now());
-                break;
-            }
-            Liveness::Refuses => {
-                containment.record_end(record.incarnation(), clock::now());
-                break;
-            }
-            Liveness::Unknown => {}
+        if record_liveness(&context, record.incarnation(), seen, started) {
+            break;
         }
     }
     log_result(&context, &record, seen);
 }
 
+/// Records how an endpoint reacted to a connection that was opened at `started`. Returns whether that
+/// decides what became of it: it may have broken off again since.
+fn record_liveness(
+    context: &Context,
+    incarnation: u64,
+    seen: Liveness,
+    started: Timestamp,
+) -> bool {
+    let mut scheduler = context.scheduler.borrow_mut();
+    let containment = scheduler.containment_mut();
+    match seen {
+        Liveness::Accepts => containment.record_answer(incarnation, started, clock::now()),
+        Liveness::Refuses => containment.record_end(incarnation, clock::now()),
+        Liveness::Unknown => false,
+    };
+    containment.fate(incarnation) != Fate::Unknown
+}
+
 fn log_result(context: &Context, record: &EndpointRecord, seen: Liveness) {
     let text: &'static str = seen.into();
     context.metrics.breaks.with_label_values(&[text]).inc();
