Answers without end do not fill an entry's memory

Heads (64 KiB) and events (1 MiB) were bounded; with plain bodies an entry held 290 MiB, more than its host gives it, so the process would have been ended with all its requests. A call that reserves a slot had no bound at all, and rejected answers were collected in order to be thrown away.

Change: one module reads answers. Each may buffer 8 MiB as before; what goes beyond 256 KiB counts against 24 MiB for all answers together, and an answer that finds no room there ends as any broken one. Calls may have 64 KiB, events 256 KiB. Rejected answers are read without being kept.

--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio_util::task::TaskTracker;
 
+use crate::body::LargeAnswers;
 use crate::clock;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
@@ -120,6 +121,8 @@
     pub origin_answers: Notify,
     /// Connections to endpoints.
     pub upstream: Upstream,
+    /// Answers that are read before they are sent to their callers.
+    pub(crate) large_answers: LargeAnswers,
     /// Header names of the platform.
     pub dialect: Dialect,
     /// Time limits of this entry.
@@ -160,6 +163,7 @@
             peers,
             origin_answers: Notify::new(),
             upstream: Upstream::new(tasks.clone()),
+            large_answers: LargeAnswers::default(),
             dialect,
             limits,
             tasks,
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{Ending, EndpointRecord, SOUND_TIME, stall};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 
@@ -15,14 +15,12 @@
 use super::source::{Next, Source, StreamStart};
 use super::{Dispatch, RETRY_DELAY};
 use crate::answer::{self, AnswerBody};
+use crate::body::{self, ANSWER_LIMIT_BYTES};
 use crate::clock;
 use crate::context::SlotGuard;
 use crate::prompt_parts;
 use crate::upstream::{Lease, Reply, SendError};
 
-/// Largest answer that is buffered until it is complete, in bytes.
-const BODY_LIMIT_BYTES: usize = 8 << 20;
-
 /// Classification of an endpoint's answer.
 enum AnswerKind {
     /// The endpoint did not run the request.
@@ -259,8 +257,8 @@
         let upstream = self.context.upstream.clone();
         self.context.tasks.spawn_local(async move {
             let (response, lease) = reply.split();
-            let reading = Limited::new(response.into_body(), BODY_LIMIT_BYTES).collect();
-            if let Ok(Ok(_)) = tokio::time::timeout(RETRY_DELAY, reading).await {
+            let reading = body::discard(response.into_body(), ANSWER_LIMIT_BYTES);
+            if let Ok(Ok(())) = tokio::time::timeout(RETRY_DELAY, reading).await {
                 upstream.put_back(lease).await;
             }
         });
@@ -278,12 +276,16 @@
         let begun = clock::now();
         let (response, lease) = reply.split();
         let (parts, body) = response.into_parts();
-        let read = Limited::new(body, BODY_LIMIT_BYTES).collect().await;
-        let Ok(body) = read else {
-            self.log_broken(record, 0);
-            slot.end(Ending::Broken);
-            self.record_break(record, Some(begun));
-            return Err(SendFault::Unknown);
+        let reading = self.context.large_answers.collect(body, ANSWER_LIMIT_BYTES);
+        let body = match reading.await {
+            Ok(body) => body,
+            Err(error) => {
+                self.log_broken(record, 0);
+                log::info!(request = self.incoming.head.id_text(), endpoint:% = record.id; "no answer: {error}");
+                slot.end(Ending::Broken);
+                self.record_break(record, Some(begun));
+                return Err(SendFault::Unknown);
+            }
         };
         self.count_send("answered");
         log::info!(
@@ -297,7 +299,7 @@
         slot.end(ending);
         self.record_completion(lease, begun);
         let headers = answer_headers(&parts.headers);
-        Ok(answer::complete(parts.status, headers, body.to_bytes()))
+        Ok(answer::complete(parts.status, headers, body))
     }
 
     /// Keeps the connection of a complete answer, which began at `begun`. The request is no longer
--- a/crates/direct/src/endpoint_call.rs
+++ b/crates/direct/src/endpoint_call.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{EndpointRecord, Fingerprint, LimitChange, LimitNotice, Notice};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 
@@ -14,6 +14,9 @@
 use crate::stated_limit::{self, StatedLimit};
 use crate::upstream::{Reply, SendError};
 
+/// Largest answer to a call, in bytes.
+const CALL_LIMIT_BYTES: usize = 64 << 10;
+
 /// Value of the header with which an endpoint says that it leaves.
 const LEAVING: &str = "1";
 
@@ -91,8 +94,10 @@
         let reply = self.exchange(record, request, None, None, cause).await?;
         let (response, lease) = reply.split();
         let status = response.status();
-        let body = response.into_body().collect().await;
-        let body = body.map_err(SendError::Broken)?.to_bytes();
+        let reading = self
+            .large_answers
+            .collect(response.into_body(), CALL_LIMIT_BYTES);
+        let body = reading.await.map_err(SendError::Body)?;
         self.upstream.put_back(lease).await;
         Ok((status, body))
     }
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -5,7 +5,7 @@
 use derive_more::{Display, Error};
 
 /// Longest event, in bytes.
-const EVENT_LIMIT_BYTES: usize = 1 << 20;
+const EVENT_LIMIT_BYTES: usize = 256 << 10;
 
 /// An event is longer than the limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
@@ -42,7 +42,7 @@
     /// Adds a chunk.
     ///
     /// # Errors
-    /// Returns [`TooLong`] if more than a megabyte is buffered.
+    /// Returns [`TooLong`] if more than the longest event is buffered.
     pub fn add(&mut self, chunk: &[u8]) -> Result<(), TooLong> {
         self.buffer.extend_from_slice(chunk);
         if self.buffer.len() > EVENT_LIMIT_BYTES {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod accept;
 mod answer;
+mod body;
 pub mod clock;
 pub mod context;
 mod decimal;
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -24,6 +24,7 @@
 use tokio::task::AbortHandle;
 use tokio_util::task::TaskTracker;
 
+use crate::body::BodyError;
 use crate::clock;
 
 /// How long an endpoint may take to accept a connection.
@@ -78,6 +79,9 @@
     /// The connection closed before any part of the request was written to it.
     #[display("the connection closed before the request was written")]
     Stale,
+    /// The body of the answer could not be read.
+    #[display("the answer cannot be read: {_0}")]
+    Body(BodyError),
     /// The connection broke, and the endpoint may have received the request.
     #[display("the connection broke: {_0}")]
     Broken(hyper::Error),
@@ -96,7 +100,7 @@
     /// Returns whether the endpoint cannot have received the request.
     #[must_use]
     pub const fn is_unsent(&self) -> bool {
-        !matches!(self, Self::Broken(_))
+        !matches!(self, Self::Broken(_) | Self::Body(_))
     }
 }
 
