Events that have arrived reach the caller before a broken stream is closed

What callers saw: a stream that breaks off right after several events came as an answer without any of them.

Cause: the early end is an error in the body of the caller's answer, at which the connection is given up with what is still in its buffer. Now the frames before it are written first; a caller that does not read them is waited for 0.2 s.

--- a/crates/direct/src/answer.rs
+++ b/crates/direct/src/answer.rs
@@ -28,6 +28,9 @@
 /// Number of frames that are buffered for a caller that reads slowly.
 const CHUNK_LIMIT: usize = 32;
 
+/// How long the frames before the early end of an answer may take to be written.
+const WRITE_TIME: Duration = Duration::from_millis(200);
+
 /// Returns an answer whose body has been read completely.
 pub(crate) fn complete(
     status: StatusCode,
@@ -54,6 +57,16 @@
     (response, sender)
 }
 
+/// Ends a streamed answer early, after the frames before have been written. A caller that does not read
+/// them is not waited for.
+pub(crate) async fn interrupt(sender: mpsc::Sender<Chunk>) {
+    let written = sender.reserve_many(CHUNK_LIMIT);
+    if tokio::time::timeout(WRITE_TIME, written).await.is_err() {
+        log::debug!("a caller does not read the end of a broken answer");
+    }
+    drop(sender.send(Err(AnswerInterrupted)).await);
+}
+
 /// Returns a refusal. `retry` is the delay after which the caller may retry.
 pub(crate) fn refusal(kind: RefusalKind, retry: Option<Duration>) -> Response<AnswerBody> {
     let text: &'static str = kind.into();
--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -15,7 +15,7 @@
 use super::attempt::Begun;
 use super::send::answer_headers;
 use super::source::{Next, Source, StreamStart};
-use crate::answer::{self, AnswerBody, AnswerInterrupted, Chunk};
+use crate::answer::{self, AnswerBody, Chunk};
 use crate::clock;
 use crate::events::Event;
 
@@ -113,12 +113,12 @@
                 Step::Interrupted => {
                     self.dispatch.count_answer(StatusCode::OK, "broken");
                     self.log_interruption();
-                    return drop(sender.send(Err(AnswerInterrupted)).await);
+                    return answer::interrupt(sender).await;
                 }
                 Step::DeadlinePassed => {
                     self.dispatch.count_answer(StatusCode::OK, "timeout");
                     self.log_end("timeout");
-                    return drop(sender.send(Err(AnswerInterrupted)).await);
+                    return answer::interrupt(sender).await;
                 }
             }
             step = tokio::select! {
