--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -2,6 +2,7 @@
 //! request waits or is refused.
 
 mod availability;
+mod containment;
 mod limits;
 mod message;
 mod origins;
@@ -27,11 +28,11 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::confirmation::Confirmation;
-use super::containment::{Contained, Containment, Fingerprint};
+use super::containment::Containment;
 use super::departures::Departures;
 use super::endpoint_table::{EndpointTable, Run};
 use super::lending::Lending;
-use super::members::{ASSUMED_MEMBERS, Members};
+use super::members::Members;
 use super::origin_lookup::OriginLookup;
 use super::peer_notices::PeerNotices;
 use super::plan::{EndpointId, Plan};
@@ -44,7 +45,6 @@
 use super::stream_origins::StreamOrigins;
 use super::topology::Topology;
 use super::wait_queue::{QueuePosition, WaitQueue};
-use crate::request::PartDigest;
 use crate::time::Timestamp;
 use availability::Absence;
 
@@ -266,31 +266,6 @@
         &self.closed
     }
 
-    /// Returns what is known of requests that crash endpoints.
-    #[must_use]
-    pub const fn containment(&self) -> &Containment {
-        &self.containment
-    }
-
-    /// Returns what is known of requests that crash endpoints.
-    pub const fn containment_mut(&mut self) -> &mut Containment {
-        &mut self.containment
-    }
-
-    /// Returns whether a request that has arrived may be sent, see [`Containment::admit`].
-    ///
-    /// # Errors
-    /// Returns [`Contained`] if requests like it crash endpoints.
-    pub fn admit(&mut self, request: &Fingerprint, now: Timestamp) -> Result<(), Contained> {
-        let members = &self.members;
-        let is_discovering = self.is_discovering(now);
-        let rank = |part: PartDigest| match is_discovering {
-            true => members.estimated_rank(part.0, ASSUMED_MEMBERS),
-            false => members.rank_for(part.0),
-        };
-        self.containment.admit(request, rank, now)
-    }
-
     /// Picks one service of a split route at random, by weight.
     pub fn pick_service(&mut self, split: &[super::plan::WeightedService]) -> Option<Arc<str>> {
         let total: u32 = split.iter().map(|part| part.weight).sum();
