Breaks of endpoints that live evict no crash; an entry without evidence follows its peers

Found by reading. The oldest of 128 breaks were forgotten first, whatever they were: with many links that reset, the crashes that a hold rests on would go, and with them the hold. Now 512 are kept, and those of endpoints that live go first. An entry that had taken a hold over from its peers kept the parts of that moment, also when the peers had told them apart: it would have let through what they hold. Two new tests; the first fails without the order (not run apart), the second was written with the change.

--- a/crates/core/src/direct/containment/evidence.rs
+++ b/crates/core/src/direct/containment/evidence.rs
@@ -20,8 +20,8 @@
 /// have left.
 const END_TIME: Duration = Duration::from_secs(2);
 
-/// Most remembered crashes. The oldest ones are forgotten.
-const CRASH_LIMIT: usize = 128;
+/// Most remembered breaks. Those of endpoints that live are forgotten first, then the oldest ones.
+const CRASH_LIMIT: usize = 512;
 
 /// Most remembered requests of one crash.
 const REQUEST_LIMIT: usize = 16;
@@ -61,6 +61,16 @@
         self.requests.len() < REQUEST_LIMIT && self.requests.insert(request)
     }
 
+    /// Orders crashes by how much they may explain.
+    fn worth(&self) -> (u8, Timestamp) {
+        let certainty = match self.fate {
+            Fate::Lives => 0,
+            Fate::Unknown => 1,
+            Fate::Ended => 2,
+        };
+        (certainty, self.at)
+    }
+
     fn set_fate(&mut self, fate: Fate, now: Timestamp) {
         self.fate = fate;
         self.seen.record(None, self.at, now);
@@ -210,8 +220,8 @@
         let before = self.crashes.len();
         self.crashes.retain(|_, crash| now < crash.at + RETENTION);
         if self.crashes.len() >= CRASH_LIMIT {
-            let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at);
-            if let Some(incarnation) = oldest.map(|(incarnation, _)| *incarnation) {
+            let least = self.crashes.iter().min_by_key(|(_, crash)| crash.worth());
+            if let Some(incarnation) = least.map(|(incarnation, _)| *incarnation) {
                 self.crashes.remove(&incarnation);
             }
         }
--- a/crates/core/src/direct/containment/hold.rs
+++ b/crates/core/src/direct/containment/hold.rs
@@ -86,8 +86,12 @@
         }
     }
 
-    /// Takes over a later test of the same hold.
+    /// Takes over what a peer knows of the same hold: a later test, and the parts if this entry does not
+    /// know the crashes.
     pub(super) fn merge(&mut self, other: &Self) {
+        if !self.explained {
+            self.parts.clone_from(&other.parts);
+        }
         if other.tests > self.tests {
             (self.tests, self.since, self.span) = (other.tests, other.since, other.span);
             self.evidence = self.evidence.max(other.evidence);
--- a/crates/core/tests/core/direct/containment.rs
+++ b/crates/core/tests/core/direct/containment.rs
@@ -233,3 +233,41 @@
     assert!(is_held(&entry, &[7, 51], 1_400), "only one part is left");
     assert!(!is_held(&entry, &[5, 6, 52], 1_400));
 }
+
+/// Guards against a part that is free again since other endpoints break off and live.
+#[test]
+fn breaks_of_endpoints_that_live_evict_no_crash() {
+    let mut entry = Containment::default();
+    for number in 0..3 {
+        let crashing = request(number, &[7, 100 + number]);
+        entry.record_break(&crashing, number, false, at(number * 100));
+        entry.record_end(number, at(number * 100 + 1));
+    }
+    for number in 1_000..4_000 {
+        let millis = 400 + number / 10;
+        entry.record_break(&request(number, &[number]), number, false, at(millis));
+        entry.record_answer(number, at(millis), at(millis + 1));
+    }
+    assert!(entry.contained(&request(50, &[7, 50]), at(900)).is_some());
+}
+
+/// Guards against an entry that started later and lets requests through which its peers hold: it knows
+/// the hold from before its parts could be told apart, but not the crashes.
+#[test]
+fn an_entry_without_evidence_follows_its_peers() {
+    let mut pair = Pair::new();
+    let crash = |entry: &mut Containment, number: u64, parts: &[u64]| {
+        entry.record_break(&request(number, parts), number, false, at(number * 100));
+        entry.record_end(number, at(number * 100 + 1));
+    };
+    for number in 0..3 {
+        crash(&mut pair.0[0], number, &[5, 7, 100 + number]);
+    }
+    // Crashes are reported for 5 s, holds as long as they last.
+    pair.exchange(6_000);
+    assert_eq!(pair.contain(&request(50, &[5, 7, 50]), 6_000), [true, true]);
+    pair.0[0].record_sound(&request(51, &[5, 51]), at(6_100), at(7_200));
+    assert_eq!(pair.contain(&request(52, &[7, 52]), 7_200), [true, false]);
+    pair.exchange(12_300);
+    assert_eq!(pair.contain(&request(53, &[7, 53]), 12_300), [true, true]);
+}
