Crashes of an endpoint that starts again under its id count each

Class of fault: an identity that comes from a record which may be old.

Change: a request that is sent half a second or more after an incarnation's end reaches the next one, under a digest that all entries derive alike.

The line and the metric of a check state what became of the endpoint, not how the last connection went: a refused request may have decided it meanwhile.

--- a/crates/core/src/direct/containment.rs
+++ b/crates/core/src/direct/containment.rs
@@ -67,6 +67,13 @@
 }
 
 impl Containment {
+    /// Returns the incarnation to which a request was sent at `sent` that was meant for `incarnation`. An
+    /// endpoint may have started again under its id before its new record is known.
+    #[must_use]
+    pub fn reached(&self, incarnation: u64, sent: Timestamp) -> u64 {
+        self.evidence.reached(incarnation, sent)
+    }
+
     /// Records that an endpoint's incarnation broke off, whatever it ran. Returns whether it has not
     /// been checked since an earlier break.
     pub fn observe_break(&mut self, incarnation: u64, now: Timestamp) -> bool {
--- a/crates/core/src/direct/containment/evidence.rs
+++ b/crates/core/src/direct/containment/evidence.rs
@@ -6,6 +6,7 @@
 
 use super::observations::{Observations, SoundRuns};
 use super::statement::{BrokenRequest, CrashStatement, Fate, SoundStatement};
+use crate::direct::endpoint_table::digest;
 use crate::direct::report::{Scope, Source};
 use crate::time::{Timestamp, whole_millis};
 
@@ -20,6 +21,10 @@
 /// have left.
 const END_TIME: Duration = Duration::from_secs(2);
 
+/// Time after the end of an incarnation from which requests are sent to the next one. Until then
+/// connections to the old one may be in use that have not been seen to break.
+const RESTART_TIME: Duration = Duration::from_millis(500);
+
 /// Most remembered breaks. Those of endpoints that live are forgotten first, then the oldest ones.
 const CRASH_LIMIT: usize = 512;
 
@@ -94,6 +99,19 @@
         self.crashes.values()
     }
 
+    /// Returns the incarnation to which a request was sent that was meant for `incarnation`. One that
+    /// had ended before has started again, and its record is not known yet.
+    pub(super) fn reached(&self, incarnation: u64, sent: Timestamp) -> u64 {
+        let mut reached = incarnation;
+        while let Some(crash) = self.crashes.get(&reached)
+            && crash.fate == Fate::Ended
+            && crash.at + RESTART_TIME <= sent
+        {
+            reached = digest(&("started again", reached));
+        }
+        reached
+    }
+
     /// Records that an endpoint's incarnation broke off, whatever it ran. Returns whether it has not
     /// been checked since an earlier break.
     pub(super) fn observe_break(&mut self, incarnation: u64, now: Timestamp) -> bool {
--- a/crates/core/src/direct/containment/statement.rs
+++ b/crates/core/src/direct/containment/statement.rs
@@ -1,14 +1,27 @@
 //! What entries tell each other of crashes and of what is held for them.
 
 use serde::{Deserialize, Serialize};
+use strum::IntoStaticStr;
 
 use super::Fingerprint;
 use crate::request::{BodyDigest, PartDigest};
 
 /// What became of an endpoint's incarnation after its connections broke. Later variants prevail.
 #[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    IntoStaticStr,
+    Serialize,
+    Deserialize,
 )]
+#[strum(serialize_all = "snake_case")]
 pub enum Fate {
     /// Not known.
     #[default]
--- a/crates/core/tests/core/direct/containment.rs
+++ b/crates/core/tests/core/direct/containment.rs
@@ -271,3 +271,27 @@
     pair.exchange(12_300);
     assert_eq!(pair.contain(&request(53, &[7, 53]), 12_300), [true, true]);
 }
+
+/// Guards against crashes that count as one, since an endpoint starts again under its id while the store
+/// does not show its new record.
+#[test]
+fn an_endpoint_that_starts_again_under_its_id_crashes_again() {
+    let mut pair = Pair::new();
+    for number in 0..3 {
+        let sent = number * 2_000;
+        for entry in &mut pair.0 {
+            let reached = entry.reached(X, at(sent));
+            entry.record_break(
+                &request(number, &[7, 100 + number]),
+                reached,
+                false,
+                at(sent + 80),
+            );
+            entry.record_end(reached, at(sent + 81));
+            let late = entry.reached(X, at(sent));
+            assert_eq!(late, reached, "requests sent before the crash belong to it");
+        }
+        pair.exchange(sent + 120);
+    }
+    assert_eq!(pair.contain(&request(50, &[7, 50]), 4_200), [true, true]);
+}
--- a/crates/direct/src/dispatch/crash_check.rs
+++ b/crates/direct/src/dispatch/crash_check.rs
@@ -16,22 +16,21 @@
 /// Number of checks. The last one begins before an answer may come from the next incarnation.
 const CHECKS: u32 = 5;
 
-/// Opens connections to an endpoint that has just broken off, until it accepts or refuses one. Requests
+/// Opens connections to an endpoint whose `incarnation` has just broken off, until it accepts or refuses one. Requests
 /// that were suspected of having crashed it are not any more if it accepts one. Its link may fail for
 /// a moment too.
-pub(super) async fn check(context: Rc<Context>, record: EndpointRecord) {
-    let mut seen = Liveness::Unknown;
+pub(super) async fn check(context: Rc<Context>, record: EndpointRecord, incarnation: u64) {
     for check in 0..CHECKS {
         if check > 0 {
             tokio::time::sleep(CHECK_INTERVAL).await;
         }
         let started = clock::now();
-        seen = context.upstream.check(&record).await;
-        if record_liveness(&context, record.incarnation(), seen, started) {
+        let seen = context.upstream.check(&record).await;
+        if record_liveness(&context, incarnation, seen, started) {
             break;
         }
     }
-    log_result(&context, &record, seen);
+    log_result(&context, &record, incarnation);
 }
 
 /// Records how an endpoint reacted to a connection that was opened at `started`. Returns whether that
@@ -52,13 +51,14 @@
     containment.fate(incarnation) != Fate::Unknown
 }
 
-fn log_result(context: &Context, record: &EndpointRecord, seen: Liveness) {
-    let text: &'static str = seen.into();
+fn log_result(context: &Context, record: &EndpointRecord, incarnation: u64) {
+    let fate = context.scheduler.borrow().containment().fate(incarnation);
+    let text: &'static str = fate.into();
     context.metrics.breaks.with_label_values(&[text]).inc();
-    let event = match seen {
-        Liveness::Accepts => "endpoint accepts connections after a break: it has not crashed",
-        Liveness::Refuses => "endpoint refuses connections after a break: it has crashed",
-        Liveness::Unknown => "endpoint does not react after a break",
+    let event = match fate {
+        Fate::Lives => "endpoint accepts connections after a break: it has not crashed",
+        Fate::Ended => "endpoint refuses connections after a break: it has crashed",
+        Fate::Unknown => "endpoint does not react after a break",
     };
-    log::info!(endpoint:% = record.id, incarnation:% = format_args!("{:x}", record.incarnation()); "{event}");
+    log::info!(endpoint:% = record.id, incarnation:% = format_args!("{incarnation:x}"); "{event}");
 }
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -81,23 +81,28 @@
             let header = &self.context.dialect.reservation.header;
             set_header(request.headers_mut(), header, &id);
         }
+        let sent = clock::now();
         let sending = self
             .context
             .send(record, request, &self.incoming.fingerprint);
         let reply = match sending.await {
             Ok(reply) => reply,
-            Err(error) => return Err(self.handle_error(&error, record, slot)),
+            Err(error) => return Err(self.handle_error(&error, record, sent, slot)),
         };
         match self.classify(&reply.response) {
             AnswerKind::Success if self.incoming.head.route.streaming => {
-                self.begin_stream(reply, slot, record).await
+                self.begin_stream(reply, sent, slot, record).await
             }
             AnswerKind::Success => {
-                let collected = self.collect(reply, slot, record, Ending::Complete).await;
+                let collected = self
+                    .collect(reply, sent, slot, record, Ending::Complete)
+                    .await;
                 collected.map(Begun::Complete)
             }
             AnswerKind::Failure => {
-                let response = self.collect(reply, slot, record, Ending::Failed).await?;
+                let response = self
+                    .collect(reply, sent, slot, record, Ending::Failed)
+                    .await?;
                 self.failed.replace(Some(response));
                 Err(SendFault::Failed)
             }
@@ -115,10 +120,11 @@
     async fn begin_stream(
         &self,
         reply: Reply,
+        sent: Timestamp,
         slot: SlotGuard,
         record: &EndpointRecord,
     ) -> Result<Begun, SendFault> {
-        let (head, mut source) = Source::new(reply, slot, self, record.clone());
+        let (head, mut source) = Source::new(reply, sent, slot, self, record.clone());
         let first = source.next().await;
         if matches!(first, Next::Broken) {
             self.leave_broken(&mut source);
@@ -138,22 +144,24 @@
         self.log_broken(&source.record, source.events());
         self.context.upstream.close(&source.record.id);
         source.slot.release(Ending::Broken);
-        self.record_break(&source.record, source.begun());
+        self.record_break(&source.record, source.sent, source.begun());
     }
 
     /// Checks whether the endpoint that broke off has crashed. The request is suspected of it, unless
     /// its answer began, at `begun`, so long ago that its run is sound.
-    fn record_break(&self, record: &EndpointRecord, begun: Option<Timestamp>) {
-        let (incarnation, now) = (record.incarnation(), clock::now());
+    fn record_break(&self, record: &EndpointRecord, sent: Timestamp, begun: Option<Timestamp>) {
+        let now = clock::now();
         let mut scheduler = self.context.scheduler.borrow_mut();
         let containment = scheduler.containment_mut();
+        let incarnation = containment.reached(record.incarnation(), sent);
         let is_unchecked = containment.observe_break(incarnation, now);
         if begun.is_none_or(|begun| now < begun + SOUND_TIME) {
             let fingerprint = &self.incoming.fingerprint;
             containment.record_break(fingerprint, incarnation, begun.is_some(), now);
         }
         if is_unchecked {
-            let checking = crash_check::check(Rc::clone(&self.context), record.clone());
+            let checking =
+                crash_check::check(Rc::clone(&self.context), record.clone(), incarnation);
             self.context.tasks.spawn_local(checking);
         }
     }
@@ -191,6 +199,7 @@
         &self,
         error: &SendError,
         record: &EndpointRecord,
+        sent: Timestamp,
         slot: SlotGuard,
     ) -> SendFault {
         if error.is_unsent() {
@@ -198,7 +207,7 @@
         }
         self.log_broken(record, 0);
         self.leave_unanswered(error, record, slot);
-        self.record_break(record, None);
+        self.record_break(record, sent, None);
         SendFault::Unknown
     }
 
@@ -213,7 +222,9 @@
         if error.is_refused() {
             let mut scheduler = self.context.scheduler.borrow_mut();
             let containment = scheduler.containment_mut();
-            containment.record_end(record.incarnation(), clock::now());
+            let now = clock::now();
+            let incarnation = containment.reached(record.incarnation(), now);
+            containment.record_end(incarnation, now);
         }
         self.leave_unanswered(error, record, slot);
         SendFault::Unsent
@@ -268,6 +279,7 @@
     async fn collect(
         &self,
         reply: Reply,
+        sent: Timestamp,
         mut slot: SlotGuard,
         record: &EndpointRecord,
         ending: Ending,
@@ -283,7 +295,7 @@
                 self.log_broken(record, 0);
                 log::info!(request = self.incoming.head.id_text(), endpoint:% = record.id; "no answer: {error}");
                 slot.end(Ending::Broken);
-                self.record_break(record, Some(begun));
+                self.record_break(record, sent, Some(begun));
                 return Err(SendFault::Unknown);
             }
         };
--- a/crates/direct/src/dispatch/source.rs
+++ b/crates/direct/src/dispatch/source.rs
@@ -38,6 +38,8 @@
     pub(super) lease: Lease,
     pub(super) slot: SlotGuard,
     pub(super) record: EndpointRecord,
+    /// When the request was sent.
+    pub(super) sent: Timestamp,
     splitter: Splitter,
     /// How long the next event may take.
     pub(super) event_timeout: Duration,
@@ -51,6 +53,7 @@
 impl Source {
     pub(super) fn new(
         reply: Reply,
+        sent: Timestamp,
         slot: SlotGuard,
         dispatch: &Dispatch,
         record: EndpointRecord,
@@ -62,6 +65,7 @@
             lease,
             slot,
             record,
+            sent,
             splitter: Splitter::default(),
             event_timeout: dispatch.first_byte_timeout(),
             events: 0,
--- a/crates/direct/src/endpoint_call.rs
+++ b/crates/direct/src/endpoint_call.rs
@@ -60,9 +60,9 @@
         let reply = sending.await?;
         if self.is_own_answer(record, id, &reply.response) {
             let mut scheduler = self.scheduler.borrow_mut();
-            scheduler
-                .containment_mut()
-                .record_answer(record.incarnation(), sent, clock::now());
+            let containment = scheduler.containment_mut();
+            let incarnation = containment.reached(record.incarnation(), sent);
+            containment.record_answer(incarnation, sent, clock::now());
             drop(scheduler);
             let notice = self.notice(&reply.response, id.map(|_| sent));
             self.record_notice(record, cause, &notice);
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -19,7 +19,7 @@
     pub sends: IntCounterVec,
     /// Calls to endpoints: requests, and reservations of slots.
     pub calls: IntCounterVec,
-    /// Endpoints that broke off, by how they reacted to connections after that.
+    /// Endpoints that broke off, by what became of them.
     pub breaks: IntCounterVec,
     /// Messages about borrowed requests that peers have sent.
     pub lending: IntCounterVec,
@@ -91,8 +91,8 @@
             )?,
             breaks: counter(
                 "comfreyhaven_endpoint_breaks_total",
-                "Endpoints that broke off, by how they reacted to connections after that",
-                &["liveness"],
+                "Endpoints that broke off, by what became of them",
+                &["fate"],
             )?,
             lending: counter(
                 "comfreyhaven_lending_messages_total",
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -19,7 +19,6 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use strum::IntoStaticStr;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio_util::task::TaskTracker;
@@ -52,8 +51,7 @@
 const HEADER_LIMIT_BYTES: usize = 64 * 1024;
 
 /// How an endpoint reacts to a new connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Liveness {
     /// It accepts the connection and keeps it open.
     Accepts,
