Requests that broke off at an endpoint that lived are no evidence of its later crash

Seen: soak (crashing part): for two seconds 72 sound requests were refused as contained, held for the two parts that all of them share; 130 of 845 requests served.

Cause, from the entries' lines: an engine closed the connections of four sound requests and lived; 20 ms later it crashed on another request. The break and the crash were one record within a second, so its crash had the sound requests in it too. Now a break that the endpoint survived forgets what it ran, here and in peers' reports. Test of core, failed before.

--- a/crates/core/src/direct/containment/evidence.rs
+++ b/crates/core/src/direct/containment/evidence.rs
@@ -46,7 +46,7 @@
     /// When its connections broke.
     pub(super) at: Timestamp,
     pub(super) fate: Fate,
-    /// What it ran.
+    /// What it ran, unless it lives.
     pub(super) requests: BTreeSet<BrokenRequest>,
     seen: Observations,
 }
@@ -76,9 +76,11 @@
         (certainty, self.at)
     }
 
-    fn set_fate(&mut self, fate: Fate, now: Timestamp) {
+    fn set_fate(&mut self, fate: Fate) {
         self.fate = fate;
-        self.seen.record(None, self.at, now);
+        if fate == Fate::Lives {
+            self.requests.clear();
+        }
     }
 }
 
@@ -184,7 +186,8 @@
         let proves = crash.at <= sent && sent < crash.at + PROOF_TIME;
         let is_new = proves && crash.fate == Fate::Unknown;
         if is_new {
-            crash.set_fate(Fate::Lives, now);
+            crash.set_fate(Fate::Lives);
+            crash.seen.record(None, crash.at, now);
         }
         is_new
     }
@@ -203,7 +206,8 @@
         };
         let is_new = crash.fate == Fate::Unknown && now < crash.at + END_TIME;
         if is_new {
-            crash.set_fate(Fate::Ended, now);
+            crash.set_fate(Fate::Ended);
+            crash.seen.record(None, crash.at, now);
         }
         is_new
     }
@@ -291,9 +295,13 @@
             crash.at = crash.at.max(at);
         }
         let is_decided = crash.fate < stated.fate;
-        crash.fate = crash.fate.max(stated.fate);
+        if is_decided {
+            crash.set_fate(stated.fate);
+        }
         let mut added = Vec::new();
-        for request in stated.requests.into_iter().take(REQUEST_LIMIT) {
+        let is_suspect = stated.fate != Fate::Lives && crash.fate != Fate::Lives;
+        let requests = stated.requests.into_iter().filter(|_| is_suspect);
+        for request in requests.take(REQUEST_LIMIT) {
             let digests = request.digests();
             if crash.add(request) {
                 added.extend(digests);
--- a/crates/core/tests/core/direct/containment.rs
+++ b/crates/core/tests/core/direct/containment.rs
@@ -295,3 +295,23 @@
     }
     assert_eq!(pair.contain(&request(50, &[7, 50]), 4_200), [true, true]);
 }
+
+/// Guards against requests that broke off at an endpoint which lived, and count at its crash later.
+#[test]
+fn requests_of_an_endpoint_that_lived_are_no_evidence_of_its_crash() {
+    let mut pair = Pair::new();
+    for number in 0..3 {
+        let millis = number * 300;
+        let sound = request(number, &[9, 100 + number]);
+        pair.0[0].record_break(&sound, number, false, at(millis));
+        pair.exchange(millis + 2);
+        pair.0[0].record_answer(number, at(millis + 5), at(millis + 10));
+        pair.exchange(millis + 50);
+        let crashing = request(10 + number, &[7, 200 + number]);
+        pair.0[1].record_break(&crashing, number, false, at(millis + 100));
+        pair.0[1].record_end(number, at(millis + 101));
+        pair.exchange(millis + 140);
+    }
+    assert_eq!(pair.contain(&request(90, &[7, 90]), 1_000), [true, true]);
+    assert_eq!(pair.contain(&request(91, &[9, 91]), 1_000), [false, false]);
+}
