Where crashes do not tell, the part of fewer requests is held

All three engines had ended before any sound request had run to its end, so the crashing part and the one of the sound requests were in the same crashes, and the greater digest was held: the sound one. It ended at the next crash of the other, 1.9 s later.

Change: among parts in equally many crashes, first the one whose requests had not begun to answer at most of these, then the one of fewer requests is held, so that a wrong choice refuses few. Test of core, failed before.

--- a/crates/core/src/direct/containment/explanation.rs
+++ b/crates/core/src/direct/containment/explanation.rs
@@ -6,6 +6,7 @@
 //! were in the same requests at all crashes cannot be told apart: they explain the crashes together,
 //! and a request with some of them only is still sent.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -41,15 +42,26 @@
 struct Candidate {
     unproven: bool,
     weight: usize,
+    /// Number of crashes at which a request with it had not begun to answer.
+    silent: usize,
+    /// Number of its requests at all crashes. Where crashes do not tell, the part of fewer requests is
+    /// held.
+    requests: Reverse<usize>,
     /// Number of parts that are in all its requests.
     company: usize,
     part: PartDigest,
 }
 
-/// Parts that are in the suspected requests of one crash.
+/// One request of a crash, without the parts that did not cause it.
+struct Suspect {
+    parts: BTreeSet<PartDigest>,
+    begun: bool,
+}
+
+/// A crash with the requests that may have caused it.
 struct OpenCrash {
     at: Timestamp,
-    requests: Vec<BTreeSet<PartDigest>>,
+    requests: Vec<Suspect>,
 }
 
 impl OpenCrash {
@@ -57,22 +69,29 @@
     /// known to have ended.
     fn new(crash: &Crash, evidence: &Evidence) -> Option<Self> {
         let is_suspect = |part: &&PartDigest| !evidence.is_cleared(part.0, crash.at);
-        let requests = crash
-            .requests
-            .iter()
-            .map(|request| request.parts.iter().filter(is_suspect).copied().collect());
+        let requests = crash.requests.iter().map(|request| Suspect {
+            parts: request.parts.iter().filter(is_suspect).copied().collect(),
+            begun: request.begun,
+        });
         (crash.fate == Fate::Ended).then(|| Self {
             at: crash.at,
             requests: requests.collect(),
         })
     }
 
+    /// Returns the requests with a part.
+    fn with(&self, part: PartDigest) -> impl Iterator<Item = &Suspect> {
+        let requests = self.requests.iter();
+        requests.filter(move |request| request.parts.contains(&part))
+    }
+
     fn holds(&self, part: PartDigest) -> bool {
-        self.requests.iter().any(|request| request.contains(&part))
+        self.with(part).next().is_some()
     }
 
     fn parts(&self) -> BTreeSet<PartDigest> {
-        self.requests.iter().flatten().copied().collect()
+        let parts = self.requests.iter().flat_map(|request| &request.parts);
+        parts.copied().collect()
     }
 }
 
@@ -109,6 +128,11 @@
         let unproven = sound.is_none_or(|begun| begun + PROVEN_TIME <= now);
         Candidate {
             unproven,
+            silent: open
+                .iter()
+                .filter(|crash| crash.with(part).any(|request| !request.begun))
+                .count(),
+            requests: Reverse(open.iter().map(|crash| crash.with(part).count()).sum()),
             weight: moments(
                 &times,
                 if unproven {
@@ -128,10 +152,10 @@
 
 /// Returns the parts that are in every suspected request with `part`.
 fn company(open: &[OpenCrash], part: PartDigest) -> BTreeSet<PartDigest> {
-    let requests = open.iter().flat_map(|crash| &crash.requests);
-    let mut with_part = requests.filter(|request| request.contains(&part));
-    let first = with_part.next().cloned().unwrap_or_default();
-    with_part.fold(first, |shared, request| &shared & request)
+    let requests = open.iter().flat_map(|crash| crash.with(part));
+    let mut parts = requests.map(|request| &request.parts);
+    let first = parts.next().cloned().unwrap_or_default();
+    parts.fold(first, |shared, parts| &shared & parts)
 }
 
 /// Returns the number of times, in ascending order, that are `apart` from the one counted before.
--- a/crates/core/tests/core/direct/containment.rs
+++ b/crates/core/tests/core/direct/containment.rs
@@ -296,6 +296,38 @@
     assert_eq!(pair.contain(&request(50, &[7, 50]), 4_200), [true, true]);
 }
 
+/// Guards against holding the parts that sound requests share, since all endpoints ended before any of
+/// these had run to its end: crashes alone do not tell then.
+#[test]
+fn parts_of_few_requests_are_held_where_crashes_do_not_tell() {
+    let mut entry = Containment::default();
+    for number in 0..4 {
+        let millis = number * 100;
+        // The crashing part is 7, the one of the sound requests is 9.
+        entry.record_break(
+            &request(number, &[5, 7, 100 + number]),
+            number,
+            false,
+            at(millis),
+        );
+        for beside in 0..3 {
+            let sound = request(50 + beside, &[5, 9, 200 + 10 * number + beside]);
+            entry.record_break(&sound, number, beside == 0, at(millis));
+        }
+        entry.record_end(number, at(millis + 1));
+    }
+    assert!(
+        entry
+            .contained(&request(90, &[5, 7, 90]), at(400))
+            .is_some()
+    );
+    assert!(
+        entry
+            .contained(&request(91, &[5, 9, 91]), at(400))
+            .is_none()
+    );
+}
+
 /// Guards against requests that broke off at an endpoint which lived, and count at its crash later.
 #[test]
 fn requests_of_an_endpoint_that_lived_are_no_evidence_of_its_crash() {
