--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -141,7 +141,7 @@
     /// Leaves an endpoint whose stream broke off. A request whose stream breaks off soon after its
     /// first event is suspected of crashing endpoints.
     pub(super) fn leave_broken(&self, source: &mut Source) {
-        self.log_broken(&source.record, source.events());
+        self.log_broken(&source.record, source.sent, source.events());
         self.context.upstream.close(&source.record.id);
         source.slot.release(Ending::Broken);
         self.record_break(&source.record, source.sent, source.begun());
@@ -150,10 +150,9 @@
     /// Checks whether the endpoint that broke off has crashed. The request is suspected of it, unless
     /// its answer began, at `begun`, so long ago that its run is sound.
     fn record_break(&self, record: &EndpointRecord, sent: Timestamp, begun: Option<Timestamp>) {
-        let now = clock::now();
+        let (incarnation, now) = (self.reached(record, sent), clock::now());
         let mut scheduler = self.context.scheduler.borrow_mut();
         let containment = scheduler.containment_mut();
-        let incarnation = containment.reached(record.incarnation(), sent);
         let is_unchecked = containment.observe_break(incarnation, now);
         if begun.is_none_or(|begun| now < begun + SOUND_TIME) {
             let fingerprint = &self.incoming.fingerprint;
@@ -166,6 +165,12 @@
         }
     }
 
+    /// Returns the incarnation of an endpoint that a request reached which was sent at `sent`.
+    fn reached(&self, record: &EndpointRecord, sent: Timestamp) -> u64 {
+        let scheduler = self.context.scheduler.borrow();
+        scheduler.containment().reached(record.incarnation(), sent)
+    }
+
     /// Counts the outcome of a send in the metrics.
     pub(super) fn count_send(&self, outcome: &str) {
         let sends = &self.context.metrics.sends;
@@ -179,8 +184,9 @@
 
     /// Logs that an endpoint broke off after `events` events of its answer, with what may have crashed
     /// it.
-    fn log_broken(&self, record: &EndpointRecord, events: u32) {
+    fn log_broken(&self, record: &EndpointRecord, sent: Timestamp, events: u32) {
         self.count_send("broken");
+        let incarnation = self.reached(record, sent);
         let head = &self.incoming.head;
         log::info!(
             request = head.id_text(),
@@ -188,7 +194,7 @@
             build:% = record.build,
             send = self.sends.get(),
             events = events,
-            incarnation:% = format_args!("{:x}", record.incarnation()),
+            incarnation:% = format_args!("{incarnation:x}"),
             digest:% = format_args!("{:x}", self.incoming.fingerprint.body.0),
             parts:% = prompt_parts::text(&head.parts);
             "broken"
@@ -205,7 +211,7 @@
         if error.is_unsent() {
             return self.handle_unsent(error, record, slot);
         }
-        self.log_broken(record, 0);
+        self.log_broken(record, sent, 0);
         self.leave_unanswered(error, record, slot);
         self.record_break(record, sent, None);
         SendFault::Unknown
@@ -220,10 +226,10 @@
     ) -> SendFault {
         self.log_outcome("unsent", record);
         if error.is_refused() {
+            let now = clock::now();
+            let incarnation = self.reached(record, now);
             let mut scheduler = self.context.scheduler.borrow_mut();
             let containment = scheduler.containment_mut();
-            let now = clock::now();
-            let incarnation = containment.reached(record.incarnation(), now);
             containment.record_end(incarnation, now);
         }
         self.leave_unanswered(error, record, slot);
@@ -292,7 +298,7 @@
         let body = match reading.await {
             Ok(body) => body,
             Err(error) => {
-                self.log_broken(record, 0);
+                self.log_broken(record, sent, 0);
                 log::info!(request = self.incoming.head.id_text(), endpoint:% = record.id; "no answer: {error}");
                 slot.end(Ending::Broken);
                 self.record_break(record, sent, Some(begun));
