--- a/crates/core/tests/core/direct/crashing_parts.rs
+++ b/crates/core/tests/core/direct/crashing_parts.rs
@@ -325,6 +325,18 @@
     }
 }
 
+/// Guards against holding the parts of sound requests, since every second request of the route crashes its
+/// endpoint.
+#[test]
+fn a_part_of_every_second_request_is_held_alone() {
+    for entries in [1, 3, 30] {
+        let mut day = Day::new(entries);
+        day.crashing = day.sound;
+        let played = Simulation::new(day).play();
+        assert_contained(&played, 2 * 12 + entries, &format!("{entries} entries"));
+    }
+}
+
 #[test]
 fn several_crashing_parts_are_told_apart() {
     for entries in [3, 30] {
