A test of an entry without evidence frees a part everywhere

Found by reading. An entry that has taken a hold over from its peers, as after a restart, but does not know the crashes, did not take the parts for suspected: a test that it let through and that went on freed nothing, there or elsewhere, and the part stayed held until the next test. And where only one of several parts was cleared there, the whole hold went, so that the other part was free at that entry. Now what is held is suspected, and a hold loses the parts that are cleared. Test of core, failed before.

--- a/crates/core/src/direct/containment.rs
+++ b/crates/core/src/direct/containment.rs
@@ -217,8 +217,9 @@
     }
 
     /// Takes over a hold of a peer. Returns whether it is new.
-    fn learn(&mut self, hold: Hold) -> bool {
-        if hold.parts.is_empty() || self.is_cleared(&hold) {
+    fn learn(&mut self, mut hold: Hold) -> bool {
+        self.clear_parts(&mut hold);
+        if hold.parts.is_empty() {
             return false;
         }
         let mut known = self.holds.iter_mut();
@@ -229,6 +230,7 @@
         let has_room = self.holds.len() < HOLD_LIMIT;
         if has_room {
             self.holds.push(hold);
+            self.watch_holds();
         }
         has_room
     }
@@ -254,32 +256,45 @@
         self.evidence.forget_source(source);
     }
 
-    fn is_cleared(&self, hold: &Hold) -> bool {
-        let mut parts = hold.parts.iter();
-        parts.any(|part| self.evidence.is_cleared(part.0, hold.evidence))
+    /// Removes the parts of a hold with which a run went on since the newest crash.
+    fn clear_parts(&self, hold: &mut Hold) {
+        let newest = hold.evidence;
+        hold.parts
+            .retain(|part| !self.evidence.is_cleared(part.0, newest));
     }
 
     /// Ends the holds of parts with which a run went on since the newest crash.
     fn release(&mut self, now: Timestamp) {
-        let before = self.holds.len();
-        let holds = std::mem::take(&mut self.holds);
-        let held = holds.into_iter().filter(|hold| !self.is_cleared(hold));
-        self.holds = held.collect();
-        if self.holds.len() < before {
+        let held = |holds: &[Hold]| holds.iter().map(|hold| hold.parts.len()).sum::<usize>();
+        let before = held(&self.holds);
+        self.keep_holds(|_| true);
+        if held(&self.holds) < before {
             self.update(now);
         }
     }
 
+    /// Keeps the holds that `is_kept` accepts, without their parts that are cleared.
+    fn keep_holds(&mut self, is_kept: impl Fn(&Hold) -> bool) {
+        let mut holds = std::mem::take(&mut self.holds);
+        for hold in &mut holds {
+            self.clear_parts(hold);
+        }
+        holds.retain(|hold| !hold.parts.is_empty() && is_kept(hold));
+        self.holds = holds;
+    }
+
+    /// Lets peers be told of runs that go on with the parts that are held.
+    fn watch_holds(&mut self) {
+        let parts = self.holds.iter().flat_map(|hold| &hold.parts);
+        self.evidence.set_held(parts.map(|part| part.0).collect());
+    }
+
     /// Holds what explains the crashes, and ends holds that no longer do.
     fn update(&mut self, now: Timestamp) {
         let causes = explanation::causes(&self.evidence, now);
-        let holds = std::mem::take(&mut self.holds);
         let explains = |hold: &Hold| causes.iter().any(|c| !c.parts.is_disjoint(&hold.parts));
         let is_recent = |hold: &Hold| now < hold.evidence + evidence::RETENTION;
-        let kept = holds.into_iter().filter(|hold| {
-            !self.is_cleared(hold) && (explains(hold) || !hold.explained || !is_recent(hold))
-        });
-        self.holds = kept.collect();
+        self.keep_holds(|hold| explains(hold) || !hold.explained || !is_recent(hold));
         for cause in &causes {
             let has_room = self.holds.len() < HOLD_LIMIT;
             let mut known = self.holds.iter_mut();
@@ -289,5 +304,6 @@
                 None => {}
             }
         }
+        self.watch_holds();
     }
 }
--- a/crates/core/src/direct/containment/evidence.rs
+++ b/crates/core/src/direct/containment/evidence.rs
@@ -91,6 +91,8 @@
     sound: SoundRuns,
     /// Digests that stand in a crash.
     suspected: BTreeSet<u64>,
+    /// Digests of the parts that are held.
+    held: BTreeSet<u64>,
     /// When runs of suspected digests began that went on.
     told: BTreeMap<u64, Observations>,
 }
@@ -222,9 +224,14 @@
         is_suspected
     }
 
-    /// Returns whether a digest stands in a crash.
+    /// Returns whether a digest stands in a crash or is held.
     pub(super) fn is_suspected(&self, digest: u64) -> bool {
-        self.suspected.contains(&digest)
+        self.suspected.contains(&digest) || self.held.contains(&digest)
+    }
+
+    /// Sets the digests of the parts that are held. Peers are told of their runs that go on.
+    pub(super) fn set_held(&mut self, held: BTreeSet<u64>) {
+        self.held = held;
     }
 
     /// Returns when the newest run began that went on.
@@ -251,9 +258,7 @@
             let requests = self.crashes.values().flat_map(|crash| &crash.requests);
             self.suspected = requests.flat_map(BrokenRequest::digests).collect();
         }
-        let suspected = &self.suspected;
-        self.told
-            .retain(|digest, told| suspected.contains(digest) && told.is_fresh(now));
+        self.told.retain(|_, told| told.is_fresh(now));
     }
 
     /// Applies what a source reports of crashes. Returns whether any of it is new.
--- a/crates/core/tests/core/direct/containment.rs
+++ b/crates/core/tests/core/direct/containment.rs
@@ -347,3 +347,30 @@
     assert_eq!(pair.contain(&request(90, &[7, 90]), 1_000), [true, true]);
     assert_eq!(pair.contain(&request(91, &[9, 91]), 1_000), [false, false]);
 }
+
+/// Guards against a part that stays held, although its test went on at an entry that knows the hold but
+/// not the crashes.
+#[test]
+fn a_test_of_an_entry_without_evidence_frees_a_part_everywhere() {
+    let mut pair = Pair::new();
+    for number in 0..3 {
+        let crashing = request(number, &[5, 7, 100 + number]);
+        pair.0[0].record_break(&crashing, number, false, at(number * 100));
+        pair.0[0].record_end(number, at(number * 100 + 1));
+    }
+    pair.exchange(6_000);
+    let test = request(50, &[5, 7, 50]);
+    assert_eq!(pair.contain(&test, 6_000), [true, true]);
+    assert!(pair.0[1].admit(&test, |_| 0, at(21_000)).is_ok());
+    pair.exchange(21_040);
+    let other = request(51, &[5, 7, 51]);
+    assert_eq!(
+        pair.contain(&other, 21_050),
+        [true, true],
+        "one test at a time"
+    );
+    assert!(pair.0[0].admit(&other, |_| 0, at(21_060)).is_err());
+    pair.0[1].record_sound(&test, at(21_100), at(22_100));
+    pair.exchange(22_140);
+    assert_eq!(pair.contain(&other, 22_150), [false, false]);
+}
