A failure does not free a part that crashes endpoints

Found by reading: an endpoint's sealed failure (500) counted as a run that went on, and cleared the parts of the request at all entries. Now only a complete success counts for parts.

--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -315,19 +315,22 @@
             "answered"
         );
         slot.end(ending);
-        self.record_completion(lease, begun);
+        // An endpoint that fails may have begun no answer.
+        if ending == Ending::Complete {
+            self.record_sound(begun);
+        }
+        self.record_completion(lease);
         let headers = answer_headers(&parts.headers);
         Ok(answer::complete(parts.status, headers, body))
     }
 
-    /// Keeps the connection of a complete answer, which began at `begun`. The request is no longer
-    /// suspected of crashing endpoints.
-    pub(super) fn record_completion(&self, lease: Lease, begun: Timestamp) {
+    /// Keeps the connection of a complete answer. Equal requests are no longer suspected of crashing
+    /// endpoints.
+    pub(super) fn record_completion(&self, lease: Lease) {
         let upstream = self.context.upstream.clone();
         self.context
             .tasks
             .spawn_local(async move { upstream.put_back(lease).await });
-        self.record_sound(begun);
         let mut scheduler = self.context.scheduler.borrow_mut();
         scheduler
             .containment_mut()
--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -261,7 +261,8 @@
         dispatch.count_answer(StatusCode::OK, "endpoint");
         let begun = source.begun().unwrap_or_else(clock::now);
         source.slot.end(Ending::Complete);
-        dispatch.record_completion(source.lease, begun);
+        dispatch.record_sound(begun);
+        dispatch.record_completion(source.lease);
     }
 
     /// Logs the end of a stream that did not complete.
