--- a/crates/core/src/direct/containment/explanation.rs
+++ b/crates/core/src/direct/containment/explanation.rs
@@ -40,18 +40,40 @@
 /// A part that may be the cause of crashes. Causes are taken in descending order.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Candidate {
+    /// Whether no run with it went on lately.
     unproven: bool,
+    /// Number of crashes, those of one moment counted once.
     weight: usize,
     /// Number of crashes at which a request with it had not begun to answer.
     silent: usize,
-    /// Number of its requests at all crashes. Where crashes do not tell, the part of fewer requests is
-    /// held.
+    /// Number of its requests at all crashes: a wrong choice of few refuses few.
     requests: Reverse<usize>,
     /// Number of parts that are in all its requests.
     company: usize,
     part: PartDigest,
 }
 
+impl Candidate {
+    /// Creates the candidate of a part that is in the crashes at `times`, in ascending order.
+    fn new(part: PartDigest, times: &[Timestamp], is_proven: bool, open: &[OpenCrash]) -> Self {
+        let joint = if is_proven {
+            PROVEN_JOINT_TIME
+        } else {
+            JOINT_TIME
+        };
+        let is_silent = |crash: &&OpenCrash| crash.with(part).any(|request| !request.begun);
+        let requests = open.iter().map(|crash| crash.with(part).count());
+        Self {
+            unproven: !is_proven,
+            weight: moments(times, joint),
+            silent: open.iter().filter(is_silent).count(),
+            requests: Reverse(requests.sum()),
+            company: company(open, part).len(),
+            part,
+        }
+    }
+}
+
 /// One request of a crash, without the parts that did not cause it.
 struct Suspect {
     parts: BTreeSet<PartDigest>,
@@ -115,6 +137,7 @@
     causes
 }
 
+/// Returns the part that explains the open crashes best, if one explains enough of them.
 fn strongest(open: &[OpenCrash], evidence: &Evidence, now: Timestamp) -> Option<Candidate> {
     let mut times: BTreeMap<PartDigest, Vec<Timestamp>> = BTreeMap::new();
     for crash in open {
@@ -123,29 +146,11 @@
         }
     }
     times.retain(|_, times| times.len() >= CRASH_LIMIT);
-    let candidate = |(part, times): (PartDigest, Vec<Timestamp>)| {
+    let candidates = times.into_iter().map(|(part, times)| {
         let sound = evidence.sound_since(part.0);
-        let unproven = sound.is_none_or(|begun| begun + PROVEN_TIME <= now);
-        Candidate {
-            unproven,
-            silent: open
-                .iter()
-                .filter(|crash| crash.with(part).any(|request| !request.begun))
-                .count(),
-            requests: Reverse(open.iter().map(|crash| crash.with(part).count()).sum()),
-            weight: moments(
-                &times,
-                if unproven {
-                    JOINT_TIME
-                } else {
-                    PROVEN_JOINT_TIME
-                },
-            ),
-            company: company(open, part).len(),
-            part,
-        }
-    };
-    let candidates = times.into_iter().map(candidate);
+        let is_proven = sound.is_some_and(|begun| now < begun + PROVEN_TIME);
+        Candidate::new(part, &times, is_proven, open)
+    });
     let strong = candidates.filter(|candidate| candidate.weight >= CRASH_LIMIT);
     strong.max()
 }
