Modules for digests, sources of reports, placement requests and optional policies

Cause: fourteen files of core::direct depended on each other in a circle, tied by `digest` (endpoint table), `Scope` and `Source` (report), `PlacementRequest` and `Ticket` (scheduler), so that a new decision could not stand beside the scheduler. Change: these types are in modules that use nothing of the others. Placement requests name their team and the time that their caller had spent before. `Policies` holds the switches of optional decisions, read from a section of the settings that may be absent; all are off by default, and none is read yet. No decision changes. Ruled out: traits between the parts; the set is closed.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -9,6 +9,7 @@
 mod confirmation;
 mod containment;
 mod departures;
+mod digest;
 mod endpoint_table;
 mod event_interval;
 mod latency_model;
@@ -17,7 +18,9 @@
 mod members;
 mod origin_lookup;
 mod peer_notices;
+mod placement_request;
 mod plan;
+mod policies;
 mod process_lag;
 mod rate_limit;
 mod read_cursor;
@@ -28,6 +31,7 @@
 mod retry_budget;
 mod scheduler;
 mod send_window;
+mod source;
 mod spending;
 pub mod stall;
 mod store_progress;
@@ -43,34 +47,36 @@
     HoldStatement, SOUND_TIME, SoundStatement,
 };
 pub use departures::DepartedEndpoint;
+pub use digest::digest;
 pub use endpoint_table::{
-    Availability, EndpointState, EndpointTable, Load, Notice, NoticeEffect, PAUSE_LIMIT, Pause,
-    Run, digest,
+    Availability, EndpointState, EndpointTable, Load, Notice, NoticeEffect, PAUSE_LIMIT, Pause, Run,
 };
 pub use event_interval::EventInterval;
 pub use latency_model::LatencyModel;
 pub use lending::LendingMessage;
 pub use members::Members;
 pub use origin_lookup::{LookupResult, LookupStep, OriginMessage, OriginSource};
+pub use placement_request::{PlacementRequest, Ticket};
 pub use plan::{
     Access, EndpointId, EndpointRecord, Plan, PlanTeam, RetryPolicy, Route, ServicePlan, Unit,
     WeightedService,
 };
+pub use policies::Policies;
 pub use process_lag::ProcessLag;
 pub use rate_limit::{FleetView, RateExceeded, RateLimiter, RatePolicy};
 pub use read_cursor::ReadCursor;
 pub use report::{
-    Echo, EndpointLoad, EndpointNotice, Identity, Incarnation, MemberStatus, Report, Scope,
-    ServiceLoad, Source,
+    Echo, EndpointLoad, EndpointNotice, Identity, Incarnation, MemberStatus, Report, ServiceLoad,
 };
 pub use request_limit::{LimitChange, LimitNotice, LimitStatement, RequestLimit};
 pub use restoration::{RECOVERY_TIME, Restoration};
 pub use retry_budget::RetryBudget;
 pub use scheduler::{
-    Bounds, Ending, Outcome, Placement, PlacementRefusal, PlacementRequest, Reason, Released,
-    ReportEffect, Restored, Scheduler, Snapshot, Ticket, Totals,
+    Bounds, Ending, Outcome, Placement, PlacementRefusal, Reason, Released, ReportEffect, Restored,
+    Scheduler, Snapshot, Totals,
 };
 pub use send_window::{SendWindow, split_limit};
+pub use source::{Scope, Source};
 pub use store_progress::{Section, SectionStatus, StoreProgress};
 pub use store_revision::StoreRevision;
 pub use stream_origins::{Origin, StreamDigest, StreamOrigins};
--- a/crates/core/src/direct/containment.rs
+++ b/crates/core/src/direct/containment.rs
@@ -24,7 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::report::{Scope, Source};
+use super::source::{Scope, Source};
 use crate::request::{BodyDigest, PartDigest};
 use crate::time::Timestamp;
 use evidence::Evidence;
--- a/crates/core/src/direct/containment/evidence.rs
+++ b/crates/core/src/direct/containment/evidence.rs
@@ -6,8 +6,8 @@
 
 use super::observations::{Observations, SoundRuns};
 use super::statement::{BrokenRequest, CrashStatement, Fate, SoundStatement};
-use crate::direct::endpoint_table::digest;
-use crate::direct::report::{Scope, Source};
+use crate::direct::digest::digest;
+use crate::direct::source::{Scope, Source};
 use crate::time::{Timestamp, whole_millis};
 
 /// Time for which a crash is remembered.
--- a/crates/core/src/direct/containment/observations.rs
+++ b/crates/core/src/direct/containment/observations.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use crate::direct::report::{Scope, Source};
+use crate::direct::source::{Scope, Source};
 use crate::time::Timestamp;
 
 /// Time for which an observation is reported to peers.
--- a/crates/core/src/direct/endpoint_table.rs
+++ b/crates/core/src/direct/endpoint_table.rs
@@ -11,29 +11,22 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::build_history::BuildHistory;
+use super::digest::digest;
 use super::event_interval::EventInterval;
 use super::plan::{EndpointId, EndpointRecord};
-use super::report::{EndpointLoad, Incarnation, Source};
+use super::report::{EndpointLoad, Incarnation};
 use super::send_window::SendWindow;
+use super::source::Source;
 use super::store_revision::StoreRevision;
 use crate::time::{Timestamp, whole_millis};
 use availability::FormerEndpoints;
 use service_baseline::ServiceBaseline;
 
-/// Returns a digest that identifies a name or an address in reports between entries of one version.
-#[must_use]
-pub fn digest<T: Hash + ?Sized>(value: &T) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    value.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// The known endpoints.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
--- a/crates/core/src/direct/members/member.rs
+++ b/crates/core/src/direct/members/member.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::{MISSED_REPORTS, SILENCE_LIMIT};
-use crate::direct::endpoint_table::digest;
+use crate::direct::digest::digest;
 use crate::direct::report::Identity;
 use crate::time::Timestamp;
 
--- a/crates/core/src/direct/peer_notices.rs
+++ b/crates/core/src/direct/peer_notices.rs
@@ -6,8 +6,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use super::report::{EndpointNotice, Incarnation, Scope, Source};
+use super::report::{EndpointNotice, Incarnation};
 use super::request_limit::{LimitStatement, RequestLimit};
+use super::source::{Scope, Source};
 use crate::time::{Timestamp, whole_millis};
 
 /// Most notices in one report.
--- a/crates/core/src/direct/plan.rs
+++ b/crates/core/src/direct/plan.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::endpoint_table::digest;
+use super::digest::digest;
 use crate::id::KeyDigest;
 
 /// Id of an endpoint.
--- a/crates/core/src/direct/rendezvous.rs
+++ b/crates/core/src/direct/rendezvous.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use super::endpoint_table::digest;
+use super::digest::digest;
 
 /// Returns the position of an entry in the order of one item.
 pub(super) fn rank_key(item: u64, address: SocketAddr) -> u64 {
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -12,9 +12,7 @@
 mod restoration;
 mod snapshot;
 
-pub use message::{
-    Bounds, Ending, Outcome, Placement, PlacementRefusal, PlacementRequest, Reason, Ticket, Totals,
-};
+pub use message::{Bounds, Ending, Outcome, Placement, PlacementRefusal, Reason, Totals};
 pub use reports::ReportEffect;
 pub use restoration::{Released, Restored};
 pub use snapshot::Snapshot;
@@ -35,11 +33,14 @@
 use super::members::Members;
 use super::origin_lookup::OriginLookup;
 use super::peer_notices::PeerNotices;
+use super::placement_request::{PlacementRequest, Ticket};
 use super::plan::{EndpointId, Plan};
+use super::policies::Policies;
 use super::rate_limit::RateLimiter;
-use super::report::{Identity, ServiceLoad, Source};
+use super::report::{Identity, ServiceLoad};
 use super::restoration::Restoration;
 use super::retry_budget::RetryBudget;
+use super::source::Source;
 use super::spending::Spending;
 use super::store_progress::StoreProgress;
 use super::stream_origins::StreamOrigins;
@@ -82,6 +83,7 @@
     centre: Arc<str>,
     seeds: Vec<SocketAddr>,
     bounds: Bounds,
+    policies: Policies,
     plan: Arc<Plan>,
     endpoints: EndpointTable,
     departures: Departures,
@@ -127,7 +129,7 @@
         let identity = Identity {
             boot,
             started: 0,
-            centre: super::endpoint_table::digest(&centre),
+            centre: super::digest::digest(&centre),
             capacity: DEFAULT_CAPACITY,
             leaving: false,
         };
@@ -137,6 +139,7 @@
             centre,
             seeds,
             bounds,
+            policies: Policies::default(),
             plan: Arc::default(),
             endpoints: EndpointTable::default(),
             departures: Departures::default(),
@@ -172,6 +175,13 @@
         self
     }
 
+    /// Sets the optional decisions.
+    #[must_use]
+    pub const fn with_policies(mut self, policies: Policies) -> Self {
+        self.policies = policies;
+        self
+    }
+
     /// Sets the time at which this process started.
     #[must_use]
     pub const fn with_start(mut self, started: Timestamp) -> Self {
@@ -210,9 +220,7 @@
         for team in &plan.teams {
             let (rate, burst) = (team.rate, team.burst);
             let policy = self.bounds.rate_policy;
-            let limiter = self
-                .rate_limiters
-                .entry(super::endpoint_table::digest(&team.name));
+            let limiter = self.rate_limiters.entry(super::digest::digest(&team.name));
             limiter
                 .and_modify(|limiter| limiter.configure(rate, burst))
                 .or_insert_with(|| RateLimiter::new(rate, burst, policy, now));
--- a/crates/core/src/direct/scheduler/availability.rs
+++ b/crates/core/src/direct/scheduler/availability.rs
@@ -8,7 +8,8 @@
 use super::{PlacementRequest, Reason, Scheduler};
 use crate::direct::endpoint_table::{EndpointState, Notice, NoticeEffect};
 use crate::direct::plan::EndpointRecord;
-use crate::direct::report::{EndpointNotice, Scope, Source};
+use crate::direct::report::EndpointNotice;
+use crate::direct::source::{Scope, Source};
 use crate::time::Timestamp;
 
 /// Time after the first endpoint takes requests again in which refused callers may return, each at a random time.
--- a/crates/core/src/direct/scheduler/limits.rs
+++ b/crates/core/src/direct/scheduler/limits.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::Scheduler;
-use crate::direct::endpoint_table::digest;
+use crate::direct::digest::digest;
 use crate::direct::members::{ASSUMED_MEMBERS, DISCOVERY_TIME};
 use crate::direct::plan::{EndpointId, PlanTeam};
 use crate::direct::rate_limit::{FleetView, RateExceeded};
--- a/crates/core/src/direct/scheduler/message.rs
+++ b/crates/core/src/direct/scheduler/message.rs
@@ -1,54 +1,13 @@
-//! Requests to the scheduler of a direct entry, its decisions, and its settings.
+//! Decisions of the scheduler of a direct entry, and its settings.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use strum::IntoStaticStr;
 
 use crate::direct::endpoint_table::Run;
-use crate::direct::plan::{EndpointId, EndpointRecord};
+use crate::direct::plan::EndpointRecord;
 use crate::direct::rate_limit::RatePolicy;
 use crate::direct::topology::Role;
-use crate::time::Timestamp;
-
-/// Identifies a placement request within its entry.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(pub u64);
-
-/// A request for a slot at an endpoint.
-#[derive(Debug, Clone)]
-pub struct PlacementRequest {
-    /// Identifier of the request.
-    pub ticket: Ticket,
-    /// Name of the service that the request is for.
-    pub service: Arc<str>,
-    /// The build that has to run the request, if it goes on with a stream.
-    pub build: Option<Arc<str>>,
-    /// Kind of the request: the name of its route.
-    pub kind: Arc<str>,
-    /// Urgency of the team, which takes precedence over that of the route; zero is the most urgent.
-    pub team_rank: u8,
-    /// Urgency of the route; zero is the most urgent.
-    pub rank: u8,
-    /// Tokens of the prompt.
-    pub prompt: u64,
-    /// Estimated tokens of the answer.
-    pub length: u64,
-    /// Whether the answer is a stream.
-    pub streaming: bool,
-    /// Time at which the request arrived.
-    pub arrived: Timestamp,
-    /// Time by which the answer has to start.
-    pub objective: Timestamp,
-    /// Time at which the caller stops waiting.
-    pub deadline: Timestamp,
-    /// Longest acceptable interval between two events of the answer.
-    pub event_gap: Option<Duration>,
-    /// Endpoints that must not receive the request again.
-    pub excluded: Vec<EndpointId>,
-    /// Average slot time of requests of this kind; set by the scheduler.
-    pub average_time: Duration,
-}
 
 /// The endpoint chosen for a request.
 #[derive(Debug, Clone)]
@@ -91,7 +50,7 @@
     pub retry_after: Duration,
 }
 
-/// The decision on a [`PlacementRequest`].
+/// The decision on a placement request.
 #[derive(Debug, Clone)]
 pub enum Outcome {
     /// The request is sent to an endpoint.
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -12,7 +12,8 @@
 use rand::Rng;
 
 use super::{Outcome, Placement, PlacementRequest, Scheduler};
-use crate::direct::endpoint_table::{EndpointState, digest};
+use crate::direct::digest::digest;
+use crate::direct::endpoint_table::EndpointState;
 use crate::direct::members::ASSUMED_MEMBERS;
 use crate::direct::plan::EndpointId;
 use crate::direct::send_window::split_limit;
--- a/crates/core/src/direct/scheduler/reports.rs
+++ b/crates/core/src/direct/scheduler/reports.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use super::{Demand, Scheduler};
-use crate::direct::endpoint_table::digest;
+use crate::direct::digest::digest;
 use crate::direct::load_sum::LoadSum;
 use crate::direct::members::loss_limit;
-use crate::direct::report::{EndpointLoad, Report, Scope, ServiceLoad, Source};
+use crate::direct::report::{EndpointLoad, Report, ServiceLoad};
+use crate::direct::source::{Scope, Source};
 use crate::direct::spending::ReportedCounters;
 use crate::direct::store_progress::{Section, StoreProgress, retry_delay};
 use crate::direct::store_revision::StoreRevision;
--- a/crates/core/src/direct/scheduler/snapshot.rs
+++ b/crates/core/src/direct/scheduler/snapshot.rs
@@ -8,7 +8,7 @@
 
 use super::Scheduler;
 use crate::direct::departures::DepartedEndpoint;
-use crate::direct::endpoint_table::digest;
+use crate::direct::digest::digest;
 use crate::direct::plan::{EndpointRecord, Plan};
 use crate::direct::store_progress::Section;
 use crate::direct::store_revision::StoreRevision;
--- a/crates/core/src/direct/spending.rs
+++ b/crates/core/src/direct/spending.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use super::report::{Scope, Source};
+use super::source::{Scope, Source};
 
 /// Largest counter that is taken over from a report. No fleet spends as much; a larger one is damaged,
 /// and sums of it would overflow.
--- a/crates/core/src/direct/topology.rs
+++ b/crates/core/src/direct/topology.rs
@@ -13,7 +13,8 @@
 use std::time::Duration;
 
 use super::members::{Member, Members, Precedence};
-use super::report::{Identity, MemberStatus, Scope};
+use super::report::{Identity, MemberStatus};
+use super::source::Scope;
 use crate::time::Timestamp;
 
 /// Number of entries up to which every entry reports to every other one.
--- a/crates/core/src/direct/wait_queue.rs
+++ b/crates/core/src/direct/wait_queue.rs
@@ -10,7 +10,7 @@
 
 use crate::time::Timestamp;
 
-use super::scheduler::{PlacementRequest, Ticket};
+use super::placement_request::{PlacementRequest, Ticket};
 
 /// First of the ranks that are served as one.
 const SHARED_RANK: u8 = 1;
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -57,6 +57,8 @@
     /// When the caller's deadline or the route's timeout ends, whichever is earlier.
     deadline: Timestamp,
     objective: Timestamp,
+    /// Time that the caller had spent before, as far as its deadline shows it.
+    elapsed: Duration,
     excluded: RefCell<Vec<EndpointId>>,
     sends: Cell<u32>,
     /// Number of sends that may have reached an endpoint.
@@ -118,6 +120,7 @@
         Self {
             deadline: incoming.arrived + time_limit,
             objective: incoming.arrived + objective,
+            elapsed,
             context,
             incoming,
             service,
@@ -261,12 +264,14 @@
             build: self.build().cloned(),
             kind: Arc::clone(&head.route.name),
             average_time: Duration::ZERO,
+            team: head.team_digest(),
             team_rank: head.team_rank(),
             rank: head.route.rank,
             prompt: head.cost.map_or(0, |cost| u64::from(cost.prompt)),
             length: head.length,
             streaming: head.route.streaming,
             arrived: self.incoming.arrived,
+            elapsed: self.elapsed,
             objective,
             deadline: self.deadline,
             event_gap: head.route.event_gap,
--- a/crates/direct/src/incoming.rs
+++ b/crates/direct/src/incoming.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use comfreyhaven_core::direct::{Access, Fingerprint, Plan, PlanTeam, Route, Unit};
+use comfreyhaven_core::direct::{Access, Fingerprint, Plan, PlanTeam, Route, Unit, digest};
 use comfreyhaven_core::refusal::RefusalKind;
 use comfreyhaven_core::request::{Cost, PartDigest};
 use comfreyhaven_core::{KeyDigest, Timestamp};
@@ -84,6 +84,11 @@
         self.id.to_str().unwrap_or("-")
     }
 
+    /// Returns the digest of the team's name, or zero without a team.
+    pub(crate) fn team_digest(&self) -> u64 {
+        self.team.as_ref().map_or(0, |team| digest(&team.name))
+    }
+
     /// Returns the rank of the team, which takes precedence over that of the route.
     pub(crate) fn team_rank(&self) -> u8 {
         let team = self.team.as_ref().and_then(|team| team.rank);
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -98,6 +98,7 @@
     let Settings {
         addresses,
         bounds,
+        policies,
         time_limits,
         capacity,
         ..
@@ -122,6 +123,7 @@
         boot,
     )
     .with_capacity(capacity)
+    .with_policies(policies)
     .with_start(clock::now());
     let (tasks, callers) = (TaskTracker::new(), TaskTracker::new());
     let context = Context::new(
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -5,7 +5,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use comfreyhaven_core::direct::{Bounds, RECOVERY_TIME, RatePolicy};
+use comfreyhaven_core::direct::{Bounds, Policies, RECOVERY_TIME, RatePolicy};
 use derive_more::{Display, Error};
 use ini::Ini;
 
@@ -27,6 +27,8 @@
     pub addresses: Addresses,
     /// Bounds that all entries of the fleet keep together.
     pub bounds: Bounds,
+    /// Optional decisions.
+    pub policies: Policies,
     /// Processor share of this entry, in thousandths of a core.
     pub capacity: u16,
     /// Time limits of this entry.
@@ -103,6 +105,28 @@
         }
     }
 
+    /// Reads a switch, which is off if it is not set.
+    fn switch(&self, name: &'static str) -> Result<bool, SettingsError> {
+        const EXPECTED: &str = "true or false";
+        match self.text(name, EXPECTED) {
+            Ok(_) => self.value(name, EXPECTED),
+            Err(_) => Ok(false),
+        }
+    }
+
+    /// Reads a part of a whole, which is zero if it is not set.
+    fn part(&self, name: &'static str) -> Result<f64, SettingsError> {
+        const EXPECTED: &str = "a number from 0 to 1";
+        let Ok(text) = self.text(name, EXPECTED) else {
+            return Ok(0.0);
+        };
+        let value: f64 = self.value(name, EXPECTED)?;
+        match (0.0..=1.0).contains(&value) {
+            true => Ok(value),
+            false => Err(self.malformed(name, text, EXPECTED)),
+        }
+    }
+
     fn number(&self, name: &'static str) -> Result<f64, SettingsError> {
         const EXPECTED: &str = "a number that is not negative";
         let value: f64 = self.value(name, EXPECTED)?;
@@ -200,6 +224,7 @@
         Ok(Self {
             addresses,
             bounds,
+            policies: policies(file)?,
             capacity: (cores * 1_000.0).clamp(1.0, f64::from(u16::MAX)) as u16,
             time_limits,
             store,
@@ -208,6 +233,21 @@
     }
 }
 
+/// Reads the optional decisions. Those that are not set are off.
+fn policies(file: &Ini) -> Result<Policies, SettingsError> {
+    let section = Reader {
+        file,
+        section: "policies",
+    };
+    Ok(Policies {
+        team_shares: section.switch("team shares")?,
+        return_places: section.switch("return places")?,
+        slot_shares: section.switch("slot shares")?,
+        stream_backups: section.switch("stream backups")?,
+        hedge_part: section.part("hedge part")?,
+    })
+}
+
 /// Parses the seeds. The setting names them with another of their ports; entries exchange reports
 /// on `port`, the first of the shared range.
 fn seeds(entry: &Reader<'_>, port: u16) -> Result<Vec<SocketAddr>, SettingsError> {
