Check of a configuration of direct entries before it is sent

Cause: operators learned of a route that never matches, a key of two teams or a limit that contradicts another one only from the callers. `comfreyhaven check` knew the documents of the agents' deployment alone. Change: the entries and the check read the same PlanDraft, from which the entries build the configuration in force. `core::direct::plan_check` finds errors, entries that can never match and contradictions; `plan_diff` says what changes, dangerous first; the platform's folder adds JSON paths. Ruled out: a second reader for the tool (check and programs would disagree in time). Tests: each damaged case goes through both, and the finding's claim is compared with the configuration that the entries build; random bytes and damaged values make neither panic. Left out, since the configuration does not say it: rates against the capacity of slots.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,6 +1,7 @@
 //! The subcommands and their arguments.
 
 mod check;
+mod check_plan;
 mod completion;
 mod diff;
 mod explain;
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use comfreyhaven_config::Problems;
+use comfreyhaven_direct::store::StoreError;
 use comfreyhaven_process::dial::DialError;
 use derive_more::{Display, Error, From};
 
@@ -54,6 +55,28 @@
     #[display("{_0:?} is not a request id: expected the value of x-comfreyhaven-request")]
     #[from(ignore)]
     NoRequest(#[error(not(source))] String),
+    /// A configuration of direct entries cannot be decoded.
+    #[display("{path:?} is no configuration of direct entries: {source}")]
+    #[from(ignore)]
+    Undecodable {
+        /// Path of the file.
+        path: String,
+        /// Where decoding failed, and why.
+        source: serde_json::Error,
+    },
+    /// The platform's store cannot be read.
+    #[display("store {address}: {source}")]
+    #[from(ignore)]
+    Store {
+        /// Address of the store.
+        address: SocketAddr,
+        /// Cause of the failure.
+        source: StoreError,
+    },
+    /// The platform's store holds no configuration that can be decoded.
+    #[display("store {_0} holds no configuration that can be decoded")]
+    #[from(ignore)]
+    NoPlan(#[error(not(source))] SocketAddr),
     /// A value could not be printed as JSON.
     #[display("cannot print JSON: {_0}")]
     Json(serde_json::Error),
@@ -98,6 +121,9 @@
             | Self::Empty(_)
             | Self::NoRequest(_)
             | Self::Ask { .. }
+            | Self::Undecodable { .. }
+            | Self::Store { .. }
+            | Self::NoPlan(_)
             | Self::Json(_) => 2,
         }
     }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -205,3 +205,60 @@
     let without_source = run(&["explain", "4d93"]);
     assert_eq!(without_source.status.code(), Some(2));
 }
+
+/// Returns a directory with a configuration of direct entries in force, and its damaged successor.
+fn plan_directory() -> TempDir {
+    let directory = tempfile::tempdir().expect("cannot create a temporary directory");
+    let write = |name: &str, text: &str| {
+        std::fs::write(directory.path().join(name), text).expect("cannot write the file");
+    };
+    write("now.json", include_str!("plans/now.json"));
+    write("next.json", include_str!("plans/next.json"));
+    directory
+}
+
+fn check_plan(arguments: &[&str]) -> String {
+    let directory = plan_directory();
+    let (now, next) = (
+        directory.path().join("now.json"),
+        directory.path().join("next.json"),
+    );
+    let mut all = vec!["check", next.to_str().expect("UTF-8"), "--in-force"];
+    all.push(now.to_str().expect("UTF-8"));
+    all.extend(arguments);
+    shown(directory.path(), &run(&all))
+}
+
+#[test]
+fn check_of_a_plan_lists_findings_and_dangerous_changes_first() {
+    insta::assert_snapshot!(check_plan(&[]));
+}
+
+#[test]
+fn check_of_a_plan_prints_json() {
+    insta::assert_snapshot!(check_plan(&["--output", "json"]));
+}
+
+#[test]
+fn check_of_a_sound_plan_succeeds() {
+    let directory = plan_directory();
+    let now = directory.path().join("now.json");
+    let output = run(&["check", now.to_str().expect("UTF-8")]);
+    insta::assert_snapshot!(shown(directory.path(), &output));
+}
+
+#[test]
+fn check_of_a_plan_that_cannot_be_read_fails() {
+    let directory = plan_directory();
+    let file = directory.path().join("next.json");
+    std::fs::write(&file, "{\"version\": 7, \"routes\": [{}]}").expect("cannot write the file");
+    let output = run(&["check", file.to_str().expect("UTF-8")]);
+    insta::assert_snapshot!(shown(directory.path(), &output));
+    let output = run(&[
+        "check",
+        file.to_str().expect("UTF-8"),
+        "--store",
+        "127.0.0.1:1",
+    ]);
+    assert_eq!(output.status.code(), Some(2));
+}
--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -20,6 +20,9 @@
 mod peer_notices;
 mod placement_request;
 mod plan;
+mod plan_check;
+mod plan_diff;
+mod plan_draft;
 mod policies;
 mod process_lag;
 mod rate_limit;
@@ -61,6 +64,12 @@
     Access, EndpointId, EndpointRecord, Plan, PlanTeam, RetryPolicy, Route, ServicePlan, Unit,
     WeightedService,
 };
+pub use plan_check::{
+    Finding, LimitField, Place, Problem, RouteField, ServiceField, Severity, Surroundings,
+    TeamField, check_plan,
+};
+pub use plan_diff::{Difference, Risk, diff_plans};
+pub use plan_draft::{PlanDraft, ServiceDraft, TeamDraft};
 pub use policies::Policies;
 pub use process_lag::ProcessLag;
 pub use rate_limit::{FleetView, RateExceeded, RateLimiter, RatePolicy};
