Bound the bytes held for callers and endpoints that read slowly

Cause: what an entry held was not bounded in all: answers of plain services were not counted from their last byte on, bodies of requests not at all, the system's send buffers grew to megabytes; and a stream whose caller left 32 frames unread was read no further, so that its engine cut it off.

Change: with `memory mb` in the settings, an entry reads streams on and holds at most a quarter of that memory, half of it for requests that are not over, 1/32 of it for one stream (core::direct::buffer_limit, no I/O). At the bound the callers with the most bytes times unread time are ended within their answers; a body without room is refused as not run. Without the key nothing is counted, and the channel, the buffers and the sockets are as before.

Ruled out: counting bodies as they arrive (200 bodies at once took the room from each other halfway: all 200 refused, where 17 fit); so the stated length is held at once.

Tests: core buffer_limit 7 of 7, platform slow_readers 5 of 5 (three of them fail without the key). Direct 10, core 220 and 34 passed.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -5,6 +5,7 @@
 //! start soonest, waits in the entry while all endpoints are full, and is refused at once if it
 //! cannot start in time. Entries exchange load reports and share no other state.
 
+mod buffer_limit;
 mod build_history;
 mod confirmation;
 mod containment;
@@ -40,6 +41,7 @@
 mod topology;
 mod wait_queue;
 
+pub use buffer_limit::{BufferLimit, BufferSizes, HoldError, HolderId, Holding};
 pub use build_history::{BuildHistory, SeenBuilds};
 pub use confirmation::Confirmation;
 pub use containment::{
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -1,6 +1,7 @@
 //! Tests of the direct entry: its components alone, and several entries over simulated endpoints.
 
 mod availability;
+mod buffer_limit;
 mod builds;
 mod cold;
 mod components;
--- a/crates/direct/src/body.rs
+++ b/crates/direct/src/body.rs
@@ -2,12 +2,15 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error, From};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::buffers::Holder;
+
 /// Largest answer that is buffered until it is complete, in bytes.
 pub(crate) const ANSWER_LIMIT_BYTES: usize = 8 << 20;
 
@@ -62,7 +65,7 @@
 }
 
 impl LargeAnswers {
-    /// Reads a body of at most `limit` bytes.
+    /// Reads a body of at most `limit` bytes, which `holder` holds if held bytes are bounded.
     ///
     /// # Errors
     /// Returns a [`BodyError`] if the body is too long, if other answers have used up what all may buffer
@@ -71,6 +74,7 @@
         &self,
         mut body: Incoming,
         limit: usize,
+        holder: Option<&Arc<Holder>>,
     ) -> Result<Bytes, BodyError> {
         let mut share = Share {
             answers: self.clone(),
@@ -85,6 +89,11 @@
             }
             let needed = length.saturating_sub(OWN_LIMIT_BYTES);
             share.take(needed - share.taken)?;
+            if let Some(holder) = holder {
+                holder
+                    .hold(bytes.len())
+                    .map_err(|_| BodyError::NoRoom(length))?;
+            }
             collected.extend_from_slice(&bytes);
         }
         Ok(collected.freeze())
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -19,6 +19,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::LargeAnswers;
+use crate::buffers::Buffers;
 use crate::clock;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
@@ -123,6 +124,8 @@
     pub upstream: Upstream,
     /// Answers that are read before they are sent to their callers.
     pub(crate) large_answers: LargeAnswers,
+    /// What is held for callers and endpoints.
+    pub buffers: Buffers,
     /// Header names of the platform.
     pub dialect: Dialect,
     /// Time limits of this entry.
@@ -157,13 +160,14 @@
         limits: TimeLimits,
         metrics: Metrics,
         tasks: TaskTracker,
-    ) -> Rc<Self> {
-        Rc::new(Self {
+    ) -> Self {
+        Self {
             scheduler: RefCell::new(scheduler),
             peers,
             origin_answers: Notify::new(),
             upstream: Upstream::new(tasks.clone()),
             large_answers: LargeAnswers::default(),
+            buffers: Buffers::default(),
             dialect,
             limits,
             tasks,
@@ -178,7 +182,14 @@
             change: Notify::new(),
             restoration: Notify::new(),
             longest_deadlines: RefCell::default(),
-        })
+        }
+    }
+
+    /// Sets what bounds the bytes that are held; without it they are not bounded in all.
+    #[must_use]
+    pub fn with_buffers(mut self, buffers: Buffers) -> Self {
+        self.buffers = buffers;
+        self
     }
 
     /// Returns whether the process is leaving.
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{Ending, EndpointRecord, SOUND_TIME, stall};
+use comfreyhaven_core::direct::{Ending, EndpointRecord, Holding, SOUND_TIME, stall};
 use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
@@ -294,7 +294,9 @@
         let begun = clock::now();
         let (response, lease) = reply.split();
         let (parts, body) = response.into_parts();
-        let reading = self.context.large_answers.collect(body, ANSWER_LIMIT_BYTES);
+        let holder = self.context.buffers.open(Holding::Request);
+        let answers = &self.context.large_answers;
+        let reading = answers.collect(body, ANSWER_LIMIT_BYTES, holder.as_ref());
         let body = match reading.await {
             Ok(body) => body,
             Err(error) => {
@@ -321,7 +323,12 @@
         }
         self.record_completion(lease);
         let headers = answer_headers(&parts.headers);
-        Ok(answer::complete(parts.status, headers, body))
+        Ok(match &holder {
+            Some(holder) => {
+                answer::held(parts.status, headers, body, holder, &self.incoming.head.id)
+            }
+            None => answer::complete(parts.status, headers, body),
+        })
     }
 
     /// Keeps the connection of a complete answer. Equal requests are no longer suspected of crashing
--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -7,15 +7,13 @@
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{Ending, stall};
 use comfreyhaven_core::refusal::RefusalKind;
-use hyper::body::Frame;
 use hyper::{Response, StatusCode};
-use tokio::sync::mpsc;
 
 use super::Dispatch;
 use super::attempt::Begun;
 use super::send::answer_headers;
 use super::source::{Next, Source, StreamStart};
-use crate::answer::{self, AnswerBody, Chunk};
+use crate::answer::{self, AnswerBody, StreamSender};
 use crate::clock;
 use crate::events::Event;
 
@@ -91,7 +89,12 @@
     }
     let waited = clock::now().since(dispatch.incoming.arrived);
     dispatch.context.metrics.first.observe(waited.as_secs_f64());
-    let (response, sender) = answer::streaming(head.status(), answer_headers(head.headers()));
+    let (response, sender) = answer::streaming(
+        head.status(),
+        answer_headers(head.headers()),
+        &dispatch.context.buffers,
+        &dispatch.incoming.head.id,
+    );
     let tasks = dispatch.context.tasks.clone();
     tasks.spawn_local(stream.forward(first, sender));
     response
@@ -99,31 +102,31 @@
 
 impl Stream {
     /// Forwards events until the stream ends, the caller disconnects or the deadline passes.
-    async fn forward(mut self, first: Step, sender: mpsc::Sender<Chunk>) {
+    async fn forward(mut self, first: Step, sender: StreamSender) {
         let first_byte = clock::now().since(self.dispatch.incoming.arrived);
         let mut step = first;
         loop {
             match step {
                 Step::Event(event) => {
-                    if sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
-                        return self.log_end("caller gone");
+                    if let Err(end) = sender.send(event.bytes).await {
+                        return self.log_end(end.into());
                     }
                 }
                 Step::End => return self.complete(first_byte),
                 Step::Interrupted => {
                     self.dispatch.count_answer(StatusCode::OK, "broken");
                     self.log_interruption();
-                    return answer::interrupt(sender).await;
+                    return sender.interrupt().await;
                 }
                 Step::DeadlinePassed => {
                     self.dispatch.count_answer(StatusCode::OK, "timeout");
                     self.log_end("timeout");
-                    return answer::interrupt(sender).await;
+                    return sender.interrupt().await;
                 }
             }
             step = tokio::select! {
                 step = self.next_step() => step,
-                () = sender.closed() => return self.log_end("caller gone"),
+                end = sender.closed() => return self.log_end(end.into()),
             };
         }
     }
--- a/crates/direct/src/endpoint_call.rs
+++ b/crates/direct/src/endpoint_call.rs
@@ -96,7 +96,7 @@
         let status = response.status();
         let reading = self
             .large_answers
-            .collect(response.into_body(), CALL_LIMIT_BYTES);
+            .collect(response.into_body(), CALL_LIMIT_BYTES, None);
         let body = reading.await.map_err(SendError::Body)?;
         self.upstream.put_back(lease).await;
         Ok((status, body))
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -13,13 +13,14 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::accept::accept;
-use crate::answer::{self, AnswerBody};
+use crate::answer::{self, AnswerBody, CallerEnd};
 use crate::clock;
 use crate::context::Context;
 use crate::dispatch::Dispatch;
@@ -71,7 +72,7 @@
 }
 
 async fn serve_connection(stream: TcpStream, context: Rc<Context>, stop: CancellationToken) {
-    if let Err(error) = upstream::detect_dead_peer(&stream) {
+    if let Err(error) = set_up(&stream, &context) {
         log::debug!("cannot set up a caller's connection: {error}");
         return;
     }
@@ -86,7 +87,8 @@
             if context.is_leaving() {
                 answer::set_close(&mut response);
             }
-            Ok::<_, Infallible>(response.map(|body| busy.wrap(body)))
+            let end = response.extensions_mut().remove::<CallerEnd>();
+            Ok::<_, Infallible>(response.map(|body| busy.wrap(body, end)))
         }
     });
     let mut connection = http1::Builder::new()
@@ -104,6 +106,10 @@
             ended = Pin::new(&mut connection) => break ended,
             overdue = phase.overdue(|| phase_limits(&context)) => match overdue {
                 Overdue::Idle => return log::info!("an idle connection of a caller is closed"),
+                Overdue::Unread(request) => {
+                    let id = request.to_str().unwrap_or("-");
+                    return log::info!(request = id; "a caller that reads too slowly is ended");
+                }
                 Overdue::Header => {
                     let stream = connection.into_parts().io.into_inner().into_inner();
                     return answer_timeout(stream).await;
@@ -121,6 +127,15 @@
     }
 }
 
+/// Sets the options of a caller's connection.
+fn set_up(stream: &TcpStream, context: &Context) -> std::io::Result<()> {
+    upstream::detect_dead_peer(stream)?;
+    match context.buffers.send_buffer() {
+        Some(bytes) => SockRef::from(stream).set_send_buffer_size(bytes),
+        None => Ok(()),
+    }
+}
+
 /// Returns the limits in force for callers' connections.
 fn phase_limits(context: &Context) -> PhaseLimits {
     let scheduler = context.scheduler.borrow();
@@ -169,18 +184,22 @@
         Ok(head) => head,
         Err(kind) => {
             // Closing with an unread body would reset the connection, and the answer could be lost.
-            drop(incoming::body(body, plan.body_bytes).await);
+            drop(incoming::body(body, plan.body_bytes, &context.buffers).await);
             return refuse(context, &parts, kind, None);
         }
     };
     if context.process_lag().sheds(head.route.rank) {
-        drop(incoming::body(body, plan.body_bytes).await);
+        drop(incoming::body(body, plan.body_bytes, &context.buffers).await);
         let retry = Some(LAG_RETRY_DELAY.min(head.deadline / 3));
         return refuse(context, &parts, RefusalKind::Overloaded, retry);
     }
-    let body = match incoming::body(body, plan.body_bytes).await {
+    let body = match incoming::body(body, plan.body_bytes, &context.buffers).await {
         Ok(body) => body,
-        Err(kind) => return refuse(context, &parts, kind, None),
+        Err(kind) => {
+            let is_full = kind == RefusalKind::Overloaded;
+            let retry = is_full.then(|| LAG_RETRY_DELAY.min(head.deadline / 3));
+            return refuse(context, &parts, kind, retry);
+        }
     };
     let now = clock::now();
     let team = head.team.as_ref().map(|team| team.name.clone());
--- a/crates/direct/src/header_timeout.rs
+++ b/crates/direct/src/header_timeout.rs
@@ -1,7 +1,8 @@
 //! Measures how long a caller's connection is idle, and how long the header of a request takes to
 //! arrive on it. A caller that sends its header byte by byte never becomes idle.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::future::pending;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -9,10 +10,21 @@
 use std::time::Duration;
 
 use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::HeaderValue;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::answer::CallerEnd;
+
+/// Waits until a time, or for ever without one.
+async fn sleep_until(end: Option<Instant>) {
+    match end {
+        Some(end) => tokio::time::sleep_until(end).await,
+        None => pending().await,
+    }
+}
+
 /// State of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
@@ -34,16 +46,20 @@
 }
 
 /// The limit that a connection has exceeded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Overdue {
     Idle,
     Header,
+    /// The caller has left too much unread of its answer to this request.
+    Unread(HeaderValue),
 }
 
 /// State of one connection, shared by its stream, its service and its header timeout.
 #[derive(Debug)]
 pub(crate) struct ConnectionPhase {
     state: Cell<State>,
+    /// Ends the caller of the last answer.
+    end: RefCell<Option<CallerEnd>>,
     changed: Notify,
 }
 
@@ -56,6 +72,7 @@
     pub(crate) fn new() -> Rc<Self> {
         Rc::new(Self {
             state: Cell::new(State::Idle(Instant::now())),
+            end: RefCell::default(),
             changed: Notify::new(),
         })
     }
@@ -67,6 +84,7 @@
 
     /// Records that a header is complete and its request is being answered.
     pub(crate) fn start_answer(self: &Rc<Self>) -> BusyGuard {
+        self.end.take();
         self.set(State::Busy);
         BusyGuard(Rc::clone(self))
     }
@@ -76,27 +94,40 @@
     pub(crate) async fn overdue(&self, limits: impl Fn() -> PhaseLimits) -> Overdue {
         loop {
             let (end, overdue) = match self.state.get() {
-                State::Idle(since) => (since + limits().idle, Overdue::Idle),
-                State::ReadingHeader(since) => (since + limits().header, Overdue::Header),
-                State::Busy => {
-                    self.changed.notified().await;
-                    continue;
-                }
+                State::Idle(since) => (Some(since + limits().idle), Overdue::Idle),
+                State::ReadingHeader(since) => (Some(since + limits().header), Overdue::Header),
+                State::Busy => (None, Overdue::Idle),
             };
-            if end <= Instant::now() {
+            if end.is_some_and(|end| end <= Instant::now()) {
                 return overdue;
             }
             tokio::select! {
-                () = tokio::time::sleep_until(end) => {}
+                () = sleep_until(end) => {}
+                request = self.unread() => return Overdue::Unread(request),
                 () = self.changed.notified() => {}
             }
         }
     }
+
+    /// Waits until the caller of the last answer is ended, and returns the request.
+    async fn unread(&self) -> HeaderValue {
+        let end = self.end.borrow().clone();
+        let Some(end) = end else {
+            return pending().await;
+        };
+        end.token.cancelled().await;
+        end.request
+    }
 }
 
 impl BusyGuard {
     /// Wraps the body of the answer, so that the connection stays busy until the body is dropped.
-    pub(crate) const fn wrap<B>(self, body: B) -> GuardedBody<B> {
+    /// `end` ends the caller while it reads the answer.
+    pub(crate) fn wrap<B>(self, body: B, end: Option<CallerEnd>) -> GuardedBody<B> {
+        if end.is_some() {
+            self.0.end.replace(end);
+            self.0.changed.notify_one();
+        }
         GuardedBody { body, _busy: self }
     }
 }
--- a/crates/direct/src/incoming.rs
+++ b/crates/direct/src/incoming.rs
@@ -1,19 +1,23 @@
 //! Reads a caller's request: its route, key, cost and deadline, and the headers that the endpoint
 //! receives.
 
+use std::error::Error;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use comfreyhaven_core::direct::{Access, Fingerprint, Plan, PlanTeam, Route, Unit, digest};
+use bytes::{Bytes, BytesMut};
+use comfreyhaven_core::direct::{
+    Access, Fingerprint, Holding, Plan, PlanTeam, Route, Unit, digest,
+};
 use comfreyhaven_core::refusal::RefusalKind;
 use comfreyhaven_core::request::{Cost, PartDigest};
 use comfreyhaven_core::{KeyDigest, Timestamp};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Collected, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 
+use crate::buffers::{Buffers, Holder};
 use crate::dialect::Dialect;
 use crate::prompt_parts;
 
@@ -189,17 +193,65 @@
     }))
 }
 
-/// Reads the body, which may have `limit` bytes.
-pub(crate) async fn body(body: Incoming, limit: usize) -> Result<Bytes, RefusalKind> {
+/// Reads the body, which may have `limit` bytes and is held until it is dropped.
+pub(crate) async fn body(
+    body: Incoming,
+    limit: usize,
+    buffers: &Buffers,
+) -> Result<Bytes, RefusalKind> {
     if body.size_hint().lower() > limit as u64 {
         return Err(RefusalKind::TooLarge);
     }
-    let reading = Limited::new(body, limit).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalKind::TooLarge),
-        Ok(Err(_)) | Err(_) => Err(RefusalKind::Malformed),
+    let body = Limited::new(body, limit);
+    let reading = async {
+        match buffers.open(Holding::Request) {
+            Some(holder) => collect_held(body, holder).await,
+            None => {
+                let collected = body.collect().await.map(Collected::to_bytes);
+                collected.map_err(|error| body_refusal(&*error))
+            }
+        }
+    };
+    let read = tokio::time::timeout(BODY_TIMEOUT, reading).await;
+    read.unwrap_or(Err(RefusalKind::Malformed))
+}
+
+/// Returns how a request is refused whose body cannot be read.
+fn body_refusal(error: &(dyn Error + 'static)) -> RefusalKind {
+    match error.is::<LengthLimitError>() {
+        true => RefusalKind::TooLarge,
+        false => RefusalKind::Malformed,
+    }
+}
+
+/// Reads a body that `holder` holds. The length that it states is held at once, so that bodies which
+/// arrive together do not take the room from each other halfway. A body for which there is no room is
+/// read to its end, since closing with an unread body would reset the connection.
+async fn collect_held(
+    mut body: Limited<Incoming>,
+    holder: Arc<Holder>,
+) -> Result<Bytes, RefusalKind> {
+    let mut held = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let mut result = holder.hold(held);
+    let mut collected = BytesMut::new();
+    while result.is_ok()
+        && let Some(frame) = body.frame().await
+    {
+        let frame = frame.map_err(|error| body_refusal(&*error))?;
+        let bytes = frame.into_data().unwrap_or_default();
+        collected.extend_from_slice(&bytes);
+        let more = collected.len().saturating_sub(held);
+        result = holder.hold(more);
+        held += more;
+    }
+    if result.is_ok() {
+        return Ok(holder.held_frame(collected.freeze()));
+    }
+    drop((holder, collected));
+    while let Some(frame) = body.frame().await {
+        frame.map_err(|error| body_refusal(&*error))?;
     }
+    Err(RefusalKind::Overloaded)
 }
 
 fn host(parts: &Parts) -> Option<String> {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -8,6 +8,7 @@
 mod accept;
 mod answer;
 mod body;
+pub mod buffers;
 pub mod clock;
 pub mod context;
 mod decimal;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -35,6 +35,10 @@
     pub waiting: IntGauge,
     /// Known entries, including this one.
     pub members: IntGauge,
+    /// Bytes held for callers and endpoints, if they are bounded.
+    pub held: IntGauge,
+    /// Callers that were ended since they read too slowly.
+    pub slow_callers: IntCounter,
     /// Milliseconds since the configuration was last confirmed.
     pub age: IntGauge,
     /// Milliseconds by which the knowledge of other entries lags behind on average.
@@ -72,8 +76,18 @@
             "Restorations of the store that this process has seen",
         )?;
         registry.register(Box::new(restorations.clone()))?;
+        let slow_callers = IntCounter::new(
+            "comfreyhaven_slow_callers_total",
+            "Callers that were ended since they read too slowly",
+        )?;
+        registry.register(Box::new(slow_callers.clone()))?;
         Ok(Self {
             restorations,
+            slow_callers,
+            held: gauge(
+                "comfreyhaven_held_bytes",
+                "Bytes held for callers and endpoints, if they are bounded",
+            )?,
             answers: counter(
                 "comfreyhaven_answers_total",
                 "Answers to callers by status and cause",
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::buffers::Buffers;
 use crate::clock;
 use crate::context::Context;
 use crate::dialect::Dialect;
@@ -101,6 +102,7 @@
         policies,
         time_limits,
         capacity,
+        memory,
         ..
     } = settings;
     let front = bind(addresses.front).await?;
@@ -114,6 +116,12 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Signal)?;
     let mut reload = signal(SignalKind::hangup()).map_err(StartError::Signal)?;
     let metrics = Metrics::new(Registry::new()).map_err(StartError::Metrics)?;
+    let buffers = match memory {
+        Some(memory) => {
+            Buffers::with_memory(memory, metrics.held.clone(), metrics.slow_callers.clone())
+        }
+        None => Buffers::default(),
+    };
     let boot = rand::random();
     let scheduler = Scheduler::new(
         addresses.peer,
@@ -134,6 +142,7 @@
         metrics,
         tasks.clone(),
     );
+    let context = Rc::new(context.with_buffers(buffers));
     let (stop, finish) = (CancellationToken::new(), CancellationToken::new());
     let store = Rc::new(store);
     for section in Section::ALL {
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -20,6 +20,9 @@
 /// still serves.
 const UNLISTED_PART: f64 = 0.6;
 
+/// Bytes of a megabyte, as settings count them.
+const BYTES_PER_MB: usize = 1 << 20;
+
 /// All settings of a process.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -31,6 +34,8 @@
     pub policies: Policies,
     /// Processor share of this entry, in thousandths of a core.
     pub capacity: u16,
+    /// Memory that the process may use, in bytes, if it is bounded.
+    pub memory: Option<usize>,
     /// Time limits of this entry.
     pub time_limits: TimeLimits,
     /// Address of the platform's store.
@@ -159,6 +164,7 @@
 
     fn read(file: &Ini) -> Result<Self, SettingsError> {
         const SOCKET: &str = "an address and a port, as in 10.0.0.1:80";
+        const MEMORY: &str = "the memory of this entry in MB, as in 256";
         const CORES: &str = "the processor cores of this entry, as in 0.5";
         let entry = Reader {
             file,
@@ -191,6 +197,10 @@
             Ok(_) => entry.number("processor cores")?,
             Err(_) => 1.0,
         };
+        let memory = match entry.text("memory mb", MEMORY) {
+            Ok(_) => Some(entry.number("memory mb")? as usize * BYTES_PER_MB),
+            Err(_) => None,
+        };
         let log_filter = entry
             .text("log", "a log filter, as in info")
             .unwrap_or("info")
@@ -226,6 +236,7 @@
             bounds,
             policies: policies(file)?,
             capacity: (cores * 1_000.0).clamp(1.0, f64::from(u16::MAX)) as u16,
+            memory,
             time_limits,
             store,
             log_filter,
