Fair shares of a service between teams, over all entries

Each entry now counts the work that teams ask for and that it starts, and reports it for services without room for all; water-filling over the sums gives each team's due. Order and admission follow it. Off by default (`[policies] team shares`).

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -37,6 +37,7 @@
 mod store_progress;
 mod store_revision;
 mod stream_origins;
+mod team_shares;
 mod topology;
 mod wait_queue;
 
@@ -72,12 +73,15 @@
 pub use restoration::{RECOVERY_TIME, Restoration};
 pub use retry_budget::RetryBudget;
 pub use scheduler::{
-    Bounds, Ending, Outcome, Placement, PlacementRefusal, Reason, Released, ReportEffect, Restored,
-    Scheduler, Snapshot, Totals,
+    Bounds, Ending, Outcome, Placement, PlacementRefusal, PressedTeam, Reason, Released,
+    ReportEffect, Restored, Scheduler, Snapshot, Totals,
 };
 pub use send_window::{SendWindow, split_limit};
 pub use source::{Scope, Source};
 pub use store_progress::{Section, SectionStatus, StoreProgress};
 pub use store_revision::StoreRevision;
 pub use stream_origins::{Origin, StreamDigest, StreamOrigins};
+pub use team_shares::{
+    Claim, Pool, PoolWork, Standing, TeamShares, TeamStatus, TeamWork, Weights, Work, water_level,
+};
 pub use topology::Role;
--- a/crates/core/src/direct/endpoint_table/observations.rs
+++ b/crates/core/src/direct/endpoint_table/observations.rs
@@ -5,6 +5,7 @@
 
 use super::endpoint_state::EndpointState;
 use super::{EndpointId, EndpointTable};
+use crate::direct::team_shares::Charge;
 use crate::time::Timestamp;
 
 /// Weight of a new outcome in an endpoint's average failure rate.
@@ -39,6 +40,8 @@
     /// Prompt tokens pending at the endpoint when the request was sent, including its own.
     ahead: u64,
     started: bool,
+    /// Work that the request's team is charged with.
+    pub(in crate::direct) charge: Option<Charge>,
 }
 
 impl EndpointTable {
@@ -57,6 +60,7 @@
             incarnation: state.incarnation,
             ahead: state.load().pending,
             started: false,
+            charge: None,
         })
     }
 
--- a/crates/core/src/direct/placement_request.rs
+++ b/crates/core/src/direct/placement_request.rs
@@ -47,4 +47,6 @@
     pub excluded: Vec<EndpointId>,
     /// Average slot time of requests of this kind; set by the scheduler.
     pub average_time: Duration,
+    /// Step of the team's excess over its share of the service; set by the scheduler.
+    pub share: u8,
 }
--- a/crates/core/src/direct/report.rs
+++ b/crates/core/src/direct/report.rs
@@ -11,6 +11,7 @@
 use super::request_limit::LimitStatement;
 use super::source::Scope;
 use super::store_progress::SectionStatus;
+use super::team_shares::PoolWork;
 
 /// Load of the reporter at one endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -144,4 +145,7 @@
     /// What endpoints have said of themselves.
     #[serde(default)]
     pub notices: Vec<EndpointNotice>,
+    /// Work of teams in services without room for all.
+    #[serde(default)]
+    pub shares: Vec<PoolWork>,
 }
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -10,12 +10,15 @@
 mod reports;
 mod request_limit;
 mod restoration;
+mod runs;
 mod snapshot;
+mod team_shares;
 
 pub use message::{Bounds, Ending, Outcome, Placement, PlacementRefusal, Reason, Totals};
 pub use reports::ReportEffect;
 pub use restoration::{Released, Restored};
 pub use snapshot::Snapshot;
+pub use team_shares::PressedTeam;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -28,7 +31,7 @@
 use super::confirmation::Confirmation;
 use super::containment::Containment;
 use super::departures::Departures;
-use super::endpoint_table::{EndpointTable, Run};
+use super::endpoint_table::EndpointTable;
 use super::lending::Lending;
 use super::members::Members;
 use super::origin_lookup::OriginLookup;
@@ -44,6 +47,7 @@
 use super::spending::Spending;
 use super::store_progress::StoreProgress;
 use super::stream_origins::StreamOrigins;
+use super::team_shares::{PoolWork, TeamShares};
 use super::topology::Topology;
 use super::wait_queue::{QueuePosition, WaitQueue};
 use crate::time::Timestamp;
@@ -67,6 +71,10 @@
 #[derive(Debug)]
 struct Demand {
     services: Vec<ServiceLoad>,
+    /// Work of teams in services without room for all.
+    shares: Vec<PoolWork>,
+    /// When the report arrived.
+    received: Timestamp,
     /// When the loads of the source are discarded unless it reports again.
     expires: Timestamp,
     /// Time before which all that the source did is known.
@@ -84,6 +92,7 @@
     seeds: Vec<SocketAddr>,
     bounds: Bounds,
     policies: Policies,
+    shares: TeamShares,
     plan: Arc<Plan>,
     endpoints: EndpointTable,
     departures: Departures,
@@ -140,6 +149,7 @@
             seeds,
             bounds,
             policies: Policies::default(),
+            shares: TeamShares::default(),
             plan: Arc::default(),
             endpoints: EndpointTable::default(),
             departures: Departures::default(),
@@ -294,6 +304,7 @@
     /// [`Scheduler::process_queues`] then returns its outcome.
     pub fn submit(&mut self, mut request: PlacementRequest, now: Timestamp) -> Option<Outcome> {
         request.average_time = self.average_slot_time(&request);
+        request.share = self.share_step(&request, now);
         let late = self.is_late(&request, now);
         if self.has_no_endpoint(&request, now) {
             let absence = self.absence(&request.service, request.build.as_deref(), now);
@@ -339,6 +350,7 @@
     /// long.
     pub fn process_queues(&mut self, now: Timestamp) -> Vec<(Ticket, Outcome)> {
         let mut outcomes = Vec::new();
+        self.refresh_shares(now);
         let services: Vec<_> = self
             .queues
             .iter()
@@ -450,34 +462,6 @@
         }
     }
 
-    /// Records the first byte of an answer.
-    pub fn record_first_byte(&mut self, run: &mut Run, now: Timestamp) {
-        self.endpoints.record_first_byte(run, now);
-    }
-
-    /// Records the time from the first to the last of an answer's events so far.
-    pub fn record_events(&mut self, run: &Run, events: u32, span: Duration) {
-        self.endpoints.record_events(run, events, span);
-    }
-
-    /// Records that an endpoint closed the connection early, was unreachable or stalled.
-    pub fn record_failure(&mut self, run: &Run, now: Timestamp) {
-        self.endpoints.record_failure(run);
-        self.endpoints.back_off(run, now);
-    }
-
-    /// Records how a request ended at its endpoint, and frees its slot.
-    pub fn end(&mut self, run: &Run, ending: Ending, now: Timestamp) {
-        self.endpoints.record_end(run);
-        match ending {
-            Ending::Complete => self.endpoints.record_success(run),
-            Ending::Failed | Ending::Rejected => self.endpoints.record_failure(run),
-            Ending::Broken => self.record_failure(run, now),
-            Ending::Full => self.endpoints.record_full(run, now),
-            Ending::Cancelled => {}
-        }
-    }
-
     /// Marks this process as leaving in its reports.
     pub const fn start_leaving(&mut self) {
         self.identity.leaving = true;
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -169,7 +169,8 @@
         let record = state.record().clone();
         let reservation = self.reservation(request, state, now);
         self.charge_limit(&id, now);
-        let run = self.endpoints.record_send(&id, request.prompt, now)?;
+        let mut run = self.endpoints.record_send(&id, request.prompt, now)?;
+        self.start_work(request, &mut run, now);
         Some(Outcome::Placed(Box::new(Placement {
             run,
             record,
@@ -230,11 +231,17 @@
         if f64::from(free) <= reserved * f64::from(all) {
             return false;
         }
-        self.is_within_share(request, free, all)
+        self.is_within_share(request, free, all, now)
     }
 
     /// Returns whether this entry stays within its share of the slots while requests wait at peers.
-    fn is_within_share(&self, request: &PlacementRequest, free: u32, slots: u32) -> bool {
+    fn is_within_share(
+        &self,
+        request: &PlacementRequest,
+        free: u32,
+        slots: u32,
+        now: Timestamp,
+    ) -> bool {
         let (running, waiting, urgent) = self.peer_demand(digest(&request.service));
         if waiting == 0 {
             return true;
@@ -245,6 +252,9 @@
         if urgent >= free && request.rank > 0 && yields && !request.is_short() {
             return false;
         }
+        if let Some(allowed) = self.share_claim(request, free, now) {
+            return allowed;
+        }
         let own_running: u32 = self
             .endpoints
             .of_service(&request.service)
--- a/crates/core/src/direct/scheduler/reports.rs
+++ b/crates/core/src/direct/scheduler/reports.rs
@@ -12,6 +12,7 @@
 use crate::direct::spending::ReportedCounters;
 use crate::direct::store_progress::{Section, StoreProgress, retry_delay};
 use crate::direct::store_revision::StoreRevision;
+use crate::direct::team_shares::WorkSum;
 use crate::direct::topology::{Role, Target};
 use crate::time::{Timestamp, whole_millis};
 
@@ -39,10 +40,12 @@
     services: Vec<ServiceLoad>,
     /// All entries.
     fleet: LoadSum,
+    /// Work of teams at the entries of its own data centre, and at all entries.
+    shares: [WorkSum; 2],
 }
 
 impl Sums {
-    fn new(scheduler: &Scheduler, own: &Report) -> Self {
+    fn new(scheduler: &Scheduler, own: &Report, now: Timestamp) -> Self {
         let (mut centre, mut fleet) = (LoadSum::default(), LoadSum::default());
         centre.add(&own.loads, &own.services);
         fleet.add(&own.loads, &own.services);
@@ -57,6 +60,7 @@
             endpoints: centre.endpoints_without(&[]),
             services: centre.services_without(&[]),
             fleet,
+            shares: [Scope::Centre, Scope::Fleet].map(|scope| scheduler.work_sum(scope, now)),
         }
     }
 }
@@ -72,7 +76,7 @@
     pub fn reports(&mut self, now: Timestamp) -> Vec<(SocketAddr, Report)> {
         self.update_role(now);
         let own = self.report(now);
-        let sums = (self.topology.role() == Role::Aggregator).then(|| Sums::new(self, &own));
+        let sums = (self.topology.role() == Role::Aggregator).then(|| Sums::new(self, &own, now));
         let targets = self.topology.targets(&mut self.members, &self.seeds, now);
         let message = |target: Target| (target.address, self.report_to(&own, &sums, target, now));
         targets.into_iter().map(message).collect()
@@ -118,6 +122,7 @@
             containment: self.containment.reported(Scope::Entry, None, now),
             members: Vec::new(),
             notices: self.notices(Scope::Entry, None, now),
+            shares: self.reported_work(&self.work_sum(Scope::Entry, now), None, now),
         }
     }
 
@@ -147,16 +152,18 @@
             return base;
         };
         let recipient = Source::Entry(target.address);
-        let (loads, services) = if target.scope == Scope::Fleet {
+        let (loads, services, shares) = if target.scope == Scope::Fleet {
             let demand = self.demand.get(&recipient);
             let services = demand.map_or(&[][..], |demand| &demand.services);
             let endpoints = self.endpoints.reported(&recipient);
             (
                 sums.fleet.endpoints_without(endpoints),
                 sums.fleet.services_without(services),
+                self.reported_work(&sums.shares[1], Some(&recipient), now),
             )
         } else {
-            (sums.endpoints.clone(), sums.services.clone())
+            let shares = self.reported_work(&sums.shares[0], None, now);
+            (sums.endpoints.clone(), sums.services.clone(), shares)
         };
         let lag = self.knowledge_lag(now, |source| {
             source.is_within(target.scope) && *source != recipient
@@ -171,6 +178,7 @@
                 .containment
                 .reported(target.scope, Some(recipient), now),
             notices: self.notices(target.scope, Some(recipient), now),
+            shares,
             ..base
         }
     }
@@ -269,6 +277,8 @@
             known,
             entries: self.entries_of(&source),
             services: report.services,
+            shares: report.shares,
+            received: now,
         };
         self.demand.insert(source, demand);
     }
--- a/crates/core/src/direct/wait_queue.rs
+++ b/crates/core/src/direct/wait_queue.rs
@@ -1,7 +1,7 @@
 //! The queue of requests that wait for a slot of one service.
 //!
 //! Requests that can still meet their objective are served first, then those of more urgent teams,
-//! then of more urgent routes, then in order of arrival. Routes below the highest rank share one
+//! then of more urgent routes, then those of teams within their share, then in order of arrival. Routes below the highest rank share one
 //! rank, so that short requests are not kept behind long ones of a rank between; short requests
 //! count as of the highest rank, since they hardly delay others.
 
@@ -13,7 +13,7 @@
 use super::placement_request::{PlacementRequest, Ticket};
 
 /// First of the ranks that are served as one.
-const SHARED_RANK: u8 = 1;
+pub(super) const SHARED_RANK: u8 = 1;
 
 /// Expected slot time per token of an answer.
 const ANSWER_TOKEN_TIME: Duration = Duration::from_micros(4_200);
@@ -68,6 +68,8 @@
     after_timely: bool,
     team_rank: u8,
     rank: u8,
+    /// Step of the team's excess over its share.
+    share: u8,
     order_time: Timestamp,
     ticket: Ticket,
     late: bool,
@@ -85,6 +87,7 @@
             after_timely: late && !short,
             team_rank: request.team_rank,
             rank,
+            share: request.share,
             order_time: request.arrived + request.penalty(),
             ticket: request.ticket,
             late,
@@ -129,6 +132,21 @@
         self.requests.get(position)
     }
 
+    /// Returns the waiting requests that can still meet their objective.
+    pub(super) fn timely_requests(&self) -> impl Iterator<Item = &PlacementRequest> {
+        let timely = self.requests.iter().filter(|(position, _)| !position.late);
+        timely.map(|(_, request)| request)
+    }
+
+    /// Returns the expected slot time of a team's waiting requests, in milliseconds.
+    pub(super) fn team_work_ms(&self, team: u64) -> f64 {
+        let requests = self.requests.values();
+        let times = requests.filter(|request| request.team == team);
+        times
+            .map(|request| request.slot_time().as_secs_f64() * 1_000.0)
+            .sum()
+    }
+
     /// Returns the number of waiting requests.
     pub(super) fn len(&self) -> usize {
         self.requests.len()
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -23,6 +23,7 @@
 mod restored_records;
 mod simulation;
 mod store_progress;
+mod team_shares;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -127,6 +128,7 @@
         build: None,
         kind: format!("rank-{rank}").into(),
         average_time: Duration::ZERO,
+        share: 0,
         team: 0,
         team_rank: 0,
         rank,
--- a/crates/core/tests/core/direct/fleet_network.rs
+++ b/crates/core/tests/core/direct/fleet_network.rs
@@ -8,8 +8,8 @@
 
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
-    Bounds, EndpointRecord, LendingMessage, Plan, RatePolicy, ReadCursor, Report, Scheduler,
-    Section, StoreRevision,
+    Bounds, EndpointRecord, LendingMessage, Plan, Policies, RatePolicy, ReadCursor, Report,
+    Scheduler, Section, StoreRevision,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -69,6 +69,10 @@
     /// Entries are unreachable for those of another group.
     pub groups: Vec<u8>,
     pub loss: f64,
+    /// Optional decisions of entries that start.
+    pub policies: Policies,
+    /// Whether reports hold the work of teams.
+    pub reports_work: bool,
     /// Time that messages take.
     pub delay: Duration,
     /// Whether the store answers.
@@ -112,6 +116,8 @@
                 .collect(),
             groups: vec![0; count],
             loss: 0.01,
+            policies: Policies::default(),
+            reports_work: true,
             delay: DELAY,
             store_up: true,
             without_store: None,
@@ -250,6 +256,7 @@
             boot,
         )
         .with_capacity(capacity)
+        .with_policies(self.policies)
         .with_start(now);
         self.watched[index] = Timestamp::ZERO;
         self.failed[index] = (0, Timestamp::ZERO);
@@ -324,7 +331,8 @@
         let interval = entry.report_interval();
         self.sent[index] += reports.len();
         self.schedule(now + interval, index, Event::Send(index));
-        for (address, report) in reports {
+        for (address, mut report) in reports {
+            report.shares.retain(|_| self.reports_work);
             let Some(&to) = self.indices.get(&address) else {
                 continue;
             };
--- a/crates/core/tests/core/direct/malformed_messages.rs
+++ b/crates/core/tests/core/direct/malformed_messages.rs
@@ -4,9 +4,9 @@
 
 use comfreyhaven_core::direct::{
     BrokenRequest, ContainmentReport, CrashStatement, Echo, EndpointLoad, EndpointNotice, Fate,
-    Fingerprint, HoldStatement, Identity, LendingMessage, LimitStatement, MemberStatus, Report,
-    RequestLimit, Scheduler, Scope, SectionStatus, ServiceLoad, SoundStatement, StoreRevision,
-    digest,
+    Fingerprint, HoldStatement, Identity, LendingMessage, LimitStatement, MemberStatus, Policies,
+    Pool, PoolWork, Report, RequestLimit, Scheduler, Scope, SectionStatus, ServiceLoad,
+    SoundStatement, StoreRevision, TeamWork, digest,
 };
 use comfreyhaven_core::request::{BodyDigest, PartDigest};
 use rand::{Rng, SeedableRng};
@@ -134,6 +134,24 @@
                 pause: values.small(),
                 limit: values.limit(),
             }),
+            shares: self.list(|values| PoolWork {
+                pool: Pool {
+                    service: values.known(SERVICE),
+                    team_rank: values.tiny() as u8,
+                    rank: values.tiny() as u8,
+                },
+                owed: values.tiny(),
+                teams: values.list(Values::team_work),
+                rest: values.team_work(),
+            }),
+        }
+    }
+
+    fn team_work(&mut self) -> TeamWork {
+        TeamWork {
+            team: self.known("kakheti"),
+            used: self.small(),
+            unmet: self.small(),
         }
     }
 
@@ -222,7 +240,13 @@
         let mut values = Values(ChaCha8Rng::seed_from_u64(seed));
         // In a fleet of over eight entries, this one may be an aggregator.
         let capacity = values.tiny();
-        let mut entry = scheduler(1, &[2, 3]).with_capacity(capacity);
+        let policies = Policies {
+            team_shares: seed % 2 == 1,
+            ..Policies::default()
+        };
+        let mut entry = scheduler(1, &[2, 3])
+            .with_capacity(capacity)
+            .with_policies(policies);
         entry.upsert_endpoint(record("x", 1), at(0));
         for step in 1..200 {
             let from = values.address();
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -380,6 +380,32 @@
         }
     }
 
+    /// Updates the gauges of the teams of services without room for all, and logs them.
+    pub fn publish_teams(&self) {
+        self.metrics.team_work.reset();
+        let scheduler = self.scheduler.borrow();
+        for pressed in scheduler.pressed_teams(clock::now()) {
+            let rank = pressed.status.pool.rank;
+            let team = pressed.team.as_deref().unwrap_or_default();
+            let work = [
+                ("due", pressed.status.due),
+                ("started", pressed.status.work.used),
+                ("unmet", pressed.status.work.unmet),
+                ("waiting", pressed.waiting),
+            ];
+            for (name, millis) in work {
+                let labels = [&*pressed.service, &rank.to_string(), team, name];
+                let gauge = self.metrics.team_work.with_label_values(&labels);
+                gauge.set(millis as i64);
+            }
+            let [due, started, unmet, waiting] = work.map(|(_, millis)| millis.round());
+            log::debug!(
+                service:% = pressed.service, rank, team, due, started, unmet, waiting;
+                "team without room for all"
+            );
+        }
+    }
+
     /// Returns a new ticket.
     pub fn ticket(&self) -> Ticket {
         self.next_ticket.set(self.next_ticket.get() + 1);
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -264,6 +264,7 @@
             build: self.build().cloned(),
             kind: Arc::clone(&head.route.name),
             average_time: Duration::ZERO,
+            share: 0,
             team: head.team_digest(),
             team_rank: head.team_rank(),
             rank: head.route.rank,
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Counters and histograms of a direct entry.
 
 use prometheus::{
-    Error, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    Error, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry,
 };
 
 /// Bounds of the histograms, in seconds.
@@ -43,6 +44,8 @@
     pub restorations: IntCounter,
     /// Number of restorations of the store, as it states it.
     pub era: IntGauge,
+    /// Milliseconds of slot time that teams are due and have, in services without room for all.
+    pub team_work: IntGaugeVec,
 }
 
 impl Metrics {
@@ -72,6 +75,14 @@
             "Restorations of the store that this process has seen",
         )?;
         registry.register(Box::new(restorations.clone()))?;
+        let team_work = IntGaugeVec::new(
+            Opts::new(
+                "comfreyhaven_team_work_milliseconds",
+                "Slot time that teams are due, have started, lack and wait for here, in services without room for all",
+            ),
+            &["service", "rank", "team", "work"],
+        )?;
+        registry.register(Box::new(team_work.clone()))?;
         Ok(Self {
             restorations,
             answers: counter(
@@ -131,6 +142,7 @@
                 "comfreyhaven_store_era",
                 "Number of restorations of the store, as it states it",
             )?,
+            team_work,
             registry,
         })
     }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -256,6 +256,7 @@
             context.update_gauges();
             if count.is_multiple_of(TRIM_TICKS * 4) {
                 context.log_endpoints();
+                context.publish_teams();
             }
         }
     }
