Hedged requests: a second send of a late answer, within the operators' limit

Change: a request that may be repeated goes to a second endpoint at a percentile of the times to the first answer of its route and size, which entries learn together. The limit is a part of each entry's own requests; half of the retry budget stays for failures; nothing is sent while requests wait or few slots are free. The first answer counts, the other send is dropped with its connection. Off by default: with a part of zero no path changes. The limit is applied again on SIGHUP. Ruled out: counting a slow endpoint as failed; it would be avoided by all requests.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -12,6 +12,7 @@
 mod digest;
 mod endpoint_table;
 mod event_interval;
+mod hedging;
 mod latency_model;
 mod lending;
 mod load_sum;
@@ -52,6 +53,10 @@
     Availability, EndpointState, EndpointTable, Load, Notice, NoticeEffect, PAUSE_LIMIT, Pause, Run,
 };
 pub use event_interval::EventInterval;
+pub use hedging::{
+    AnswerTimes, HedgeLimit, Hedging, KindTimes, ServiceUse, TimeCount, TimeHistogram, WaitEnd,
+    Withheld, answer_kind,
+};
 pub use latency_model::LatencyModel;
 pub use lending::LendingMessage;
 pub use members::Members;
--- a/crates/core/src/direct/endpoint_table/observations.rs
+++ b/crates/core/src/direct/endpoint_table/observations.rs
@@ -91,6 +91,18 @@
         }
     }
 
+    /// Records that a run was cancelled before its first byte. The endpoint's latency model learns of
+    /// it if it took longer than expected.
+    pub fn record_cancelled(&mut self, run: &Run, now: Timestamp) {
+        let millis = now.since(run.sent).as_secs_f64() * 1_000.0;
+        if run.started {
+            return;
+        }
+        if let Some(state) = self.state_of(run) {
+            state.latency.observe_at_least(run.ahead, millis);
+        }
+    }
+
     /// Records the end of a request at its endpoint.
     pub fn record_end(&mut self, run: &Run) {
         if let Some(state) = self.state_of(run) {
--- a/crates/core/src/direct/latency_model.rs
+++ b/crates/core/src/direct/latency_model.rs
@@ -74,6 +74,13 @@
         self.add(tokens, millis, 1.0);
     }
 
+    /// Adds an observation that was cut short after `millis`. Less than the estimate tells nothing.
+    pub fn observe_at_least(&mut self, tokens: u64, millis: f64) {
+        if millis > self.estimate(tokens as f64) {
+            self.observe(tokens, millis);
+        }
+    }
+
     /// Returns the milliseconds per token.
     #[must_use]
     pub fn slope(&self) -> f64 {
--- a/crates/core/src/direct/report.rs
+++ b/crates/core/src/direct/report.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::containment::ContainmentReport;
+use super::hedging::KindTimes;
 use super::request_limit::LimitStatement;
 use super::source::Scope;
 use super::store_progress::SectionStatus;
@@ -144,4 +145,7 @@
     /// What endpoints have said of themselves.
     #[serde(default)]
     pub notices: Vec<EndpointNotice>,
+    /// Times to the first answer, for hedges; not in every report.
+    #[serde(default)]
+    pub answer_times: Vec<KindTimes>,
 }
--- a/crates/core/src/direct/retry_budget.rs
+++ b/crates/core/src/direct/retry_budget.rs
@@ -11,6 +11,9 @@
 /// Number of steps in which a window is counted.
 const STEPS: u32 = 10;
 
+/// Part of the budget that hedges leave to retries after failures.
+const RESERVE_PART: f64 = 0.5;
+
 /// Part of the budget that is used, so that a window between two steps does not exceed it.
 const USED_PART: f64 = 0.7;
 
@@ -84,11 +87,24 @@
 
     /// Returns whether the budget has a retry for this entry, one of `members`.
     pub fn has_left(&mut self, members: usize, now: Timestamp) -> bool {
+        let (retries, allowed) = self.used(members, now);
+        retries + 1.0 <= allowed
+    }
+
+    /// Returns whether half of the budget of this entry, one of `members`, remains after another
+    /// retry.
+    pub fn has_reserve(&mut self, members: usize, now: Timestamp) -> bool {
+        let (retries, allowed) = self.used(members, now);
+        retries + 1.0 <= allowed * (1.0 - RESERVE_PART)
+    }
+
+    /// Returns the retries in the window, and how many are allowed.
+    fn used(&mut self, members: usize, now: Timestamp) -> (f64, f64) {
         self.step(now);
         let requests: u32 = self.steps.iter().map(|step| step.requests).sum();
         let retries: u32 = self.steps.iter().map(|step| step.retries).sum();
         let slack = self.slack / members.max(1) as f64;
         let allowed = USED_PART * (self.ratio * f64::from(requests) + slack);
-        f64::from(retries) + 1.0 <= allowed
+        (f64::from(retries), allowed)
     }
 }
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -3,6 +3,7 @@
 
 mod availability;
 mod containment;
+mod hedging;
 mod limits;
 mod message;
 mod origins;
@@ -29,6 +30,7 @@
 use super::containment::Containment;
 use super::departures::Departures;
 use super::endpoint_table::{EndpointTable, Run};
+use super::hedging::Hedging;
 use super::lending::Lending;
 use super::members::Members;
 use super::origin_lookup::OriginLookup;
@@ -105,6 +107,7 @@
     confirmation: Confirmation,
     store_progress: StoreProgress,
     lending: Lending,
+    hedging: Hedging,
     origins: StreamOrigins,
     lookups: BTreeMap<Ticket, OriginLookup>,
     restoration: Restoration,
@@ -158,6 +161,7 @@
             confirmation: Confirmation::default(),
             store_progress: StoreProgress::default(),
             lending: Lending::default(),
+            hedging: Hedging::default(),
             origins: StreamOrigins::default(),
             lookups: BTreeMap::new(),
             restoration: Restoration::default(),
@@ -179,6 +183,7 @@
     #[must_use]
     pub const fn with_policies(mut self, policies: Policies) -> Self {
         self.policies = policies;
+        self.hedging.set_part(policies.hedge_part);
         self
     }
 
@@ -482,16 +487,4 @@
     pub const fn start_leaving(&mut self) {
         self.identity.leaving = true;
     }
-
-    /// Returns counts for metrics and log lines.
-    #[must_use]
-    pub fn totals(&self) -> Totals {
-        Totals {
-            waiting: self.queues.values().map(WaitQueue::len).sum(),
-            running: self.endpoints.running(),
-            endpoints: self.endpoints.len(),
-            members: self.members.count(),
-            role: self.topology.role(),
-        }
-    }
 }
--- a/crates/core/src/direct/scheduler/limits.rs
+++ b/crates/core/src/direct/scheduler/limits.rs
@@ -53,6 +53,7 @@
     /// Counts a request for a service in its retry budget, whether or not the request is sent.
     pub fn count_request(&mut self, service: &Arc<str>, now: Timestamp) {
         self.budget(service).record_request(now);
+        self.hedging.count_request(service);
     }
 
     /// Takes a retry from the service's budget. Returns whether one was available.
@@ -78,7 +79,7 @@
 
     /// Returns the number of entries that limits are divided by. A process that has just restarted
     /// may not have discovered all of them yet.
-    fn assumed_members(&self, now: Timestamp) -> usize {
+    pub(super) fn assumed_members(&self, now: Timestamp) -> usize {
         let known = self.members.count();
         if self.is_discovering(now) {
             known.max(ASSUMED_MEMBERS)
@@ -95,7 +96,7 @@
             && now.as_micros() < started + DISCOVERY_TIME.as_micros() as u64
     }
 
-    fn budget(&mut self, service: &Arc<str>) -> &mut RetryBudget {
+    pub(super) fn budget(&mut self, service: &Arc<str>) -> &mut RetryBudget {
         let bounds = &self.bounds;
         self.budgets.entry(Arc::clone(service)).or_insert_with(|| {
             RetryBudget::new(bounds.retry_window, bounds.retry_ratio, bounds.retry_slack)
--- a/crates/core/src/direct/scheduler/message.rs
+++ b/crates/core/src/direct/scheduler/message.rs
@@ -4,10 +4,12 @@
 
 use strum::IntoStaticStr;
 
+use super::Scheduler;
 use crate::direct::endpoint_table::Run;
 use crate::direct::plan::EndpointRecord;
 use crate::direct::rate_limit::RatePolicy;
 use crate::direct::topology::Role;
+use crate::direct::wait_queue::WaitQueue;
 
 /// The endpoint chosen for a request.
 #[derive(Debug, Clone)]
@@ -107,3 +109,17 @@
     /// Requests per second that a cold endpoint may receive in addition.
     pub cold_extra: f64,
 }
+
+impl Scheduler {
+    /// Returns counts for metrics and log lines.
+    #[must_use]
+    pub fn totals(&self) -> Totals {
+        Totals {
+            waiting: self.queues.values().map(WaitQueue::len).sum(),
+            running: self.endpoints.running(),
+            endpoints: self.endpoints.len(),
+            members: self.members.count(),
+            role: self.topology.role(),
+        }
+    }
+}
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -164,19 +164,32 @@
             return None;
         }
         let (id, expected) = self.cheapest(request, late, now)?;
-        let state = self.endpoints.get(&id)?;
+        let placement = self.placement_at(&id, expected, request, now)?;
+        Some(Outcome::Placed(placement))
+    }
+
+    /// Records that a request is sent to an endpoint whose first byte is expected after `expected`
+    /// milliseconds.
+    pub(super) fn placement_at(
+        &mut self,
+        id: &EndpointId,
+        expected: f64,
+        request: &PlacementRequest,
+        now: Timestamp,
+    ) -> Option<Box<Placement>> {
+        let state = self.endpoints.get(id)?;
         let last_byte = expected + state.stream_ms(self.events(request));
         let record = state.record().clone();
         let reservation = self.reservation(request, state, now);
-        self.charge_limit(&id, now);
-        let run = self.endpoints.record_send(&id, request.prompt, now)?;
-        Some(Outcome::Placed(Box::new(Placement {
+        self.charge_limit(id, now);
+        let run = self.endpoints.record_send(id, request.prompt, now)?;
+        Some(Box::new(Placement {
             run,
             record,
             first_byte: expected as u64,
             last_byte: last_byte as u64,
             reservation,
-        })))
+        }))
     }
 
     /// Returns the time for which a slot is reserved before the request is sent. Several entries may
@@ -289,7 +302,12 @@
     }
 
     /// Returns whether an endpoint has a slot that this entry may use now.
-    fn has_slot(&self, state: &EndpointState, request: &PlacementRequest, now: Timestamp) -> bool {
+    pub(super) fn has_slot(
+        &self,
+        state: &EndpointState,
+        request: &PlacementRequest,
+        now: Timestamp,
+    ) -> bool {
         state.load().running < Self::slots(state, request.streaming)
             && !state.is_full(now)
             && self.may_return(state, request.streaming, now)
@@ -332,7 +350,7 @@
 
     /// Returns the expected time to a request's first byte at an endpoint and the cost of the
     /// endpoint, both in milliseconds.
-    fn cost(
+    pub(super) fn cost(
         &self,
         state: &EndpointState,
         request: &PlacementRequest,
--- a/crates/core/src/direct/scheduler/reports.rs
+++ b/crates/core/src/direct/scheduler/reports.rs
@@ -118,6 +118,7 @@
             containment: self.containment.reported(Scope::Entry, None, now),
             members: Vec::new(),
             notices: self.notices(Scope::Entry, None, now),
+            answer_times: self.reported_times(Scope::Entry, None, now),
         }
     }
 
@@ -171,6 +172,7 @@
                 .containment
                 .reported(target.scope, Some(recipient), now),
             notices: self.notices(target.scope, Some(recipient), now),
+            answer_times: self.reported_times(target.scope, Some(recipient), now),
             ..base
         }
     }
@@ -263,6 +265,7 @@
         self.endpoints.apply_report(source, report.loads);
         self.peer_notices.apply_report(source, &report.notices, now);
         self.endpoints.learn_limits(&report.notices, now);
+        self.hedging.apply_report(source, report.answer_times, now);
         let interval = Duration::from_millis(report.interval.into());
         let demand = Demand {
             expires: now + loss_limit(interval),
@@ -358,6 +361,7 @@
         self.demand.remove(&source);
         self.endpoints.apply_report(source, Vec::new());
         self.peer_notices.apply_report(source, &[], now);
+        self.hedging.forget_source(source);
     }
 
     /// Returns how far this entry has read the store.
--- a/crates/core/tests/core/direct/malformed_messages.rs
+++ b/crates/core/tests/core/direct/malformed_messages.rs
@@ -4,9 +4,9 @@
 
 use comfreyhaven_core::direct::{
     BrokenRequest, ContainmentReport, CrashStatement, Echo, EndpointLoad, EndpointNotice, Fate,
-    Fingerprint, HoldStatement, Identity, LendingMessage, LimitStatement, MemberStatus, Report,
-    RequestLimit, Scheduler, Scope, SectionStatus, ServiceLoad, SoundStatement, StoreRevision,
-    digest,
+    Fingerprint, HoldStatement, Identity, KindTimes, LendingMessage, LimitStatement, MemberStatus,
+    Report, RequestLimit, Scheduler, Scope, SectionStatus, ServiceLoad, SoundStatement,
+    StoreRevision, TimeCount, digest,
 };
 use comfreyhaven_core::request::{BodyDigest, PartDigest};
 use rand::{Rng, SeedableRng};
@@ -134,6 +134,14 @@
                 pause: values.small(),
                 limit: values.limit(),
             }),
+            answer_times: self.list(|values| KindTimes {
+                kind: values.known(SERVICE),
+                counts: values.list(|values| TimeCount {
+                    bucket: values.number() as u8,
+                    answered: values.small(),
+                    cancelled: values.small(),
+                }),
+            }),
         }
     }
 
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -12,8 +12,8 @@
 
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
-    Ending, Outcome, Placement, PlacementRefusal, PlacementRequest, ProcessLag, Run, Scheduler,
-    Section, StoreRevision, Ticket,
+    Ending, EndpointRecord, Outcome, Placement, PlacementRefusal, PlacementRequest, ProcessLag,
+    Run, Scheduler, Section, StoreRevision, Ticket, Withheld,
 };
 use tokio::sync::{Notify, oneshot};
 use tokio_util::task::TaskTracker;
@@ -409,16 +409,35 @@
         }))
     }
 
+    /// Places a request that `first` is slow to answer at a second endpoint.
+    ///
+    /// # Errors
+    /// Returns why the request may not be sent once more now.
+    pub fn place_hedge(
+        self: &Rc<Self>,
+        request: &PlacementRequest,
+        first: &EndpointRecord,
+    ) -> Result<(Box<Placement>, SlotGuard), Withheld> {
+        let mut scheduler = self.scheduler.borrow_mut();
+        let placement = scheduler.place_hedge(request, first, clock::now())?;
+        let slot = self.slot(&placement);
+        Ok((placement, slot))
+    }
+
+    /// Returns the guard of a placement's slot.
+    fn slot(self: &Rc<Self>, placement: &Placement) -> SlotGuard {
+        SlotGuard {
+            context: Rc::clone(self),
+            run: placement.run.clone(),
+            ended: false,
+        }
+    }
+
     fn outcome(self: &Rc<Self>, outcome: Outcome) -> PlacementOutcome {
         match outcome {
             Outcome::Refused(refusal) => PlacementOutcome::Refused(refusal),
             Outcome::Placed(placement) => {
-                let run = placement.run.clone();
-                let slot = SlotGuard {
-                    context: Rc::clone(self),
-                    run,
-                    ended: false,
-                };
+                let slot = self.slot(&placement);
                 PlacementOutcome::Placed(placement, slot)
             }
         }
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod crash_check;
+mod hedge;
 mod origin;
 mod reserve;
 mod send;
@@ -46,8 +47,8 @@
     last_byte: u64,
 }
 
-/// One admitted request and the state of its sends, of which two may be under way: one at an
-/// endpoint that is silent, and one at another endpoint.
+/// One admitted request and the state of its sends, of which several may be under way: one at an
+/// endpoint that is slow or silent, and others at other endpoints.
 pub(crate) struct Dispatch {
     context: Rc<Context>,
     incoming: IncomingRequest,
@@ -230,6 +231,11 @@
         self.excluded.borrow_mut().push(record.id.clone());
     }
 
+    /// Allows the request to be placed at this endpoint again.
+    fn include(&self, record: &EndpointRecord) {
+        self.excluded.borrow_mut().retain(|id| *id != record.id);
+    }
+
     /// Returns the build that has to run the request, if one has begun the stream.
     fn build(&self) -> Option<&Arc<str>> {
         self.origin.as_ref().map(|origin| &origin.build)
@@ -253,12 +259,28 @@
     /// Waits for a slot at an endpoint.
     async fn place(&self) -> PlacementOutcome {
         let started = clock::now();
+        let request = self.placement_request(started);
+        let outcome = self.context.place(request).await;
+        let waited = clock::now().since(started);
+        self.context.metrics.waits.observe(waited.as_secs_f64());
+        self.waited.set(self.waited.get() + waited);
+        if let PlacementOutcome::Placed(placement, _) = &outcome {
+            self.estimate.set(Estimate {
+                first_byte: placement.first_byte,
+                last_byte: placement.last_byte,
+            });
+        }
+        outcome
+    }
+
+    /// Returns what the scheduler needs to know to place the request at `now`.
+    fn placement_request(&self, now: Timestamp) -> PlacementRequest {
         let head = &self.incoming.head;
         let objective = match &self.origin {
-            Some(_) => self.objective.max(started + RESUME_WAIT),
+            Some(_) => self.objective.max(now + RESUME_WAIT),
             None => self.objective,
         };
-        let request = PlacementRequest {
+        PlacementRequest {
             ticket: self.context.ticket(),
             service: Arc::clone(&self.service),
             build: self.build().cloned(),
@@ -276,18 +298,7 @@
             deadline: self.deadline,
             event_gap: head.route.event_gap,
             excluded: self.excluded.borrow().clone(),
-        };
-        let outcome = self.context.place(request).await;
-        let waited = clock::now().since(started);
-        self.context.metrics.waits.observe(waited.as_secs_f64());
-        self.waited.set(self.waited.get() + waited);
-        if let PlacementOutcome::Placed(placement, _) = &outcome {
-            self.estimate.set(Estimate {
-                first_byte: placement.first_byte,
-                last_byte: placement.last_byte,
-            });
         }
-        outcome
     }
 
     fn count_answer(&self, status: StatusCode, cause: &str) {
--- a/crates/direct/src/dispatch/attempt.rs
+++ b/crates/direct/src/dispatch/attempt.rs
@@ -142,7 +142,7 @@
     ) -> Result<Begun, SendFault> {
         let record = &placement.record;
         let timeout = self.first_byte_timeout();
-        let mut sending = pin!(self.send_counted(record, slot, reservation, last));
+        let mut sending = pin!(self.send_hedged(placement, slot, reservation, last));
         loop {
             if let Ok(result) = tokio::time::timeout(timeout, sending.as_mut()).await {
                 return result;
@@ -171,7 +171,7 @@
 
     /// Sends the request once. It counts as run until its outcome is known, so that the counts are
     /// right also if this future is dropped.
-    async fn send_counted(
+    pub(super) async fn send_counted(
         &self,
         record: &EndpointRecord,
         slot: SlotGuard,
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -17,6 +17,8 @@
     pub answers: IntCounterVec,
     /// Sends to endpoints by outcome.
     pub sends: IntCounterVec,
+    /// Requests that were sent to a second endpoint, or not, since the first one is slow.
+    pub hedges: IntCounterVec,
     /// Calls to endpoints: requests, and reservations of slots.
     pub calls: IntCounterVec,
     /// Endpoints that broke off, by what became of them.
@@ -84,6 +86,11 @@
                 "Requests sent to endpoints by outcome",
                 &["outcome"],
             )?,
+            hedges: counter(
+                "comfreyhaven_hedges_total",
+                "Requests sent to a second endpoint because the first one is slow, by outcome, and why others were not",
+                &["outcome"],
+            )?,
             calls: counter(
                 "comfreyhaven_endpoint_calls_total",
                 "Calls to endpoints: requests, and reservations of slots",
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -169,7 +169,7 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = reload.recv() => reload_seeds(path, &context),
+            _ = reload.recv() => reload_settings(path, &context),
         }
     }
     log::info!("leaving on SIGTERM");
@@ -181,15 +181,16 @@
     Ok(())
 }
 
-/// Reloads the seeds from the settings file. A change of any other setting needs a restart.
-fn reload_seeds(path: &Path, context: &Context) {
+/// Reloads the seeds and the limit on hedges from the settings file. A change of any other setting
+/// needs a restart.
+fn reload_settings(path: &Path, context: &Context) {
     match Settings::load(path) {
         Ok(settings) => {
-            log::info!(seeds:? = settings.addresses.seeds; "settings reloaded");
-            context
-                .scheduler
-                .borrow_mut()
-                .set_seeds(settings.addresses.seeds);
+            let part = settings.policies.hedge_part;
+            log::info!(seeds:? = settings.addresses.seeds, hedge_part = part; "settings reloaded");
+            let mut scheduler = context.scheduler.borrow_mut();
+            scheduler.set_seeds(settings.addresses.seeds);
+            scheduler.set_hedge_part(part);
         }
         Err(error) => log::error!("cannot reload the settings, keeping the old ones: {error}"),
     }
