--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -10,6 +10,7 @@
 mod endpoints;
 mod event_interval;
 mod fleet_network;
+mod hedging;
 mod large_fleet;
 mod lending;
 mod malformed_messages;
