--- a/crates/core/src/direct/report.rs
+++ b/crates/core/src/direct/report.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::containment::ContainmentReport;
+use super::hedging::KindTimes;
 use super::request_limit::LimitStatement;
 use super::source::Scope;
 use super::store_progress::SectionStatus;
@@ -148,4 +149,7 @@
     /// Work of teams in services without room for all.
     #[serde(default)]
     pub shares: Vec<PoolWork>,
+    /// Times to the first answer, for hedges; not in every report.
+    #[serde(default)]
+    pub answer_times: Vec<KindTimes>,
 }
