--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -12,6 +12,7 @@
 mod digest;
 mod endpoint_table;
 mod event_interval;
+mod freed_slots;
 mod latency_model;
 mod lending;
 mod load_sum;
@@ -52,6 +53,7 @@
     Availability, EndpointState, EndpointTable, Load, Notice, NoticeEffect, PAUSE_LIMIT, Pause, Run,
 };
 pub use event_interval::EventInterval;
+pub use freed_slots::{FreedSlots, Probe};
 pub use latency_model::LatencyModel;
 pub use lending::LendingMessage;
 pub use members::Members;
--- a/crates/core/src/direct/endpoint_table.rs
+++ b/crates/core/src/direct/endpoint_table.rs
@@ -18,6 +18,7 @@
 use super::build_history::BuildHistory;
 use super::digest::digest;
 use super::event_interval::EventInterval;
+use super::freed_slots::FreedSlots;
 use super::plan::{EndpointId, EndpointRecord};
 use super::report::{EndpointLoad, Incarnation};
 use super::send_window::SendWindow;
@@ -107,6 +108,7 @@
             backoffs: 0,
             avoided_until: Timestamp::ZERO,
             full_until: Timestamp::ZERO,
+            freed: FreedSlots::default(),
             revision: StoreRevision::LAST,
             availability: self.former.take(&record),
             record,
--- a/crates/core/src/direct/endpoint_table/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_table/endpoint_state.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::super::event_interval::EventInterval;
+use super::super::freed_slots::FreedSlots;
 use super::super::latency_model::LatencyModel;
 use super::super::members::Members;
 use super::super::plan::{EndpointId, EndpointRecord};
@@ -61,6 +62,8 @@
     pub(super) backoffs: u32,
     pub(super) avoided_until: Timestamp,
     pub(super) full_until: Timestamp,
+    /// Slots that this entry knows to be free.
+    pub(super) freed: FreedSlots,
     /// What the endpoint has said of itself.
     pub(super) availability: Availability,
     /// Revision of the store at which the record changed last, or a later one.
@@ -157,6 +160,12 @@
         now < self.full_until
     }
 
+    /// Returns the slots that this entry knows to be free.
+    #[must_use]
+    pub const fn freed(&self) -> &FreedSlots {
+        &self.freed
+    }
+
     /// Returns the expected time to first byte for a prompt of `tokens` behind the pending ones, in
     /// milliseconds.
     #[must_use]
--- a/crates/core/src/direct/endpoint_table/observations.rs
+++ b/crates/core/src/direct/endpoint_table/observations.rs
@@ -19,6 +19,9 @@
 /// Time for which an endpoint that had no slot to reserve is not chosen.
 const FULL_TIME: Duration = Duration::from_millis(60);
 
+/// Longest time for which such an endpoint is not chosen.
+const FULL_TIME_MAX: Duration = Duration::from_millis(500);
+
 /// Weight of a new observation in a service's average event interval.
 const BASELINE_WEIGHT: f64 = 0.02;
 
@@ -47,6 +50,7 @@
     pub fn record_send(&mut self, id: &str, prompt: u64, now: Timestamp) -> Option<Run> {
         let state = self.endpoints.get_mut(id)?;
         state.own.running += 1;
+        state.freed.take();
         state.own.pending += prompt;
         state.sends.record(now);
         state.last_sent = now;
@@ -138,10 +142,19 @@
         }
     }
 
-    /// Records that an endpoint had no slot to reserve. It is not chosen for [`FULL_TIME`].
-    pub fn record_full(&mut self, run: &Run, now: Timestamp) {
+    /// Records that an endpoint had no slot to reserve. It is not chosen for [`FULL_TIME`], or until
+    /// reports that are `lag` old show the load at this time.
+    pub fn record_full(&mut self, run: &Run, lag: Duration, now: Timestamp) {
+        if let Some(state) = self.state_of(run) {
+            state.freed.clear();
+            state.full_until = now + lag.clamp(FULL_TIME, FULL_TIME_MAX);
+        }
+    }
+
+    /// Records that a request has left a slot that this entry may use again.
+    pub fn record_freed(&mut self, run: &Run, now: Timestamp) {
         if let Some(state) = self.state_of(run) {
-            state.full_until = now + FULL_TIME;
+            state.freed.add(now);
         }
     }
 
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -10,6 +10,7 @@
 mod reports;
 mod request_limit;
 mod restoration;
+mod slot_shares;
 mod snapshot;
 
 pub use message::{Bounds, Ending, Outcome, Placement, PlacementRefusal, Reason, Totals};
@@ -469,11 +470,12 @@
     /// Records how a request ended at its endpoint, and frees its slot.
     pub fn end(&mut self, run: &Run, ending: Ending, now: Timestamp) {
         self.endpoints.record_end(run);
+        self.keep_slot(run, ending, now);
         match ending {
             Ending::Complete => self.endpoints.record_success(run),
             Ending::Failed | Ending::Rejected => self.endpoints.record_failure(run),
             Ending::Broken => self.record_failure(run, now),
-            Ending::Full => self.endpoints.record_full(run, now),
+            Ending::Full => self.endpoints.record_full(run, self.full_lag(now), now),
             Ending::Cancelled => {}
         }
     }
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -134,7 +134,7 @@
 
     /// Returns the endpoints that a request may go to. Avoided endpoints are used only if there is
     /// no other.
-    fn available<'a>(
+    pub(super) fn available<'a>(
         &'a self,
         request: &'a PlacementRequest,
         now: Timestamp,
@@ -206,6 +206,9 @@
 
     /// Returns whether there are free slots beyond those reserved for other requests.
     fn has_room(&self, request: &PlacementRequest, late: bool, now: Timestamp) -> bool {
+        if let Some(has_room) = self.shared_room(request, now) {
+            return has_room;
+        }
         let (mut free, mut all) = (0, 0);
         for state in self.available(request, now) {
             if !self.is_allowed(state, now) {
@@ -290,8 +293,7 @@
 
     /// Returns whether an endpoint has a slot that this entry may use now.
     fn has_slot(&self, state: &EndpointState, request: &PlacementRequest, now: Timestamp) -> bool {
-        state.load().running < Self::slots(state, request.streaming)
-            && !state.is_full(now)
+        self.has_free_slot(state, request, now)
             && self.may_return(state, request.streaming, now)
             && self.may_warm_up(state, now)
             && self.is_allowed(state, now)
--- a/crates/core/tests/core/direct/overload.rs
+++ b/crates/core/tests/core/direct/overload.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use comfreyhaven_core::direct::{Outcome, PlacementRequest};
+use comfreyhaven_core::direct::{Outcome, PlacementRequest, Policies};
 
 use super::simulation::{Kind, Policy, Simulation, Tally};
 use super::{at, endpoint_record, placed, placement_request, scheduler};
@@ -118,6 +118,13 @@
 /// Eight entries with views of each other that are up to 400 ms old, as those of a large fleet, fill
 /// endpoints with eight slots.
 fn replay_old_views(reservations: bool) -> Vec<Tally> {
+    let mut simulation = old_views(reservations);
+    simulation.add_load(0, 12_000, 1.4);
+    simulation.run(60_000);
+    simulation.tallies
+}
+
+fn old_views(reservations: bool) -> Simulation {
     let kinds = KINDS.map(|kind| Kind {
         rate: kind.rate * 1.2,
         ..kind
@@ -128,9 +135,21 @@
     if reservations {
         simulation = simulation.with_reservations();
     }
-    simulation.add_load(0, 12_000, 1.4);
-    simulation.run(60_000);
-    simulation.tallies
+    simulation
+}
+
+#[test]
+fn trial() {
+    for load in [1.0, 1.4, 2.0, 3.0] {
+        for slot_shares in [false, true] {
+            let mut s = old_views(true).with_policies(Policies { slot_shares, ..Policies::default() });
+            s.add_load(0, 12_000, load);
+            s.run(60_000);
+            let n: u32 = s.tallies.iter().map(|t| t.submitted).sum();
+            println!("{load} {slot_shares} used {:.3} full {:.3} value {:.3} timely {:?}", s.used.0 as f64 / s.used.1 as f64,
+                f64::from(s.full) / f64::from(n), timely_value(&s.tallies), s.tallies.iter().map(|t| (t.timely_part()*100.0) as u32).collect::<Vec<_>>());
+        }
+    }
 }
 
 /// Guards against endpoints' own queues, which know no urgency. On a simulated day with 103 entries
--- a/crates/core/tests/core/direct/simulation.rs
+++ b/crates/core/tests/core/direct/simulation.rs
@@ -6,7 +6,7 @@
 
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
-    Ending, Outcome, Placement, PlacementRequest, Plan, Run, Scheduler, Ticket,
+    Ending, Outcome, Placement, PlacementRequest, Plan, Policies, Run, Scheduler, Ticket,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -130,6 +130,10 @@
     next: u64,
     random: ChaCha8Rng,
     pub tallies: Vec<Tally>,
+    /// Reservations that endpoints refused.
+    pub full: u32,
+    /// Slots in use and all slots, summed over the ticks at which requests waited.
+    pub used: (usize, usize),
 }
 
 impl Simulation {
@@ -151,6 +155,8 @@
             next: 0,
             random: ChaCha8Rng::seed_from_u64(7),
             tallies: vec![Tally::default(); kinds.len()],
+            full: 0,
+            used: (0, 0),
         };
         for (index, factor) in factors.iter().enumerate() {
             let id = format!("e{index}");
@@ -181,6 +187,13 @@
         self
     }
 
+    /// Sets the optional decisions of all entries.
+    pub fn with_policies(mut self, policies: Policies) -> Self {
+        let entries = self.entries.into_iter();
+        self.entries = entries.map(|entry| entry.with_policies(policies)).collect();
+        self
+    }
+
     /// Lets entries reserve slots.
     pub fn with_reservations(mut self) -> Self {
         let mut reserving = Plan::clone(&plan(2));
@@ -263,6 +276,7 @@
             Event::Report { from } => self.report(from, now),
             Event::Tick { entry } => {
                 self.process_queues(entry, now);
+                self.count_slots();
                 self.schedule(now + TICK_INTERVAL, Event::Tick { entry });
             }
         }
@@ -312,6 +326,7 @@
                 let engine = self.engines.iter().position(|engine| engine.id == id);
                 let engine = engine.expect("the engine is listed");
                 if !self.reserve(engine, &placement) {
+                    self.full += 1;
                     self.entries[entry].end(&placement.run, Ending::Full, now);
                     return self.place(entry, kind, request, now);
                 }
@@ -421,6 +436,14 @@
         }
     }
 
+    fn count_slots(&mut self) {
+        if !self.waiting.is_empty() {
+            let used = self.engines.iter().map(|engine| engine.running);
+            self.used.0 += used.sum::<usize>();
+            self.used.1 += self.engines.iter().map(|engine| engine.slots).sum::<usize>();
+        }
+    }
+
     fn report(&mut self, from: usize, now: Timestamp) {
         let report = self.entries[from].report(now);
         for to in (0..self.entries.len()).filter(|to| *to != from) {
