--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -13,6 +13,7 @@
 mod digest;
 mod endpoint_table;
 mod event_interval;
+mod freed_slots;
 mod hedging;
 mod latency_model;
 mod lending;
@@ -59,6 +60,7 @@
     Availability, EndpointState, EndpointTable, Load, Notice, NoticeEffect, PAUSE_LIMIT, Pause, Run,
 };
 pub use event_interval::EventInterval;
+pub use freed_slots::{FreedSlots, Probe};
 pub use hedging::{
     AnswerTimes, HedgeLimit, Hedging, KindTimes, ServiceUse, TimeCount, TimeHistogram, WaitEnd,
     Withheld, answer_kind,
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -12,6 +12,7 @@
 mod request_limit;
 mod restoration;
 mod runs;
+mod slot_shares;
 mod snapshot;
 mod team_shares;
 
--- a/crates/core/src/direct/scheduler/hedging.rs
+++ b/crates/core/src/direct/scheduler/hedging.rs
@@ -136,7 +136,7 @@
             .peer_notices
             .cost(state.digest(), record.started_ms, now);
         free_slots(state) > 0
-            && self.has_slot(state, request, now)
+            && self.has_slot(state, request, None, now)
             && !state.is_avoided(now)
             && !state.is_cold(now)
             && !state.is_unlisted()
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -11,6 +11,7 @@
 
 use rand::Rng;
 
+use super::slot_shares::Pressure;
 use super::{Outcome, Placement, PlacementRequest, Scheduler};
 use crate::direct::digest::digest;
 use crate::direct::endpoint_table::EndpointState;
@@ -134,7 +135,7 @@
 
     /// Returns the endpoints that a request may go to. Avoided endpoints are used only if there is
     /// no other.
-    fn available<'a>(
+    pub(super) fn available<'a>(
         &'a self,
         request: &'a PlacementRequest,
         now: Timestamp,
@@ -220,6 +221,9 @@
 
     /// Returns whether there are free slots beyond those reserved for other requests.
     fn has_room(&self, request: &PlacementRequest, late: bool, now: Timestamp) -> bool {
+        if let Some(has_room) = self.shared_room(request, now) {
+            return has_room;
+        }
         let (mut free, mut all) = (0, 0);
         for state in self.available(request, now) {
             if !self.is_allowed(state, now) {
@@ -291,9 +295,10 @@
         now: Timestamp,
     ) -> Option<(EndpointId, f64)> {
         let left = request.objective.since(now).as_secs_f64() * 1_000.0;
+        let pressure = self.pressure(request);
         let mut candidates = Vec::new();
         for state in self.available(request, now) {
-            if !self.has_slot(state, request, now) {
+            if !self.has_slot(state, request, pressure.as_ref(), now) {
                 continue;
             }
             let (expected, cost) = self.cost(state, request, now);
@@ -316,10 +321,10 @@
         &self,
         state: &EndpointState,
         request: &PlacementRequest,
+        pressure: Option<&Pressure>,
         now: Timestamp,
     ) -> bool {
-        state.load().running < Self::slots(state, request.streaming)
-            && !state.is_full(now)
+        self.has_free_slot(state, request, pressure, now)
             && self.may_return(state, request.streaming, now)
             && self.may_warm_up(state, now)
             && self.is_allowed(state, now)
--- a/crates/core/tests/core/direct/overload.rs
+++ b/crates/core/tests/core/direct/overload.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use comfreyhaven_core::direct::{Outcome, PlacementRequest};
+use comfreyhaven_core::direct::{Outcome, PlacementRequest, Policies};
 
 use super::simulation::{Kind, Policy, Simulation, Tally};
 use super::{at, endpoint_record, placed, placement_request, scheduler};
@@ -118,6 +118,13 @@
 /// Eight entries with views of each other that are up to 400 ms old, as those of a large fleet, fill
 /// endpoints with eight slots.
 fn replay_old_views(reservations: bool) -> Vec<Tally> {
+    let mut simulation = old_views(reservations);
+    simulation.add_load(0, 12_000, 1.4);
+    simulation.run(60_000);
+    simulation.tallies
+}
+
+fn old_views(reservations: bool) -> Simulation {
     let kinds = KINDS.map(|kind| Kind {
         rate: kind.rate * 1.2,
         ..kind
@@ -128,9 +135,42 @@
     if reservations {
         simulation = simulation.with_reservations();
     }
-    simulation.add_load(0, 12_000, 1.4);
+    simulation
+}
+
+/// Runs the same with or without divided slots. Returns the slots in use while requests wait, as a
+/// part of all, and the refused reservations per request.
+fn replay_slots(slot_shares: bool, load: f64) -> (f64, f64) {
+    let policies = Policies {
+        slot_shares,
+        ..Policies::default()
+    };
+    let mut simulation = old_views(true).with_policies(policies);
+    simulation.add_load(0, 12_000, load);
     simulation.run(60_000);
-    simulation.tallies
+    let submitted: u32 = simulation.tallies.iter().map(|tally| tally.submitted).sum();
+    let (used, slots) = simulation.used;
+    let refused = f64::from(simulation.full) / f64::from(submitted);
+    (used as f64 / slots as f64, refused)
+}
+
+/// Guards against slots that are free without anybody's knowledge, and against entries that look
+/// for them all at once. On a simulated day (gwfla scale-2) endpoints refused as many reservations
+/// as there were requests.
+#[test]
+fn entries_use_again_the_slots_that_their_requests_leave() {
+    for load in [1.4, 2.0] {
+        let (used, refused) = replay_slots(true, load);
+        let (used_before, refused_before) = replay_slots(false, load);
+        assert!(
+            used > 0.95 && used > used_before,
+            "at load {load}: {used}, {used_before}"
+        );
+        assert!(
+            refused < refused_before / 4.0,
+            "at load {load}: {refused}, {refused_before}"
+        );
+    }
 }
 
 /// Guards against endpoints' own queues, which know no urgency. On a simulated day with 103 entries
