--- a/crates/core/src/direct/policies.rs
+++ b/crates/core/src/direct/policies.rs
@@ -10,8 +10,6 @@
     pub return_places: bool,
     /// Whether the slots of endpoints are divided among the entries.
     pub slot_shares: bool,
-    /// Whether streams of routes with one attempt go on from a copy of their memory.
-    pub stream_backups: bool,
     /// Requests that may be sent to a second endpoint because the first one is slow, as a part of all
     /// requests; zero for none.
     pub hedge_part: f64,
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -254,7 +254,6 @@
         team_shares: section.switch("team shares")?,
         return_places: section.switch("return places")?,
         slot_shares: section.switch("slot shares")?,
-        stream_backups: section.switch("stream backups")?,
         hedge_part: section.part("hedge part")?,
     })
 }
