--- a/crates/core/tests/core/direct/team_shares.rs
+++ b/crates/core/tests/core/direct/team_shares.rs
@@ -201,7 +201,6 @@
     team_shares: true,
     return_places: false,
     slot_shares: false,
-    stream_backups: false,
     hedge_part: 0.0,
 };
 
