--- a/crates/core/src/direct/plan.rs
+++ b/crates/core/src/direct/plan.rs
@@ -8,7 +8,6 @@
 use serde::{Deserialize, Serialize};
 
 use super::digest::digest;
-use super::stream_backup::BackupPlan;
 use crate::id::KeyDigest;
 
 /// Id of an endpoint.
@@ -98,9 +97,6 @@
     /// Tokens per event of a streamed answer.
     #[serde(rename = "stride")]
     pub event_tokens: f64,
-    /// How endpoints keep copies of each other's runs, if they do.
-    #[serde(default)]
-    pub backup: Option<BackupPlan>,
 }
 
 /// What a team's rate counts.
--- a/crates/core/src/direct/policies.rs
+++ b/crates/core/src/direct/policies.rs
@@ -12,8 +12,6 @@
     pub slot_shares: bool,
     /// Whether streams of routes with one attempt go on from a copy of their memory.
     pub stream_backups: bool,
-    /// Expected tokens of an answer from which a stream gets a copy.
-    pub backup_tokens: u64,
     /// Requests that may be sent to a second endpoint because the first one is slow, as a part of all
     /// requests; zero for none.
     pub hedge_part: f64,
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -11,7 +11,6 @@
 mod request_limit;
 mod restoration;
 mod snapshot;
-mod stream_backup;
 
 pub use message::{Bounds, Ending, Outcome, Placement, PlacementRefusal, Reason, Totals};
 pub use reports::ReportEffect;
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -24,7 +24,6 @@
 mod restored_records;
 mod simulation;
 mod store_progress;
-mod stream_backup;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -89,7 +88,6 @@
         warmup: Duration::from_secs(3),
         reservation: Duration::ZERO,
         event_tokens: 6.0,
-        backup: None,
     };
     let mut plan = Plan {
         version,
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -12,8 +12,8 @@
 
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
-    Ending, EndpointRecord, Outcome, Placement, PlacementRefusal, PlacementRequest, ProcessLag,
-    Run, Scheduler, Section, StoreRevision, Ticket,
+    Ending, Outcome, Placement, PlacementRefusal, PlacementRequest, ProcessLag, Run, Scheduler,
+    Section, StoreRevision, Ticket,
 };
 use tokio::sync::{Notify, oneshot};
 use tokio_util::task::TaskTracker;
@@ -420,19 +420,6 @@
         }))
     }
 
-    /// Takes a slot at the endpoint that keeps a copy of a stream's memory.
-    pub(crate) fn resume_at(self: &Rc<Self>, record: &EndpointRecord) -> Option<SlotGuard> {
-        let run = self
-            .scheduler
-            .borrow_mut()
-            .resume_at(record, clock::now())?;
-        Some(SlotGuard {
-            context: Rc::clone(self),
-            run,
-            ended: false,
-        })
-    }
-
     fn outcome(self: &Rc<Self>, outcome: Outcome) -> PlacementOutcome {
         match outcome {
             Outcome::Refused(refusal) => PlacementOutcome::Refused(refusal),
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -46,10 +46,6 @@
     pub seal: HeaderName,
     /// Number of the last event of a stream that the caller has received.
     pub resume: HeaderName,
-    /// Address of the endpoint that keeps a copy of the run's memory as it grows.
-    pub backup: HeaderName,
-    /// Address and name of the memory from which a run goes on, separated by a slash.
-    pub memory: HeaderName,
     /// Id of the caller's attempt that brought the first event of the stream that a request takes
     /// up.
     pub taken_up: HeaderName,
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -1,7 +1,6 @@
 //! Handles one request: places it, sends it, retries it if the route allows that, and answers it.
 
 mod attempt;
-mod backup;
 mod crash_check;
 mod origin;
 mod reserve;
@@ -70,8 +69,6 @@
     /// Total time the request has waited for a slot.
     waited: Cell<Duration>,
     estimate: Cell<Estimate>,
-    /// The endpoint that keeps a copy of the memory of the last run, if one does.
-    backup: RefCell<Option<EndpointRecord>>,
     /// The last failure that an endpoint has answered. It is the caller's answer if no endpoint
     /// succeeds.
     failed: RefCell<Option<Response<AnswerBody>>>,
@@ -134,7 +131,6 @@
             possible_runs: Cell::new(0),
             waited: Cell::default(),
             estimate: Cell::default(),
-            backup: RefCell::default(),
             failed: RefCell::default(),
             ended: Cell::new(false),
         }
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -36,7 +36,7 @@
 impl Dispatch {
     /// Builds the request for one endpoint. `resume` is the last event that the caller has
     /// received.
-    pub(super) fn endpoint_request(
+    fn endpoint_request(
         &self,
         record: &EndpointRecord,
         resume: Option<u64>,
@@ -81,17 +81,6 @@
             let header = &self.context.dialect.reservation.header;
             set_header(request.headers_mut(), header, &id);
         }
-        self.add_backup(record, request.headers_mut());
-        self.exchange(request, record, slot).await
-    }
-
-    /// Sends what the endpoint receives, and interprets its answer.
-    pub(super) async fn exchange(
-        &self,
-        request: Request<Full<Bytes>>,
-        record: &EndpointRecord,
-        slot: SlotGuard,
-    ) -> Result<Begun, SendFault> {
         let sent = clock::now();
         let sending = self
             .context
--- a/crates/direct/src/dispatch/source.rs
+++ b/crates/direct/src/dispatch/source.rs
@@ -80,11 +80,6 @@
         (self.events > 0).then_some(self.first)
     }
 
-    /// Returns whether events have arrived for so long that the run is sound.
-    pub(super) const fn is_sound(&self) -> bool {
-        self.sound
-    }
-
     /// Returns the number of events received from this endpoint.
     pub(super) const fn events(&self) -> u32 {
         self.events
--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -222,11 +222,6 @@
     async fn replace_broken(&mut self) -> bool {
         self.dispatch.leave_broken(&mut self.source);
         self.dispatch.exclude(&self.source.record);
-        let copied = self.dispatch.go_on_from_copy(&self.source, self.last).await;
-        if let Some(start) = copied {
-            self.go_on(start);
-            return true;
-        }
         if !self.dispatch.may_run_again() || !self.dispatch.take_retry() {
             return false;
         }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -19,8 +19,6 @@
     pub sends: IntCounterVec,
     /// Calls to endpoints: requests, and reservations of slots.
     pub calls: IntCounterVec,
-    /// Copies of streams' memory, by what became of them.
-    pub backups: IntCounterVec,
     /// Endpoints that broke off, by what became of them.
     pub breaks: IntCounterVec,
     /// Messages about borrowed requests that peers have sent.
@@ -105,11 +103,6 @@
                 "Calls to endpoints: requests, and reservations of slots",
                 &["call"],
             )?,
-            backups: counter(
-                "comfreyhaven_stream_backups_total",
-                "Copies of streams' memory, by what became of them",
-                &["outcome"],
-            )?,
             breaks: counter(
                 "comfreyhaven_endpoint_breaks_total",
                 "Endpoints that broke off, by what became of them",
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -119,15 +119,6 @@
         }
     }
 
-    /// Reads a count, which is zero if it is not set.
-    fn count(&self, name: &'static str) -> Result<u64, SettingsError> {
-        const EXPECTED: &str = "a whole number";
-        match self.text(name, EXPECTED) {
-            Ok(_) => self.value(name, EXPECTED),
-            Err(_) => Ok(0),
-        }
-    }
-
     /// Reads a part of a whole, which is zero if it is not set.
     fn part(&self, name: &'static str) -> Result<f64, SettingsError> {
         const EXPECTED: &str = "a number from 0 to 1";
@@ -264,7 +255,6 @@
         return_places: section.switch("return places")?,
         slot_shares: section.switch("slot shares")?,
         stream_backups: section.switch("stream backups")?,
-        backup_tokens: section.count("backup tokens")?,
         hedge_part: section.part("hedge part")?,
     })
 }
