Hedges that are withheld are asked for sooner; a planned hedge counts as a possible run

Cause: a momentary lack of slots or of balance doubled the wait of the slowest requests; a hedge that waits for its reservation and a request that moves from a silent endpoint could together exceed the attempts of the route. Change: asked again after half the time; a balance of 10; a planned hedge counts as a possible run; a request that has moved is not hedged. A full second endpoint is an outcome of its own.

--- a/crates/core/examples/hedging.rs
+++ b/crates/core/examples/hedging.rs
@@ -110,9 +110,8 @@
     events: BTreeMap<(u64, usize), Event>,
     next: usize,
     now: f64,
-    /// Slot time of all attempts, and of those whose answer did not count.
+    /// Slot time of all attempts.
     busy: f64,
-    wasted: f64,
     refused: usize,
     random: ChaCha8Rng,
 }
@@ -137,7 +136,6 @@
             next: 0,
             now: 0.0,
             busy: 0.0,
-            wasted: 0.0,
             refused: 0,
             random: ChaCha8Rng::seed_from_u64(3),
         }
@@ -205,6 +203,11 @@
         }
     }
 
+    /// Returns the slot time for each request that was not refused.
+    fn busy_each(&self) -> f64 {
+        self.busy / (self.requests.len() - self.refused) as f64
+    }
+
     fn attempt_of(&self, request: usize) -> &Attempt {
         &self.attempts[self.requests[request].attempts[0]]
     }
@@ -291,8 +294,9 @@
             let is_free = self.endpoints[second].running < SLOTS;
             let service_name = Arc::clone(&self.service);
             if service.is_overloaded() || !is_free || !self.hedging.take(&service_name) {
-                let waited = self.now - self.requests[request].arrived;
-                return self.schedule(waited, Event::Hedge(request));
+                let delay = self.hedging.delay(KIND, self.time()).unwrap_or_default();
+                let delay = delay.as_secs_f64() * 1_000.0;
+                return self.schedule(delay / 2.0, Event::Hedge(request));
             }
         }
         self.send(request, second);
@@ -313,7 +317,7 @@
         self.observe(endpoint, took);
         self.record(took, WaitEnd::Answered);
         let is_first = self.requests[request].took.is_none();
-        self.release(attempt, !is_first);
+        self.release(attempt);
         if is_first {
             self.requests[request].took = Some(self.now - self.requests[request].arrived);
             self.cancel_others(request, attempt);
@@ -322,13 +326,15 @@
 
     fn cancel(&mut self, attempt: usize) {
         let Attempt {
+            request,
             endpoint,
             sent,
             started,
             ended,
-            ..
         } = self.attempts[attempt];
-        if ended {
+        // Of two copies that started at the same moment, neither ends the other.
+        let both_run = started.is_some() && self.requests[request].took.is_none();
+        if ended || both_run {
             return;
         }
         let took = self.now - sent;
@@ -337,7 +343,7 @@
             self.observe(endpoint, took);
         }
         if started.is_some() {
-            return self.release(attempt, true);
+            return self.release(attempt);
         }
         self.attempts[attempt].ended = true;
         self.endpoints[endpoint]
@@ -355,13 +361,12 @@
         self.hedging.record(KIND, took, end, self.time());
     }
 
-    fn release(&mut self, attempt: usize, is_wasted: bool) {
+    fn release(&mut self, attempt: usize) {
         let Attempt {
             endpoint, started, ..
         } = self.attempts[attempt];
         let busy = self.now - started.unwrap_or(self.now);
         self.busy += busy;
-        self.wasted += if is_wasted { busy } else { 0.0 };
         self.attempts[attempt].ended = true;
         self.endpoints[endpoint].running -= 1;
         if let Some(next) = self.endpoints[endpoint].queue.pop_front() {
@@ -377,16 +382,18 @@
     );
     for trouble in Trouble::iter() {
         for load in [0.3, 0.6, 0.9, 1.2] {
+            let mut usual = None;
             for way in Way::iter() {
                 let mut simulation = Simulation::new(way, trouble);
                 simulation.run(load);
-                print(&simulation, load);
+                let usual = *usual.get_or_insert(simulation.busy_each());
+                print(&simulation, load, usual);
             }
         }
     }
 }
 
-fn print(simulation: &Simulation, load: f64) {
+fn print(simulation: &Simulation, load: f64, usual: f64) {
     let took = simulation.requests.iter().filter_map(|r| r.took);
     let mut took: Vec<f64> = took.collect();
     took.sort_by(f64::total_cmp);
@@ -401,7 +408,7 @@
         percentile(0.99),
         percentile(0.999),
         percent((simulation.attempts.len() - sent) as f64, sent as f64),
-        percent(simulation.wasted, simulation.busy - simulation.wasted),
+        percent(simulation.busy_each() / usual - 1.0, 1.0),
         percent(took.len() as f64, simulation.requests.len() as f64),
     );
 }
--- a/crates/core/src/direct/hedging/hedge_limit.rs
+++ b/crates/core/src/direct/hedging/hedge_limit.rs
@@ -4,7 +4,7 @@
 //! that part of all requests without any message, whichever entries run.
 
 /// Hedges that an entry may save up, so that it does not send many at once after a calm time.
-const BALANCE_MAX: f64 = 2.0;
+const BALANCE_MAX: f64 = 10.0;
 
 /// Hedges that an entry may send for a service.
 ///
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -67,6 +67,8 @@
     /// Number of endpoints that run the request or may have run it, including those that have not
     /// answered yet.
     possible_runs: Cell<u32>,
+    /// Whether the request has been sent elsewhere since an endpoint was silent.
+    moved: Cell<bool>,
     /// Total time the request has waited for a slot.
     waited: Cell<Duration>,
     estimate: Cell<Estimate>,
@@ -130,6 +132,7 @@
             sends: Cell::new(0),
             arrivals: Cell::new(0),
             possible_runs: Cell::new(0),
+            moved: Cell::new(false),
             waited: Cell::default(),
             estimate: Cell::default(),
             failed: RefCell::default(),
--- a/crates/direct/src/dispatch/attempt.rs
+++ b/crates/direct/src/dispatch/attempt.rs
@@ -156,6 +156,7 @@
                 .borrow_mut()
                 .record_failure(&placement.run, clock::now());
             self.exclude(record);
+            self.moved.set(true);
             let mut elsewhere = Box::pin(self.begin(last));
             tokio::select! {
                 result = sending.as_mut() => return match result {
--- a/crates/direct/src/dispatch/hedge.rs
+++ b/crates/direct/src/dispatch/hedge.rs
@@ -1,6 +1,7 @@
 //! Sends a request to a second endpoint when its answer is late. The first answer counts, and the
 //! other send is cancelled.
 
+use std::cell::Cell;
 use std::pin::{Pin, pin};
 use std::time::Duration;
 
@@ -28,6 +29,19 @@
     Lost,
     /// The second endpoint did not answer.
     Failed,
+    /// The second endpoint had no slot to reserve; nothing was sent there.
+    Full,
+}
+
+impl HedgeEnd {
+    /// Returns how a hedge ended whose send has ended before the other one had an answer.
+    const fn of(result: &Result<Begun, SendFault>) -> Self {
+        match result {
+            Ok(_) => Self::Won,
+            Err(SendFault::Full) => Self::Full,
+            Err(_) => Self::Failed,
+        }
+    }
 }
 
 /// Records how long a request has waited at an endpoint. A wait that is dropped was cancelled.
@@ -62,6 +76,23 @@
     }
 }
 
+/// A run that counts as a possible one although its request is not sent yet, so that no other send takes
+/// its place among those that the route allows.
+struct PlannedRun<'a>(&'a Cell<u32>);
+
+impl<'a> PlannedRun<'a> {
+    fn new(possible_runs: &'a Cell<u32>) -> Self {
+        possible_runs.set(possible_runs.get() + 1);
+        Self(possible_runs)
+    }
+}
+
+impl Drop for PlannedRun<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl Dispatch {
     /// Sends the request, and once more to another endpoint if the answer is late.
     pub(super) async fn send_hedged(
@@ -99,22 +130,21 @@
                     return result;
                 }
                 let answer = second.await;
-                let end = if answer.is_ok() { HedgeEnd::Won } else { HedgeEnd::Failed };
-                self.log_hedge_end(end, &hedge.record);
+                self.log_hedge_end(HedgeEnd::of(&answer), &hedge.record);
                 answer.or(result)
             }
             answer = second.as_mut() => {
+                self.log_hedge_end(HedgeEnd::of(&answer), &hedge.record);
                 if answer.is_ok() {
-                    self.log_hedge_end(HedgeEnd::Won, &hedge.record);
                     return answer;
                 }
-                self.log_hedge_end(HedgeEnd::Failed, &hedge.record);
                 first.await
             }
         }
     }
 
-    /// Waits until the answer is late and a hedge may be sent. Returns `None` if none is sent.
+    /// Waits until the answer is late and a hedge may be sent. A hedge that is withheld is asked for
+    /// again. Returns `None` if the request may not be sent once more.
     async fn late_hedge(
         &self,
         first: &Placement,
@@ -129,6 +159,8 @@
             let mut scheduler = self.context.scheduler.borrow_mut();
             scheduler.hedge_delay(&head.route.name, run.prompt, clock::now())?
         };
+        let interval = delay / 2;
+        let mut withheld = None;
         loop {
             self.wait_until(run.sent + delay).await;
             if !self.may_hedge() {
@@ -139,9 +171,12 @@
                     self.log_hedge(&first.record, &hedge.0.record, delay);
                     return Some(hedge);
                 }
-                Err(cause) => self.log_withheld(&first.record, delay, cause),
+                Err(cause) if withheld.replace(cause).is_none() => {
+                    self.log_withheld(&first.record, delay, cause);
+                }
+                Err(_) => {}
             }
-            delay *= 2;
+            delay += interval;
         }
     }
 
@@ -161,7 +196,8 @@
     /// Returns whether one more endpoint may run the request while another one does.
     fn may_hedge(&self) -> bool {
         let is_in_time = clock::now() + MIN_SEND_TIME < self.deadline;
-        is_in_time && self.sends.get() < SEND_LIMIT && self.may_run_again()
+        let is_allowed = self.sends.get() < SEND_LIMIT && self.may_run_again();
+        is_in_time && is_allowed && !self.moved.get()
     }
 
     fn place_hedge(&self, first: &EndpointRecord) -> Result<(Box<Placement>, SlotGuard), Withheld> {
@@ -172,8 +208,10 @@
     /// Sends the request to the second endpoint. While it is there, no other send goes to it.
     async fn send_hedge(&self, hedge: &Placement, slot: SlotGuard) -> Result<Begun, SendFault> {
         self.exclude(&hedge.record);
+        let planned = PlannedRun::new(&self.possible_runs);
         match self.reserve(hedge).await {
             Ok(reservation) => {
+                drop(planned);
                 self.sends.set(self.sends.get() + 1);
                 self.send_timed(hedge, slot, reservation, None).await
             }
