A change of the limit on hedges discards what was saved

Cause: a request that was waiting to be hedged could still be after hedges were turned off, from what the entry had saved under the old limit.

--- a/crates/core/src/direct/hedging.rs
+++ b/crates/core/src/direct/hedging.rs
@@ -104,9 +104,12 @@
 }
 
 impl Hedging {
-    /// Sets the hedges that may be sent, as a part of all requests.
-    pub const fn set_part(&mut self, part: f64) {
-        self.part = part;
+    /// Sets the hedges that may be sent, as a part of all requests. A change discards what was saved.
+    pub fn set_part(&mut self, part: f64) {
+        let before = std::mem::replace(&mut self.part, part);
+        if before.to_bits() != part.to_bits() {
+            self.limits.clear();
+        }
     }
 
     /// Returns whether hedges may be sent.
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -181,7 +181,7 @@
 
     /// Sets the optional decisions.
     #[must_use]
-    pub const fn with_policies(mut self, policies: Policies) -> Self {
+    pub fn with_policies(mut self, policies: Policies) -> Self {
         self.policies = policies;
         self.hedging.set_part(policies.hedge_part);
         self
--- a/crates/core/src/direct/scheduler/hedging.rs
+++ b/crates/core/src/direct/scheduler/hedging.rs
@@ -24,7 +24,7 @@
 
 impl Scheduler {
     /// Changes the hedges that may be sent, as a part of all requests; zero for none.
-    pub const fn set_hedge_part(&mut self, part: f64) {
+    pub fn set_hedge_part(&mut self, part: f64) {
         self.policies.hedge_part = part;
         self.hedging.set_part(part);
     }
--- a/crates/core/tests/core/direct/hedging.rs
+++ b/crates/core/tests/core/direct/hedging.rs
@@ -91,6 +91,16 @@
     );
 }
 
+/// Guards against hedges for answers that are late already when the operators turn hedges off.
+#[test]
+fn a_change_of_the_limit_discards_what_was_saved() {
+    let mut entry = hedging_scheduler(1.0);
+    let now = answer(&mut entry, 60, 0);
+    hedge(&mut entry, "x", now).expect("it was withheld");
+    entry.set_hedge_part(0.0);
+    assert_eq!(hedge_cause(&mut entry, now), Some(Withheld::Limit));
+}
+
 /// Guards against a percentile of the fast answers only: those that were cancelled are the slow ones.
 #[test]
 fn a_cancelled_answer_counts_as_later_than_the_time_waited() {
