--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -5,11 +5,13 @@
 //! start soonest, waits in the entry while all endpoints are full, and is refused at once if it
 //! cannot start in time. Entries exchange load reports and share no other state.
 
+mod admission;
 mod build_history;
 mod confirmation;
 mod containment;
 mod departures;
 mod digest;
+mod drain;
 mod endpoint_table;
 mod event_interval;
 mod latency_model;
@@ -29,6 +31,7 @@
 mod request_limit;
 mod restoration;
 mod retry_budget;
+mod return_places;
 mod scheduler;
 mod send_window;
 mod source;
@@ -40,6 +43,7 @@
 mod topology;
 mod wait_queue;
 
+pub use admission::Admission;
 pub use build_history::{BuildHistory, SeenBuilds};
 pub use confirmation::Confirmation;
 pub use containment::{
@@ -48,6 +52,7 @@
 };
 pub use departures::DepartedEndpoint;
 pub use digest::digest;
+pub use drain::{Ahead, Class, Drain, Turn};
 pub use endpoint_table::{
     Availability, EndpointState, EndpointTable, Load, Notice, NoticeEffect, PAUSE_LIMIT, Pause, Run,
 };
@@ -71,6 +76,7 @@
 pub use request_limit::{LimitChange, LimitNotice, LimitStatement, RequestLimit};
 pub use restoration::{RECOVERY_TIME, Restoration};
 pub use retry_budget::RetryBudget;
+pub use return_places::{Refused, ReturnPlaces};
 pub use scheduler::{
     Bounds, Ending, Outcome, Placement, PlacementRefusal, Reason, Released, ReportEffect, Restored,
     Scheduler, Snapshot, Totals,
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -1,6 +1,7 @@
 //! State machine of a direct entry. It decides which endpoint serves a request, and whether the
 //! request waits or is refused.
 
+mod admission;
 mod availability;
 mod containment;
 mod limits;
@@ -45,21 +46,14 @@
 use super::store_progress::StoreProgress;
 use super::stream_origins::StreamOrigins;
 use super::topology::Topology;
-use super::wait_queue::{QueuePosition, WaitQueue};
+use super::wait_queue::WaitQueue;
 use crate::time::Timestamp;
+use admission::Admissions;
 use availability::Absence;
 
-/// Range of the delay after which a refused caller may retry. The delay is drawn at random, so that
-/// callers refused together do not return together.
-const RETRY_AFTER_RANGE: (Duration, Duration) =
-    (Duration::from_millis(900), Duration::from_millis(3_400));
-
 /// Weight of a new request in the average slot time of its kind.
 const SLOT_TIME_WEIGHT: f64 = 0.03;
 
-/// Longest wait for a slot of a short request that can no longer meet its objective.
-const LATE_WAIT_LIMIT: Duration = Duration::from_millis(1_600);
-
 /// Processor share of an entry whose share is not set, in thousandths of a core.
 const DEFAULT_CAPACITY: u16 = 1_000;
 
@@ -91,6 +85,7 @@
     /// Data centres that stay closed after a restoration of the store, and until when.
     kept_closed: BTreeMap<Arc<str>, Timestamp>,
     queues: BTreeMap<Arc<str>, WaitQueue>,
+    admissions: Admissions,
     budgets: HashMap<Arc<str>, RetryBudget>,
     rate_limiters: HashMap<u64, RateLimiter>,
     spending: Spending,
@@ -146,6 +141,7 @@
             closed: BTreeSet::new(),
             kept_closed: BTreeMap::new(),
             queues: BTreeMap::new(),
+            admissions: Admissions::default(),
             budgets: HashMap::new(),
             rate_limiters: HashMap::new(),
             spending: Spending::default(),
@@ -299,11 +295,12 @@
             let absence = self.absence(&request.service, request.build.as_deref(), now);
             return Some(self.refuse_absent(&request, &absence, now));
         }
-        let position = QueuePosition::new(&request, late);
+        let position = self.position(&request, late, now);
         let queue = self.queues.get(&request.service);
         let build = request.build.as_deref();
         let is_behind = queue.is_some_and(|queue| queue.is_behind(&position, build));
         if !is_behind && let Some(placed) = self.place(&request, late, now) {
+            self.record_start(&request, &position, now);
             return Some(placed);
         }
         if late && self.wait_limit(&request) <= now {
@@ -312,8 +309,12 @@
         if let Some(absence) = self.limited_too_long(&request, now) {
             return Some(self.refuse_absent(&request, &absence, now));
         }
+        if !self.admits(&request, &position, now) {
+            return Some(self.refuse(&request, Reason::Overloaded, now));
+        }
         let service = Arc::clone(&request.service);
-        self.queues.entry(service).or_default().add(request, late);
+        let queue = self.queues.entry(service).or_default();
+        queue.add(position, request);
         None
     }
 
@@ -333,6 +334,7 @@
         if let Some(queue) = self.queues.get_mut(service) {
             queue.remove(ticket);
         }
+        self.admissions.forget(service, ticket);
     }
 
     /// Places the queued requests for which there is a slot and refuses those that have waited too
@@ -380,14 +382,17 @@
             } else {
                 self.place(&request, position.is_late(), now)
             };
-            if placed.is_none() && !is_full {
-                full.push(request.build.clone());
+            match placed {
+                Some(_) => self.record_start(&request, &position, now),
+                None if !is_full => full.push(request.build.clone()),
+                None => {}
             }
             let refused = || match absence {
                 Some(absence) => Some(self.refuse_absent(&request, &absence, now)),
                 None => overdue.then(|| self.refuse(&request, Reason::Overloaded, now)),
             };
             if let Some(outcome) = placed.or_else(refused) {
+                self.admissions.record_wait(&request, now);
                 outcomes.push((request.ticket, outcome));
                 if let Some(queue) = self.queues.get_mut(service) {
                     queue.take(&position);
@@ -396,43 +401,6 @@
         }
     }
 
-    /// Returns whether a queued request has waited too long.
-    fn is_overdue(
-        &self,
-        position: &QueuePosition,
-        request: &PlacementRequest,
-        now: Timestamp,
-    ) -> bool {
-        if position.is_late() {
-            self.wait_limit(request) <= now
-        } else {
-            self.is_late(request, now)
-        }
-    }
-
-    /// Returns until when a request that misses its objective may wait, so that its answer can
-    /// still complete before the deadline. A long request may not wait at all: it is queued behind
-    /// every request that can meet its objective, so it is refused at once with a delay for the
-    /// retry.
-    fn wait_limit(&self, request: &PlacementRequest) -> Timestamp {
-        if !request.is_short() {
-            return request.arrived;
-        }
-        let need = request.slot_time() * 2;
-        let left = request.deadline.since(request.arrived).saturating_sub(need);
-        request.arrived + LATE_WAIT_LIMIT.min(left)
-    }
-
-    fn refuse(&mut self, request: &PlacementRequest, reason: Reason, now: Timestamp) -> Outcome {
-        let span = RETRY_AFTER_RANGE.1 - RETRY_AFTER_RANGE.0;
-        let drawn = RETRY_AFTER_RANGE.0 + span.mul_f64(self.random.random());
-        let left = request.deadline.since(now);
-        Outcome::Refused(PlacementRefusal {
-            reason,
-            retry_after: drawn.min(left / 3),
-        })
-    }
-
     /// Refuses a request that no endpoint of its service takes. If it is known when one takes requests
     /// again, the delay ends after that.
     fn refuse_absent(
@@ -473,7 +441,7 @@
             Ending::Complete => self.endpoints.record_success(run),
             Ending::Failed | Ending::Rejected => self.endpoints.record_failure(run),
             Ending::Broken => self.record_failure(run, now),
-            Ending::Full => self.endpoints.record_full(run, now),
+            Ending::Full => self.record_full(run, now),
             Ending::Cancelled => {}
         }
     }
--- a/crates/core/src/direct/scheduler/message.rs
+++ b/crates/core/src/direct/scheduler/message.rs
@@ -31,6 +31,8 @@
 pub enum Reason {
     /// Every endpoint is full or reserved for requests that take precedence.
     Overloaded,
+    /// Every endpoint is full, and there is no place for the caller at a time that it would honour.
+    NoRoom,
     /// The service has no usable endpoint.
     NoEndpoint,
     /// Every endpoint of the service has said that it leaves.
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -71,6 +71,12 @@
         if !request.streaming {
             return left <= 0.0;
         }
+        left < self.idle_first_byte_ms(request)
+    }
+
+    /// Returns the expected time to first byte of a request at the best endpoint if that were idle,
+    /// in milliseconds.
+    pub(super) fn idle_first_byte_ms(&self, request: &PlacementRequest) -> f64 {
         let idle = |state: &EndpointState| state.idle_first_byte_ms(request.prompt);
         let best = self
             .endpoints
@@ -78,7 +84,7 @@
             .filter(|state| has_build(state, request.build.as_deref()))
             .map(idle)
             .min_by(f64::total_cmp);
-        left < best.unwrap_or(0.0)
+        best.unwrap_or(0.0)
     }
 
     /// Returns whether the service has no usable endpoint.
@@ -224,8 +230,8 @@
         }
         let reserved = match (request.is_short(), late) {
             (true, _) => 0.0,
-            (false, true) => LATE_RESERVE,
-            (false, false) => RANK_RESERVE * f64::from(request.rank.min(2)),
+            (false, true) if !self.is_returning(request) => LATE_RESERVE,
+            (false, _) => RANK_RESERVE * f64::from(request.rank.min(2)),
         };
         if f64::from(free) <= reserved * f64::from(all) {
             return false;
--- a/crates/core/src/direct/wait_queue.rs
+++ b/crates/core/src/direct/wait_queue.rs
@@ -10,6 +10,7 @@
 
 use crate::time::Timestamp;
 
+use super::drain::{Ahead, Class, Turn};
 use super::placement_request::{PlacementRequest, Ticket};
 
 /// First of the ranks that are served as one.
@@ -68,6 +69,7 @@
     after_timely: bool,
     team_rank: u8,
     rank: u8,
+    turn: Turn,
     order_time: Timestamp,
     ticket: Ticket,
     late: bool,
@@ -85,15 +87,31 @@
             after_timely: late && !short,
             team_rank: request.team_rank,
             rank,
+            turn: Turn::Timely,
             order_time: request.arrived + request.penalty(),
             ticket: request.ticket,
             late,
         }
     }
 
+    /// Queues the request among those of its rank.
+    pub(super) const fn with_turn(mut self, turn: Turn) -> Self {
+        self.after_timely = false;
+        self.turn = turn;
+        self
+    }
+
     pub(super) const fn is_late(&self) -> bool {
         self.late
     }
+
+    /// Returns the class whose drain the request waits for.
+    pub(super) const fn class(&self) -> Class {
+        Class {
+            level: self.rank,
+            turn: self.turn,
+        }
+    }
 }
 
 /// The requests that wait for one service.
@@ -103,9 +121,8 @@
 }
 
 impl WaitQueue {
-    pub(super) fn add(&mut self, request: PlacementRequest, late: bool) {
-        self.requests
-            .insert(QueuePosition::new(&request, late), request);
+    pub(super) fn add(&mut self, position: QueuePosition, request: PlacementRequest) {
+        self.requests.insert(position, request);
     }
 
     pub(super) fn remove(&mut self, ticket: Ticket) -> Option<PlacementRequest> {
@@ -155,6 +172,19 @@
             .count()
     }
 
+    /// Returns how many requests are served before `position`.
+    pub(super) fn ahead(&self, position: &QueuePosition) -> Ahead {
+        let class = position.class();
+        let mut ahead = Ahead::default();
+        for other in self.requests.range(..*position).map(|(other, _)| other) {
+            match other.class() == class {
+                true => ahead.same += 1,
+                false => ahead.before += 1,
+            }
+        }
+        ahead
+    }
+
     /// Returns whether a request that waits for the same endpoints is served before `position`.
     /// Requests that require a build wait for its endpoints only, and keep no others waiting.
     pub(super) fn is_behind(&self, position: &QueuePosition, build: Option<&str>) -> bool {
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -21,6 +21,7 @@
 mod request_limits;
 mod restoration;
 mod restored_records;
+mod returns;
 mod simulation;
 mod store_progress;
 
--- a/crates/core/tests/core/direct/simulation.rs
+++ b/crates/core/tests/core/direct/simulation.rs
@@ -1,12 +1,12 @@
 //! Simulation of several direct entries over endpoints of different speed, for replaying a load.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
-    Ending, Outcome, Placement, PlacementRequest, Plan, Run, Scheduler, Ticket,
+    Ending, Outcome, Placement, PlacementRequest, Plan, Policies, Run, Scheduler, Ticket,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -25,6 +25,19 @@
 /// Tokens per event.
 const EVENT_TOKENS: f64 = 6.0;
 
+/// What callers do that are refused: each returns once, at any entry.
+#[derive(Debug, Clone, Copy)]
+pub struct Returns {
+    /// Part of the callers that return at once, whatever they are told.
+    pub hasty: f64,
+}
+
+/// Longest deadline of the callers that return; the shortest is 0.85 of it.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(12);
+
+/// Part of the longest deadline from which on it does not show that time has passed.
+const ORIGINAL_PART: f64 = 0.8;
+
 /// How an endpoint is chosen for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Policy {
@@ -54,6 +67,10 @@
     pub refused: u32,
     /// Answers that were not complete at their deadline.
     pub overdue: u32,
+    /// Requests whose callers returned after a refusal.
+    pub returned: u32,
+    /// Those of them that were served.
+    pub readmitted: u32,
 }
 
 impl Tally {
@@ -129,7 +146,13 @@
     events: BTreeMap<(Timestamp, u64), Event>,
     next: u64,
     random: ChaCha8Rng,
+    returns: Option<Returns>,
+    returned: HashSet<Ticket>,
     pub tallies: Vec<Tally>,
+    /// Milliseconds that refused requests have waited.
+    pub refused_waits: Vec<u64>,
+    /// Delays in milliseconds after which callers were told to return, and when they were told.
+    pub told: Vec<(Timestamp, u64)>,
 }
 
 impl Simulation {
@@ -150,6 +173,10 @@
             events: BTreeMap::new(),
             next: 0,
             random: ChaCha8Rng::seed_from_u64(7),
+            returns: None,
+            returned: HashSet::new(),
+            refused_waits: Vec::new(),
+            told: Vec::new(),
             tallies: vec![Tally::default(); kinds.len()],
         };
         for (index, factor) in factors.iter().enumerate() {
@@ -194,6 +221,62 @@
         self
     }
 
+    /// Lets refused callers return, and entries decide by `policies`.
+    pub fn with_returns(mut self, returns: Returns, policies: Policies) -> Self {
+        self.returns = Some(returns);
+        let entries = std::mem::take(&mut self.entries).into_iter();
+        self.entries = entries.map(|entry| entry.with_policies(policies)).collect();
+        self
+    }
+
+    /// Lets a refused caller return as it was told, with the time that it has left. Returns false if
+    /// it does not return.
+    fn come_back(
+        &mut self,
+        kind: usize,
+        request: &PlacementRequest,
+        told: Duration,
+        now: Timestamp,
+    ) -> bool {
+        self.refused_waits
+            .push(now.since(request.arrived).as_millis() as u64);
+        let Some(returns) = self.returns else {
+            return false;
+        };
+        if !self.returned.insert(request.ticket) {
+            return false;
+        }
+        self.told.push((now, told.as_millis() as u64));
+        let left = request.deadline.since(now);
+        let delay = match self.random.random_bool(returns.hasty) {
+            true => Duration::ZERO,
+            false => told.min(left / 3),
+        };
+        let arrived = now + delay + HOP_DELAY * 2;
+        let left = request.deadline.since(arrived);
+        let elapsed = match left < LONGEST_DEADLINE.mul_f64(ORIGINAL_PART) {
+            true => LONGEST_DEADLINE - left,
+            false => Duration::ZERO,
+        };
+        let objective = Duration::from_millis(self.kinds[kind].objective);
+        let request = PlacementRequest {
+            arrived,
+            elapsed,
+            objective: arrived + objective.saturating_sub(elapsed),
+            ..request.clone()
+        };
+        let entry = self.random.random_range(0..self.entries.len());
+        self.schedule(
+            arrived,
+            Event::Arrive {
+                entry,
+                kind,
+                request,
+            },
+        );
+        true
+    }
+
     fn schedule(&mut self, time: Timestamp, event: Event) {
         self.next += 1;
         self.events.insert((time, self.next), event);
@@ -223,7 +306,12 @@
         };
         let share: f64 = self.random.random();
         let entry = ((share * share) * self.entries.len() as f64) as usize;
+        let patience = match self.returns {
+            Some(_) => LONGEST_DEADLINE.mul_f64(self.random.random_range(0.85..1.0)),
+            None => Duration::from_secs(15),
+        };
         let request = PlacementRequest {
+            deadline: time + patience,
             prompt: draw_size(&mut self.random, shape.prompt),
             length: draw_size(&mut self.random, shape.length),
             objective: time + Duration::from_millis(shape.objective),
@@ -269,7 +357,11 @@
     }
 
     fn submit(&mut self, entry: usize, kind: usize, request: PlacementRequest, now: Timestamp) {
-        self.tallies[kind].submitted += 1;
+        let tally = &mut self.tallies[kind];
+        match self.returned.contains(&request.ticket) {
+            true => tally.returned += 1,
+            false => tally.submitted += 1,
+        }
         if self.policy == Policy::Naive {
             let busy = |engine: &usize| self.own[entry].get(engine).copied().unwrap_or(0);
             let engine = (0..self.engines.len())
@@ -306,7 +398,11 @@
         now: Timestamp,
     ) {
         match outcome {
-            Outcome::Refused(_) => self.tallies[kind].refused += 1,
+            Outcome::Refused(refusal) => {
+                if !self.come_back(kind, &request, refusal.retry_after, now) {
+                    self.tallies[kind].refused += 1;
+                }
+            }
             Outcome::Placed(placement) => {
                 let id = &*placement.record.id;
                 let engine = self.engines.iter().position(|engine| engine.id == id);
@@ -381,7 +477,9 @@
     fn first(&mut self, _engine: usize, job: u64, now: Timestamp) {
         let job = self.jobs.get_mut(&job).expect("the job is running");
         let tally = &mut self.tallies[job.kind];
-        match now <= job.request.objective {
+        let returned = self.returned.contains(&job.request.ticket);
+        tally.readmitted += u32::from(returned);
+        match now <= job.request.objective && !returned {
             true => tally.timely += 1,
             false => tally.late += 1,
         }
