--- a/crates/core/src/direct/admission.rs
+++ b/crates/core/src/direct/admission.rs
@@ -14,6 +14,9 @@
 /// Range of the correction, and of the error of one forecast that counts.
 const CORRECTION_RANGE: (f64, f64) = (0.25, 4.0);
 
+/// Part of the time left by which a forecast has to exceed it before a request is refused.
+const CLEAR_EXCESS: f64 = 1.5;
+
 /// Shortest forecast whose error tells anything.
 const SHORTEST_FORECAST: Duration = Duration::from_millis(20);
 
@@ -54,7 +57,7 @@
     /// Returns whether a request waits whose start is forecast after `forecast`, and may be after
     /// `left`.
     pub fn admit(&mut self, ticket: Ticket, forecast: Duration, left: Duration) -> bool {
-        if forecast.as_secs_f64() * self.correction > left.as_secs_f64() {
+        if forecast.as_secs_f64() * self.correction > left.as_secs_f64() * CLEAR_EXCESS {
             return false;
         }
         self.forecasts.insert(ticket, forecast);
--- a/crates/core/src/direct/drain.rs
+++ b/crates/core/src/direct/drain.rs
@@ -83,7 +83,7 @@
 /// for start in 0..9 {
 ///     drain.record_start(class, Timestamp::from_millis(100 * start));
 /// }
-/// let ahead = Ahead { same: 5, before: 0 };
+/// let ahead = Ahead { same: 4, before: 0 };
 /// let forecast = drain.forecast(class, ahead, Timestamp::from_millis(1_000));
 /// assert_eq!(forecast, Duration::from_millis(500));
 /// ```
@@ -141,11 +141,12 @@
         self.rate(first..first + TURNS, now)
     }
 
-    /// Returns after what time a request of a class will start that has these requests ahead.
+    /// Returns after what time a request of a class will start that has these requests ahead, itself
+    /// included.
     #[must_use]
     pub fn forecast(&self, class: Class, ahead: Ahead, now: Timestamp) -> Duration {
         let index = class.index();
-        let same = ahead.same as f64 / (self.rate(index..index + 1, now) + self.assumed(now));
+        let same = (ahead.same + 1) as f64 / (self.rate(index..index + 1, now) + self.assumed(now));
         let before = ahead.before as f64 / (self.rate(0..CLASSES, now) + self.assumed(now));
         Duration::from_secs_f64(same + before)
     }
--- a/crates/core/src/direct/scheduler/admission.rs
+++ b/crates/core/src/direct/scheduler/admission.rs
@@ -8,9 +8,9 @@
 
 use super::{Outcome, PlacementRefusal, PlacementRequest, Reason, Scheduler, Ticket};
 use crate::direct::admission::Admission;
-use crate::direct::drain::{Ahead, Drain};
+use crate::direct::drain::{Ahead, Drain, Turn};
 use crate::direct::endpoint_table::Run;
-use crate::direct::return_places::{Refused, ReturnPlaces};
+use crate::direct::return_places::{Refused, ReturnPlaces, Returned};
 use crate::direct::wait_queue::QueuePosition;
 use crate::time::Timestamp;
 
@@ -23,10 +23,17 @@
 /// request whose caller has returned.
 const LATE_WAIT_LIMIT: Duration = Duration::from_millis(1_600);
 
+/// Time without a refusal after which the room for those who return is measured anew.
+const CALM_TIME: Duration = Duration::from_secs(1);
+
 /// What is known of one service for deciding on requests that find no slot.
 #[derive(Debug)]
 struct ServiceAdmission {
     drain: Drain,
+    /// The drain of long requests alone, since requests are refused.
+    long_drain: Drain,
+    /// When a request was last refused.
+    refused: Timestamp,
     admission: Admission,
     places: ReturnPlaces,
 }
@@ -39,11 +46,24 @@
     longest: HashMap<Arc<str>, Duration>,
 }
 
+impl ServiceAdmission {
+    /// Records that a request is refused. What started while there was room for all tells nothing
+    /// of the room that there is from now on.
+    fn record_refusal(&mut self, now: Timestamp) {
+        if self.refused + CALM_TIME <= now {
+            self.long_drain = Drain::new(now);
+        }
+        self.refused = now;
+    }
+}
+
 impl Admissions {
     fn service(&mut self, service: &Arc<str>, now: Timestamp) -> &mut ServiceAdmission {
         let known = self.services.entry(Arc::clone(service));
         known.or_insert_with(|| ServiceAdmission {
             drain: Drain::new(now),
+            long_drain: Drain::new(now),
+            refused: Timestamp::ZERO,
             admission: Admission::default(),
             places: ReturnPlaces::default(),
         })
@@ -85,6 +105,14 @@
         self.is_forecast(request) && !request.is_short() && !request.elapsed.is_zero()
     }
 
+    /// Returns whether the caller of a request returned to its place, which is kept whatever this
+    /// entry's share is.
+    pub(super) fn has_place(&self, request: &PlacementRequest) -> bool {
+        let service = self.admissions.services.get(&request.service);
+        self.is_returning(request)
+            && service.is_some_and(|service| service.places.is_granted(&returned(request)))
+    }
+
     /// Returns the position of an arriving request in its queue.
     pub(super) fn position(
         &mut self,
@@ -99,10 +127,9 @@
         if !late || !self.is_returning(request) {
             return position;
         }
-        let level = position.class().level;
-        let left = request.deadline.since(request.arrived);
+        let returned = returned(request);
         let service = self.admissions.service(&request.service, now);
-        position.with_turn(service.places.turn(level, request.elapsed, left))
+        position.with_turn(service.places.turn(&returned))
     }
 
     /// Records that a request was sent to an endpoint.
@@ -118,7 +145,10 @@
         let class = position.class();
         let service = self.admissions.service(&request.service, now);
         service.drain.record_start(class, now);
-        service.places.record_start(class.level);
+        if !request.is_short() {
+            service.long_drain.record_start(class, now);
+            service.places.record_start(class.level);
+        }
     }
 
     /// Records that an endpoint had no slot for a request.
@@ -128,18 +158,22 @@
         let service = state.map(|state| &state.record().service);
         if let Some(known) = service.and_then(|service| self.admissions.services.get_mut(service)) {
             known.drain.take_back();
+            known.long_drain.take_back();
         }
     }
 
-    /// Returns whether a request without a slot waits for one: it is forecast to start in time, or
-    /// nothing waits before it.
+    /// Returns whether a request without a slot waits for one: it has a place, or is forecast to
+    /// start in time. Late short requests wait behind others that will be refused before them, so
+    /// their start is not forecast.
     pub(super) fn admits(
         &mut self,
         request: &PlacementRequest,
         position: &QueuePosition,
         now: Timestamp,
     ) -> bool {
-        if !self.is_forecast(request) {
+        let has_place = position.class().turn == Turn::Placed;
+        let is_late_short = position.is_late() && request.is_short();
+        if !self.is_forecast(request) || has_place || is_late_short {
             return true;
         }
         let queue = self.queues.get(&request.service);
@@ -219,16 +253,18 @@
         let left = request.deadline.since(now);
         let level = QueuePosition::new(request, false).class().level;
         let longest = self.admissions.longest_deadline(request);
+        let chance = self.random.random();
         let service = self.admissions.service(&request.service, now);
+        service.record_refusal(now);
         let refused = Refused {
             level,
             left,
             longest,
-            need: request.slot_time() * 2,
-            rate: service.drain.level_rate(level, now),
+            need: request.slot_time() * 2 + LATE_WAIT_LIMIT,
+            rate: service.long_drain.level_rate(level, now),
         };
         let is_first = request.elapsed.is_zero();
-        let place = is_first.then(|| service.places.give(&refused, now));
+        let place = is_first.then(|| service.places.give(&refused, chance, now));
         match place.flatten() {
             Some(retry_after) => PlacementRefusal {
                 reason: Reason::Overloaded,
@@ -241,3 +277,13 @@
         }
     }
 }
+
+/// Returns what a request shows of the time that its caller has spent.
+fn returned(request: &PlacementRequest) -> Returned {
+    Returned {
+        level: QueuePosition::new(request, true).class().level,
+        arrived: request.arrived,
+        elapsed: request.elapsed,
+        left: request.deadline.since(request.arrived),
+    }
+}
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -224,8 +224,8 @@
         if free == 0 {
             return false;
         }
-        // A stream that has begun takes precedence over all that have not.
-        if request.build.is_some() {
+        // A stream that has begun takes precedence over all that have not; a place is kept.
+        if request.build.is_some() || self.has_place(request) {
             return true;
         }
         let reserved = match (request.is_short(), late) {
--- a/crates/core/src/direct/wait_queue.rs
+++ b/crates/core/src/direct/wait_queue.rs
@@ -101,6 +101,12 @@
         self
     }
 
+    /// Returns whether peers leave slots to the request: it can still meet its objective, or has a
+    /// place.
+    fn is_reported(&self) -> bool {
+        !self.late || self.turn == Turn::Placed
+    }
+
     pub(super) const fn is_late(&self) -> bool {
         self.late
     }
@@ -155,20 +161,19 @@
         self.requests.is_empty()
     }
 
-    /// Returns the number of waiting requests that can still meet their objective.
+    /// Returns the number of waiting requests that can still meet their objective or have a place.
     pub(super) fn timely(&self) -> usize {
         self.requests
             .keys()
-            .filter(|position| !position.late)
+            .filter(|position| position.is_reported())
             .count()
     }
 
-    /// Returns the number of requests that can still meet their objective and are queued at the
-    /// highest rank.
+    /// Returns the number of these requests that are queued at the highest rank.
     pub(super) fn urgent(&self) -> usize {
         self.requests
             .keys()
-            .filter(|position| !position.late && position.rank == 0)
+            .filter(|position| position.is_reported() && position.rank == 0)
             .count()
     }
 
--- a/crates/core/tests/core/direct/simulation.rs
+++ b/crates/core/tests/core/direct/simulation.rs
@@ -1,6 +1,6 @@
 //! Simulation of several direct entries over endpoints of different speed, for replaying a load.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -71,6 +71,10 @@
     pub returned: u32,
     /// Those of them that were served.
     pub readmitted: u32,
+    /// Refused requests whose callers were told a time that they honour, and return then.
+    pub placed: u32,
+    /// Those of them that were served.
+    pub kept: u32,
 }
 
 impl Tally {
@@ -147,7 +151,8 @@
     next: u64,
     random: ChaCha8Rng,
     returns: Option<Returns>,
-    returned: HashSet<Ticket>,
+    /// The callers that have returned, and whether they were told a time that they honour.
+    returned: HashMap<Ticket, bool>,
     pub tallies: Vec<Tally>,
     /// Milliseconds that refused requests have waited.
     pub refused_waits: Vec<u64>,
@@ -174,7 +179,7 @@
             next: 0,
             random: ChaCha8Rng::seed_from_u64(7),
             returns: None,
-            returned: HashSet::new(),
+            returned: HashMap::new(),
             refused_waits: Vec::new(),
             told: Vec::new(),
             tallies: vec![Tally::default(); kinds.len()],
@@ -243,11 +248,14 @@
         let Some(returns) = self.returns else {
             return false;
         };
-        if !self.returned.insert(request.ticket) {
+        let left = request.deadline.since(now);
+        let hasty = self.random.random_bool(returns.hasty);
+        let placed = told <= left / 3 && !hasty;
+        if self.returned.insert(request.ticket, placed).is_some() {
             return false;
         }
+        self.tallies[kind].placed += u32::from(placed);
         self.told.push((now, told.as_millis() as u64));
-        let left = request.deadline.since(now);
         let delay = match self.random.random_bool(returns.hasty) {
             true => Duration::ZERO,
             false => told.min(left / 3),
@@ -358,7 +366,7 @@
 
     fn submit(&mut self, entry: usize, kind: usize, request: PlacementRequest, now: Timestamp) {
         let tally = &mut self.tallies[kind];
-        match self.returned.contains(&request.ticket) {
+        match self.returned.contains_key(&request.ticket) {
             true => tally.returned += 1,
             false => tally.submitted += 1,
         }
@@ -477,9 +485,10 @@
     fn first(&mut self, _engine: usize, job: u64, now: Timestamp) {
         let job = self.jobs.get_mut(&job).expect("the job is running");
         let tally = &mut self.tallies[job.kind];
-        let returned = self.returned.contains(&job.request.ticket);
-        tally.readmitted += u32::from(returned);
-        match now <= job.request.objective && !returned {
+        let returned = self.returned.get(&job.request.ticket);
+        tally.readmitted += u32::from(returned.is_some());
+        tally.kept += u32::from(returned == Some(&true));
+        match now <= job.request.objective && returned.is_none() {
             true => tally.timely += 1,
             false => tally.late += 1,
         }
