--- a/crates/core/src/direct/scheduler/admission.rs
+++ b/crates/core/src/direct/scheduler/admission.rs
@@ -9,7 +9,7 @@
 use super::{Outcome, PlacementRefusal, PlacementRequest, Reason, Scheduler, Ticket};
 use crate::direct::admission::Admission;
 use crate::direct::drain::{Ahead, Drain, Turn};
-use crate::direct::endpoint_table::Run;
+use crate::direct::endpoint_table::{EndpointState, Run};
 use crate::direct::return_places::{Refused, ReturnPlaces, Returned};
 use crate::direct::wait_queue::QueuePosition;
 use crate::time::Timestamp;
@@ -23,6 +23,12 @@
 /// request whose caller has returned.
 const LATE_WAIT_LIMIT: Duration = Duration::from_millis(1_600);
 
+/// Time for which a request with a place asks the same endpoints for a slot.
+const ASKING_INTERVAL: Duration = Duration::from_millis(100);
+
+/// One endpoint in this many is asked at a time.
+const ASKED_PART: u64 = 16;
+
 /// Time without a refusal after which the room for those who return is measured anew.
 const CALM_TIME: Duration = Duration::from_secs(1);
 
@@ -113,6 +119,28 @@
             && service.is_some_and(|service| service.places.is_granted(&returned(request)))
     }
 
+    /// Returns whether an endpoint may be asked for a slot although it has none by the peers' reports.
+    /// They may be old, and an entry with few requests would never see a slot before others take it.
+    /// A request with a place asks a few endpoints at a time.
+    pub(super) fn may_ask(
+        &self,
+        state: &EndpointState,
+        request: &PlacementRequest,
+        now: Timestamp,
+    ) -> bool {
+        let service = self.plan.services.get(&request.service);
+        let reserves = service.is_some_and(|service| !service.reservation.is_zero());
+        if !reserves || !self.has_place(request) || state.is_cold(now) {
+            return false;
+        }
+        let round = now.as_micros() / ASKING_INTERVAL.as_micros() as u64;
+        let turn = state
+            .digest()
+            .wrapping_add(request.ticket.0)
+            .wrapping_add(round);
+        turn.is_multiple_of(ASKED_PART)
+    }
+
     /// Returns the position of an arriving request in its queue.
     pub(super) fn position(
         &mut self,
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -221,11 +221,14 @@
             all += slots;
             free += slots.saturating_sub(state.load().running);
         }
+        if self.has_place(request) {
+            return true;
+        }
         if free == 0 {
             return false;
         }
-        // A stream that has begun takes precedence over all that have not; a place is kept.
-        if request.build.is_some() || self.has_place(request) {
+        // A stream that has begun takes precedence over all that have not.
+        if request.build.is_some() {
             return true;
         }
         let reserved = match (request.is_short(), late) {
@@ -296,7 +299,8 @@
 
     /// Returns whether an endpoint has a slot that this entry may use now.
     fn has_slot(&self, state: &EndpointState, request: &PlacementRequest, now: Timestamp) -> bool {
-        state.load().running < Self::slots(state, request.streaming)
+        let has_free = state.load().running < Self::slots(state, request.streaming);
+        (has_free || self.may_ask(state, request, now))
             && !state.is_full(now)
             && self.may_return(state, request.streaming, now)
             && self.may_warm_up(state, now)
--- a/crates/core/tests/core/direct/simulation.rs
+++ b/crates/core/tests/core/direct/simulation.rs
@@ -1,12 +1,16 @@
 //! Simulation of several direct entries over endpoints of different speed, for replaying a load.
 
+mod returning;
+
+pub use returning::Returns;
+
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
-    Ending, Outcome, Placement, PlacementRequest, Plan, Policies, Run, Scheduler, Ticket,
+    Ending, Outcome, Placement, PlacementRequest, Plan, Run, Scheduler, Ticket,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -25,19 +29,6 @@
 /// Tokens per event.
 const EVENT_TOKENS: f64 = 6.0;
 
-/// What callers do that are refused: each returns once, at any entry.
-#[derive(Debug, Clone, Copy)]
-pub struct Returns {
-    /// Part of the callers that return at once, whatever they are told.
-    pub hasty: f64,
-}
-
-/// Longest deadline of the callers that return; the shortest is 0.85 of it.
-const LONGEST_DEADLINE: Duration = Duration::from_secs(12);
-
-/// Part of the longest deadline from which on it does not show that time has passed.
-const ORIGINAL_PART: f64 = 0.8;
-
 /// How an endpoint is chosen for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Policy {
@@ -226,65 +217,6 @@
         self
     }
 
-    /// Lets refused callers return, and entries decide by `policies`.
-    pub fn with_returns(mut self, returns: Returns, policies: Policies) -> Self {
-        self.returns = Some(returns);
-        let entries = std::mem::take(&mut self.entries).into_iter();
-        self.entries = entries.map(|entry| entry.with_policies(policies)).collect();
-        self
-    }
-
-    /// Lets a refused caller return as it was told, with the time that it has left. Returns false if
-    /// it does not return.
-    fn come_back(
-        &mut self,
-        kind: usize,
-        request: &PlacementRequest,
-        told: Duration,
-        now: Timestamp,
-    ) -> bool {
-        self.refused_waits
-            .push(now.since(request.arrived).as_millis() as u64);
-        let Some(returns) = self.returns else {
-            return false;
-        };
-        let left = request.deadline.since(now);
-        let hasty = self.random.random_bool(returns.hasty);
-        let placed = told <= left / 3 && !hasty;
-        if self.returned.insert(request.ticket, placed).is_some() {
-            return false;
-        }
-        self.tallies[kind].placed += u32::from(placed);
-        self.told.push((now, told.as_millis() as u64));
-        let delay = match self.random.random_bool(returns.hasty) {
-            true => Duration::ZERO,
-            false => told.min(left / 3),
-        };
-        let arrived = now + delay + HOP_DELAY * 2;
-        let left = request.deadline.since(arrived);
-        let elapsed = match left < LONGEST_DEADLINE.mul_f64(ORIGINAL_PART) {
-            true => LONGEST_DEADLINE - left,
-            false => Duration::ZERO,
-        };
-        let objective = Duration::from_millis(self.kinds[kind].objective);
-        let request = PlacementRequest {
-            arrived,
-            elapsed,
-            objective: arrived + objective.saturating_sub(elapsed),
-            ..request.clone()
-        };
-        let entry = self.random.random_range(0..self.entries.len());
-        self.schedule(
-            arrived,
-            Event::Arrive {
-                entry,
-                kind,
-                request,
-            },
-        );
-        true
-    }
-
     fn schedule(&mut self, time: Timestamp, event: Event) {
         self.next += 1;
         self.events.insert((time, self.next), event);
@@ -315,7 +247,7 @@
         let share: f64 = self.random.random();
         let entry = ((share * share) * self.entries.len() as f64) as usize;
         let patience = match self.returns {
-            Some(_) => LONGEST_DEADLINE.mul_f64(self.random.random_range(0.85..1.0)),
+            Some(_) => returning::LONGEST_DEADLINE.mul_f64(self.random.random_range(0.85..1.0)),
             None => Duration::from_secs(15),
         };
         let request = PlacementRequest {
