--- a/crates/core/src/direct/scheduler/admission.rs
+++ b/crates/core/src/direct/scheduler/admission.rs
@@ -19,10 +19,12 @@
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(900), Duration::from_millis(3_400));
 
-/// Longest wait for a slot of a short request that can no longer meet its objective, and of a
-/// request whose caller has returned.
+/// Longest wait for a slot of a short request that can no longer meet its objective.
 const LATE_WAIT_LIMIT: Duration = Duration::from_millis(1_600);
 
+/// Longest wait for a slot of a long request whose caller has returned.
+const RETURN_WAIT_LIMIT: Duration = Duration::from_secs(3);
+
 /// Time for which a request with a place asks the same endpoints for a slot.
 const ASKING_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -250,7 +252,11 @@
         }
         let need = request.slot_time() * 2;
         let left = request.deadline.since(request.arrived).saturating_sub(need);
-        request.arrived + LATE_WAIT_LIMIT.min(left)
+        let limit = match request.is_short() {
+            true => LATE_WAIT_LIMIT,
+            false => RETURN_WAIT_LIMIT,
+        };
+        request.arrived + limit.min(left)
     }
 
     /// Refuses a request. If its caller can be given a place, the delay ends then.
--- a/crates/core/tests/core/direct/simulation/returning.rs
+++ b/crates/core/tests/core/direct/simulation/returning.rs
@@ -52,7 +52,7 @@
         }
         self.tallies[kind].placed += u32::from(placed);
         self.told.push((now, told.as_millis() as u64));
-        let delay = match self.random.random_bool(returns.hasty) {
+        let delay = match hasty {
             true => Duration::ZERO,
             false => told.min(left / 3),
         };
