--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -72,6 +72,12 @@
         if !request.streaming {
             return left <= 0.0;
         }
+        left < self.idle_first_byte_ms(request)
+    }
+
+    /// Returns the expected time to first byte of a request at the best endpoint if that were idle,
+    /// in milliseconds.
+    pub(super) fn idle_first_byte_ms(&self, request: &PlacementRequest) -> f64 {
         let idle = |state: &EndpointState| state.idle_first_byte_ms(request.prompt);
         let best = self
             .endpoints
@@ -79,7 +85,7 @@
             .filter(|state| has_build(state, request.build.as_deref()))
             .map(idle)
             .min_by(f64::total_cmp);
-        left < best.unwrap_or(0.0)
+        best.unwrap_or(0.0)
     }
 
     /// Returns whether the service has no usable endpoint.
@@ -221,6 +227,9 @@
 
     /// Returns whether there are free slots beyond those reserved for other requests.
     fn has_room(&self, request: &PlacementRequest, late: bool, now: Timestamp) -> bool {
+        if self.has_place(request) {
+            return true;
+        }
         if let Some(has_room) = self.shared_room(request, now) {
             return has_room;
         }
@@ -242,8 +251,8 @@
         }
         let reserved = match (request.is_short(), late) {
             (true, _) => 0.0,
-            (false, true) => LATE_RESERVE,
-            (false, false) => RANK_RESERVE * f64::from(request.rank.min(2)),
+            (false, true) if !self.is_returning(request) => LATE_RESERVE,
+            (false, _) => RANK_RESERVE * f64::from(request.rank.min(2)),
         };
         if f64::from(free) <= reserved * f64::from(all) {
             return false;
@@ -324,7 +333,8 @@
         pressure: Option<&Pressure>,
         now: Timestamp,
     ) -> bool {
-        self.has_free_slot(state, request, pressure, now)
+        let may_ask = || self.may_ask(state, request, now) && !state.is_full(now);
+        (self.has_free_slot(state, request, pressure, now) || may_ask())
             && self.may_return(state, request.streaming, now)
             && self.may_warm_up(state, now)
             && self.is_allowed(state, now)
--- a/crates/core/src/direct/scheduler/runs.rs
+++ b/crates/core/src/direct/scheduler/runs.rs
@@ -32,7 +32,7 @@
             Ending::Complete => self.endpoints.record_success(run),
             Ending::Failed | Ending::Rejected => self.endpoints.record_failure(run),
             Ending::Broken => self.record_failure(run, now),
-            Ending::Full => self.endpoints.record_full(run, self.full_lag(now), now),
+            Ending::Full => self.record_full(run, now),
             Ending::Cancelled => {}
         }
     }
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -23,6 +23,7 @@
 mod request_limits;
 mod restoration;
 mod restored_records;
+mod returns;
 mod simulation;
 mod slot_shares;
 mod store_progress;
--- a/crates/core/tests/core/direct/simulation.rs
+++ b/crates/core/tests/core/direct/simulation.rs
@@ -1,5 +1,9 @@
 //! Simulation of several direct entries over endpoints of different speed, for replaying a load.
 
+mod returning;
+
+pub use returning::Returns;
+
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -54,6 +58,14 @@
     pub refused: u32,
     /// Answers that were not complete at their deadline.
     pub overdue: u32,
+    /// Requests whose callers returned after a refusal.
+    pub returned: u32,
+    /// Those of them that were served.
+    pub readmitted: u32,
+    /// Refused requests whose callers were told a time that they honour, and return then.
+    pub placed: u32,
+    /// Those of them that were served.
+    pub kept: u32,
 }
 
 impl Tally {
@@ -129,11 +141,18 @@
     events: BTreeMap<(Timestamp, u64), Event>,
     next: u64,
     random: ChaCha8Rng,
+    returns: Option<Returns>,
+    /// The callers that have returned, and whether they were told a time that they honour.
+    returned: HashMap<Ticket, bool>,
     pub tallies: Vec<Tally>,
     /// Reservations that endpoints refused.
     pub full: u32,
     /// Slots in use and all slots, summed over the ticks at which requests waited.
     pub used: (usize, usize),
+    /// Milliseconds that refused requests have waited.
+    pub refused_waits: Vec<u64>,
+    /// Delays in milliseconds after which callers were told to return, and when they were told.
+    pub told: Vec<(Timestamp, u64)>,
 }
 
 impl Simulation {
@@ -154,6 +173,10 @@
             events: BTreeMap::new(),
             next: 0,
             random: ChaCha8Rng::seed_from_u64(7),
+            returns: None,
+            returned: HashMap::new(),
+            refused_waits: Vec::new(),
+            told: Vec::new(),
             tallies: vec![Tally::default(); kinds.len()],
             full: 0,
             used: (0, 0),
@@ -236,7 +259,12 @@
         };
         let share: f64 = self.random.random();
         let entry = ((share * share) * self.entries.len() as f64) as usize;
+        let patience = match self.returns {
+            Some(_) => returning::LONGEST_DEADLINE.mul_f64(self.random.random_range(0.85..1.0)),
+            None => Duration::from_secs(15),
+        };
         let request = PlacementRequest {
+            deadline: time + patience,
             prompt: draw_size(&mut self.random, shape.prompt),
             length: draw_size(&mut self.random, shape.length),
             objective: time + Duration::from_millis(shape.objective),
@@ -283,7 +311,11 @@
     }
 
     fn submit(&mut self, entry: usize, kind: usize, request: PlacementRequest, now: Timestamp) {
-        self.tallies[kind].submitted += 1;
+        let tally = &mut self.tallies[kind];
+        match self.returned.contains_key(&request.ticket) {
+            true => tally.returned += 1,
+            false => tally.submitted += 1,
+        }
         if self.policy == Policy::Naive {
             let busy = |engine: &usize| self.own[entry].get(engine).copied().unwrap_or(0);
             let engine = (0..self.engines.len())
@@ -320,7 +352,11 @@
         now: Timestamp,
     ) {
         match outcome {
-            Outcome::Refused(_) => self.tallies[kind].refused += 1,
+            Outcome::Refused(refusal) => {
+                if !self.come_back(kind, &request, refusal.retry_after, now) {
+                    self.tallies[kind].refused += 1;
+                }
+            }
             Outcome::Placed(placement) => {
                 let id = &*placement.record.id;
                 let engine = self.engines.iter().position(|engine| engine.id == id);
@@ -396,7 +432,10 @@
     fn first(&mut self, _engine: usize, job: u64, now: Timestamp) {
         let job = self.jobs.get_mut(&job).expect("the job is running");
         let tally = &mut self.tallies[job.kind];
-        match now <= job.request.objective {
+        let returned = self.returned.get(&job.request.ticket);
+        tally.readmitted += u32::from(returned.is_some());
+        tally.kept += u32::from(returned == Some(&true));
+        match now <= job.request.objective && returned.is_none() {
             true => tally.timely += 1,
             false => tally.late += 1,
         }
