--- a/crates/core/src/direct/scheduler/team_shares.rs
+++ b/crates/core/src/direct/scheduler/team_shares.rs
@@ -12,10 +12,6 @@
 use crate::direct::wait_queue::SHARED_RANK;
 use crate::time::Timestamp;
 
-/// Slots that are left to each waiting request that a peer reports, since others come to wait while
-/// the report is on its way.
-const OWED_FACTOR: u32 = 3;
-
 /// A team of a service without room for all.
 #[derive(Debug, Clone)]
 pub struct PressedTeam {
@@ -78,10 +74,7 @@
         match self.shares.standing(pool, request.team, 0.0, now)? {
             Standing::Owed => Some(true),
             Standing::Met => None,
-            Standing::Above(_) => {
-                let owed = self.shares.owed_at_peers(pool).saturating_mul(OWED_FACTOR);
-                (owed >= free).then_some(false)
-            }
+            Standing::Above(_) => self.shares.leaves_slots(pool, free).then_some(false),
         }
     }
 
--- a/crates/core/src/direct/team_shares.rs
+++ b/crates/core/src/direct/team_shares.rs
@@ -42,6 +42,10 @@
 /// Factor between two levels of excess.
 const EXCESS_STEP: f64 = 1.25;
 
+/// Slots that are left to each waiting request that a peer reports, since others come to wait while
+/// the report is on its way.
+const OWED_FACTOR: u32 = 3;
+
 /// Returns the part of work that is left after `age`.
 fn decay(age: Duration) -> f64 {
     (-age.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp()
@@ -67,6 +71,8 @@
     peers: HashMap<u64, f64>,
     /// Requests of teams within their due that wait at peers.
     owed: u32,
+    /// Whether no less urgent requests of the service were started.
+    is_last: bool,
     /// Unmet work of all entries, by team.
     unmet: HashMap<u64, f64>,
 }
@@ -166,7 +172,8 @@
         claims.push(Claim::new(0.0, rest.used + rest.unmet, weight));
         let started = total.used + floors.iter().sum::<f64>();
         // What less urgent requests have taken gives way.
-        let room = started + all.less_urgent(pool);
+        let less_urgent = all.less_urgent(pool);
+        let room = started + less_urgent;
         let asked: f64 = claims.iter().map(|claim| claim.ceiling).sum();
         if asked <= room * (1.0 + PRESSURE_PART) {
             return None;
@@ -180,6 +187,7 @@
             due: water_level(&claims, room),
             peers: of_peers,
             owed: peers.owed(pool),
+            is_last: less_urgent <= room * PRESSURE_PART,
             unmet: all
                 .teams(pool)
                 .map(|(team, work)| (team, work.unmet))
@@ -210,13 +218,16 @@
         })
     }
 
-    /// Returns how many requests of teams within their due wait at peers for a slot of the service, of
-    /// the pool's rank or a more urgent one.
+    /// Returns whether teams above their due leave `free` slots of a pool's service to the requests of
+    /// teams within their due that wait at peers, of the pool's rank or a more urgent one. Where less
+    /// urgent requests were started too, those might take what is left, so less is left.
     #[must_use]
-    pub fn owed_at_peers(&self, pool: Pool) -> u32 {
-        let first = Pool::first(pool.service);
-        let levels = self.levels.range(first..=pool);
-        levels.map(|(_, level)| level.owed).sum()
+    pub fn leaves_slots(&self, pool: Pool, free: u32) -> bool {
+        let levels = self.levels.range(Pool::first(pool.service)..=pool);
+        let owed: u32 = levels.map(|(_, level)| level.owed).sum();
+        let is_last = self.levels.get(&pool).is_none_or(|level| level.is_last);
+        let factor = if is_last { OWED_FACTOR } else { 1 };
+        owed > 0 && owed.saturating_mul(factor) >= free
     }
 
     /// Returns the sum of this entry's work and the given work of others. Only services without room
