Slot shares: requests are charged against the memory of their endpoint

An endpoint crashes beyond its memory, and nothing counted what is placed there. Entries report the sum by endpoint; the field is left out while it is zero, and it is with the policy off.

--- a/crates/core/src/direct/endpoint_table.rs
+++ b/crates/core/src/direct/endpoint_table.rs
@@ -122,6 +122,7 @@
         {
             state.peers.running += u32::from(load.running);
             state.peers.pending += u64::from(load.pending);
+            state.peers.held += u64::from(load.held);
         }
         let service = Arc::clone(&state.record.service);
         let unobserved = self.unobserved.entry(Arc::clone(&service)).or_default();
@@ -292,6 +293,7 @@
             if let Some(state) = self.by_digest(load.endpoint) {
                 state.peers.running = state.peers.running.saturating_sub(load.running.into());
                 state.peers.pending = state.peers.pending.saturating_sub(load.pending.into());
+                state.peers.held = state.peers.held.saturating_sub(load.held.into());
             }
         }
         for load in &loads {
@@ -303,6 +305,7 @@
             };
             state.peers.running += u32::from(load.running);
             state.peers.pending += u64::from(load.pending);
+            state.peers.held += u64::from(load.held);
             let service = &state.record.service;
             let unobserved = self.unobserved.get(service);
             if state.event_interval.accept_reported(load.event_interval)
@@ -355,6 +358,7 @@
             running: u16::try_from(state.own.running).unwrap_or(u16::MAX),
             pending: u32::try_from(state.own.pending).unwrap_or(u32::MAX),
             event_interval: state.event_interval.reported(),
+            held: u32::try_from(state.own.held).unwrap_or(u32::MAX),
         };
         busy.map(load).collect()
     }
--- a/crates/core/src/direct/endpoint_table/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_table/endpoint_state.rs
@@ -26,6 +26,8 @@
     pub running: u32,
     /// Prompt tokens that were sent and are not processed yet.
     pub pending: u64,
+    /// Tokens that the running requests may hold in the endpoint's memory, if they are counted.
+    pub held: u64,
 }
 
 /// State of one endpoint.
@@ -94,6 +96,7 @@
         Load {
             running: self.own.running + self.peers.running,
             pending: self.own.pending + self.peers.pending,
+            held: self.own.held + self.peers.held,
         }
     }
 
--- a/crates/core/src/direct/endpoint_table/observations.rs
+++ b/crates/core/src/direct/endpoint_table/observations.rs
@@ -37,6 +37,8 @@
     pub sent: Timestamp,
     /// Tokens of the prompt.
     pub prompt: u64,
+    /// Tokens that the request may hold in the endpoint's memory, if they are counted.
+    pub held: u64,
     /// The endpoint's incarnation that received the request.
     incarnation: u64,
     /// Prompt tokens pending at the endpoint when the request was sent, including its own.
@@ -45,19 +47,21 @@
 }
 
 impl EndpointTable {
-    /// Records that a request with a prompt of `prompt` tokens is sent. Returns `None` if the
-    /// endpoint is unknown.
-    pub fn record_send(&mut self, id: &str, prompt: u64, now: Timestamp) -> Option<Run> {
+    /// Records that a request is sent which has a prompt of `prompt` tokens and may hold `held` tokens in
+    /// the endpoint's memory. Returns `None` if the endpoint is unknown.
+    pub fn record_send(&mut self, id: &str, prompt: u64, held: u64, now: Timestamp) -> Option<Run> {
         let state = self.endpoints.get_mut(id)?;
         state.own.running += 1;
         state.freed.take();
         state.own.pending += prompt;
+        state.own.held += held;
         state.sends.record(now);
         state.last_sent = now;
         Some(Run {
             endpoint: Arc::clone(&state.record.id),
             sent: now,
             prompt,
+            held,
             incarnation: state.incarnation,
             ahead: state.load().pending,
             started: false,
@@ -99,6 +103,7 @@
     pub fn record_end(&mut self, run: &Run) {
         if let Some(state) = self.state_of(run) {
             state.own.running = state.own.running.saturating_sub(1);
+            state.own.held = state.own.held.saturating_sub(run.held);
             if !run.started {
                 state.own.pending = state.own.pending.saturating_sub(run.prompt);
             }
--- a/crates/core/src/direct/load_sum.rs
+++ b/crates/core/src/direct/load_sum.rs
@@ -29,6 +29,7 @@
             }
             sum.running = sum.running.saturating_add(load.running);
             sum.pending = sum.pending.saturating_add(load.pending);
+            sum.held = sum.held.saturating_add(load.held);
         }
         for load in services {
             let sum = self.services.entry(load.service).or_insert(ServiceLoad {
@@ -49,6 +50,7 @@
             if let Some(sum) = rest.get_mut(&load.endpoint) {
                 sum.running = sum.running.saturating_sub(load.running);
                 sum.pending = sum.pending.saturating_sub(load.pending);
+                sum.held = sum.held.saturating_sub(load.held);
             }
         }
         let is_known = |load: &EndpointLoad| load.running > 0 || load.event_interval > 0;
--- a/crates/core/src/direct/placement_request.rs
+++ b/crates/core/src/direct/placement_request.rs
@@ -31,6 +31,9 @@
     pub prompt: u64,
     /// Estimated tokens of the answer.
     pub length: u64,
+    /// Tokens that the request may hold in an endpoint's memory: those of its prompt, and the most that
+    /// its answer may have.
+    pub memory: u64,
     /// Whether the answer is a stream.
     pub streaming: bool,
     /// Time at which the request arrived.
--- a/crates/core/src/direct/plan.rs
+++ b/crates/core/src/direct/plan.rs
@@ -97,6 +97,9 @@
     /// Tokens per event of a streamed answer.
     #[serde(rename = "stride")]
     pub event_tokens: f64,
+    /// Tokens that the requests at an endpoint may hold in its memory together; zero if unknown.
+    #[serde(default)]
+    pub memory_tokens: u64,
 }
 
 /// What a team's rate counts.
--- a/crates/core/src/direct/report.rs
+++ b/crates/core/src/direct/report.rs
@@ -25,6 +25,14 @@
     /// none.
     #[serde(rename = "tempo")]
     pub event_interval: u16,
+    /// Tokens that these requests may hold in the endpoint's memory, if the reporter counts them.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub held: u32,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+const fn is_zero(count: &u32) -> bool {
+    *count == 0
 }
 
 /// Load of the reporter for one service.
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -170,7 +170,8 @@
         let record = state.record().clone();
         let reservation = self.reservation(request, state, now);
         self.charge_limit(&id, now);
-        let run = self.endpoints.record_send(&id, request.prompt, now)?;
+        let held = self.charged_memory(request);
+        let run = self.endpoints.record_send(&id, request.prompt, held, now)?;
         Some(Outcome::Placed(Box::new(Placement {
             run,
             record,
@@ -197,7 +198,8 @@
                 if request.streaming
                     && !state.is_cold(now)
                     && state.availability().limit(now).is_none()
-                    && f64::from(state.load().running) >= slots * UNRESERVED_PART =>
+                    && (f64::from(state.load().running) >= slots * UNRESERVED_PART
+                        || self.fills_memory(state, request, UNRESERVED_PART)) =>
             {
                 service.reservation.min(RESERVATION_TIME)
             }
@@ -302,6 +304,7 @@
         now: Timestamp,
     ) -> bool {
         self.has_free_slot(state, request, pressure, now)
+            && !self.fills_memory(state, request, 1.0)
             && self.may_return(state, request.streaming, now)
             && self.may_warm_up(state, now)
             && self.is_allowed(state, now)
--- a/crates/core/src/direct/scheduler/slot_shares.rs
+++ b/crates/core/src/direct/scheduler/slot_shares.rs
@@ -108,6 +108,29 @@
         Some(pressure.is_within_share(slots))
     }
 
+    /// Returns the tokens of an endpoint's memory that a request is charged for.
+    pub(super) const fn charged_memory(&self, request: &PlacementRequest) -> u64 {
+        if self.policies.slot_shares {
+            request.memory
+        } else {
+            0
+        }
+    }
+
+    /// Returns whether a request and those at the endpoint may need more than `part` of its memory. An
+    /// endpoint crashes beyond it.
+    pub(super) fn fills_memory(
+        &self,
+        state: &EndpointState,
+        request: &PlacementRequest,
+        part: f64,
+    ) -> bool {
+        let service = self.plan.services.get(&request.service);
+        let memory = service.map_or(0, |service| service.memory_tokens);
+        let needed = state.load().held + self.charged_memory(request);
+        memory > 0 && needed as f64 > memory as f64 * part
+    }
+
     /// Returns whether an endpoint has a slot that is free, as far as this entry knows.
     pub(super) fn has_free_slot(
         &self,
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -88,6 +88,7 @@
         warmup: Duration::from_secs(3),
         reservation: Duration::ZERO,
         event_tokens: 6.0,
+        memory_tokens: 0,
     };
     let mut plan = Plan {
         version,
@@ -133,6 +134,7 @@
         rank,
         prompt: 1_000,
         length: 200,
+        memory: 1_200,
         streaming: true,
         arrived: now,
         elapsed: Duration::ZERO,
--- a/crates/core/tests/core/direct/malformed_messages.rs
+++ b/crates/core/tests/core/direct/malformed_messages.rs
@@ -112,6 +112,7 @@
                 running: values.tiny(),
                 pending: values.small(),
                 event_interval: values.tiny(),
+                held: values.small(),
             }),
             services: self.list(|values| ServiceLoad {
                 service: values.known(SERVICE),
--- a/crates/core/tests/core/direct/slot_shares.rs
+++ b/crates/core/tests/core/direct/slot_shares.rs
@@ -166,3 +166,27 @@
     let placed = submit(&mut entry, 1, 2_000).map(|placement| placement.record.id);
     assert_eq!(placed.as_deref(), Some("e1"));
 }
+
+/// Guards against endpoints that crash because the requests placed there exceed their memory. Each entry
+/// counts what its peers report, at its largest possible length.
+#[test]
+fn no_endpoint_gets_more_than_its_memory_holds() {
+    let with_memory = |index| {
+        let mut entry = sharing(index, 10);
+        let mut limited = Plan::clone(entry.plan());
+        limited.version += 1;
+        for service in limited.services.values_mut() {
+            service.memory_tokens = 5_000;
+        }
+        entry.configure(Arc::new(limited), at(0));
+        entry
+    };
+    let (mut entry, mut peer) = (with_memory(1), with_memory(2));
+    report_peer(&mut entry, &mut peer, 2, 10);
+    let first = submit(&mut entry, 1, 20).expect("there is memory");
+    assert!(!first.reservation.is_zero(), "more than half is used");
+    let second = submit(&mut entry, 2, 20).expect("there is memory");
+    assert!(submit(&mut entry, 3, 20).is_none(), "memory is used up");
+    entry.end(&second.run, Ending::Complete, at(30));
+    assert!(next(&mut entry, 30).is_some(), "memory is free again");
+}
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -269,6 +269,7 @@
             rank: head.route.rank,
             prompt: head.cost.map_or(0, |cost| u64::from(cost.prompt)),
             length: head.length,
+            memory: head.cost.map_or(0, |cost| cost.total()),
             streaming: head.route.streaming,
             arrived: self.incoming.arrived,
             elapsed: self.elapsed,
--- a/crates/direct/src/dispatch/reserve.rs
+++ b/crates/direct/src/dispatch/reserve.rs
@@ -58,8 +58,9 @@
         let call = &self.context.dialect.reservation;
         let head = &self.incoming.head;
         let prompt = head.cost.map_or(0, |cost| u64::from(cost.prompt));
+        let tokens = (prompt + head.length).max(placement.run.held);
         let valid_ms = clock::millis(placement.reservation);
-        let body = (call.encode)(prompt + head.length, valid_ms);
+        let body = (call.encode)(tokens, valid_ms);
         let mut request = Request::new(Full::new(body.into()));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = Uri::from_static(call.path);
