--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -189,7 +189,8 @@
         let record = state.record().clone();
         let reservation = self.reservation(request, state, now);
         self.charge_limit(id, now);
-        let mut run = self.endpoints.record_send(id, request.prompt, now)?;
+        let held = self.charged_memory(request);
+        let mut run = self.endpoints.record_send(id, request.prompt, held, now)?;
         self.start_work(request, &mut run, now);
         Some(Box::new(Placement {
             run,
@@ -217,7 +218,8 @@
                 if request.streaming
                     && !state.is_cold(now)
                     && state.availability().limit(now).is_none()
-                    && f64::from(state.load().running) >= slots * UNRESERVED_PART =>
+                    && (f64::from(state.load().running) >= slots * UNRESERVED_PART
+                        || self.fills_memory(state, request, UNRESERVED_PART)) =>
             {
                 service.reservation.min(RESERVATION_TIME)
             }
@@ -335,6 +337,7 @@
     ) -> bool {
         let may_ask = || self.may_ask(state, request, now) && !state.is_full(now);
         (self.has_free_slot(state, request, pressure, now) || may_ask())
+            && !self.fills_memory(state, request, 1.0)
             && self.may_return(state, request.streaming, now)
             && self.may_warm_up(state, now)
             && self.is_allowed(state, now)
