--- a/crates/core/src/direct/admission.rs
+++ b/crates/core/src/direct/admission.rs
@@ -27,7 +27,7 @@
 /// use comfreyhaven_core::direct::{Admission, Ticket};
 ///
 /// let mut admission = Admission::default();
-/// let (forecast, left) = (Duration::from_millis(200), Duration::from_millis(300));
+/// let (forecast, left) = (Duration::from_millis(200), Duration::from_millis(200));
 /// assert!(admission.admit(Ticket(1), forecast, left));
 /// // Waits take longer than they were forecast to.
 /// for ticket in 2..40 {
--- a/crates/core/src/direct/hedging.rs
+++ b/crates/core/src/direct/hedging.rs
@@ -33,6 +33,9 @@
 /// Time for which a percentile is used before it is computed again.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time after which the percentile of a kind that no longer comes is forgotten.
+const FORGOTTEN_TIME: Duration = Duration::from_secs(30);
+
 /// Shortest delay of a hedge; below it, the timers of a busy process decide.
 const DELAY_MIN: Duration = Duration::from_millis(10);
 
@@ -177,6 +180,8 @@
             .then(|| times.percentile(percentile))
             .flatten()
             .map(|delay| delay.max(DELAY_MIN));
+        self.delays
+            .retain(|_, computed| now < computed.at + FORGOTTEN_TIME);
         self.delays.insert(kind, Computed { at: now, delay });
         delay
     }
--- a/crates/core/src/direct/hedging/answer_times.rs
+++ b/crates/core/src/direct/hedging/answer_times.rs
@@ -22,6 +22,9 @@
 /// Number of steps in the window.
 const STEPS: usize = 6;
 
+/// Length of the window.
+const WINDOW: Duration = STEP.saturating_mul(STEPS as u32);
+
 /// Age at which a source's times are no longer used.
 const REPORT_AGE_LIMIT: Duration = Duration::from_secs(10);
 
@@ -149,10 +152,16 @@
         }
     }
 
+    /// Returns whether all times are older than the window.
+    fn is_over(&self, now: Timestamp) -> bool {
+        let newest = self.steps.back();
+        newest.is_none_or(|(start, _)| *start + WINDOW <= now)
+    }
+
     fn histogram(&self, now: Timestamp) -> TimeHistogram {
         let mut sum = TimeHistogram::default();
         for (start, step) in &self.steps {
-            if now < *start + STEP * STEPS as u32 {
+            if now < *start + WINDOW {
                 sum.add(step.counts.values());
             }
         }
@@ -175,8 +184,11 @@
 }
 
 impl AnswerTimes {
-    /// Counts a time of this entry.
+    /// Counts a time of this entry. Kinds of requests that no longer come are forgotten.
     pub fn record(&mut self, kind: u64, time: Duration, end: WaitEnd, now: Timestamp) {
+        if !self.own.contains_key(&kind) {
+            self.own.retain(|_, window| !window.is_over(now));
+        }
         self.own.entry(kind).or_default().record(time, end, now);
     }
 
--- a/crates/core/src/direct/wait_queue.rs
+++ b/crates/core/src/direct/wait_queue.rs
@@ -1,9 +1,10 @@
 //! The queue of requests that wait for a slot of one service.
 //!
 //! Requests that can still meet their objective are served first, then those of more urgent teams,
-//! then of more urgent routes, then those of teams within their share, then in order of arrival. Routes below the highest rank share one
-//! rank, so that short requests are not kept behind long ones of a rank between; short requests
-//! count as of the highest rank, since they hardly delay others.
+//! then of more urgent routes, then those of callers that return to a place, then those of teams
+//! within their share, then in order of arrival. Routes below the highest rank share one rank, so
+//! that short requests are not kept behind long ones of a rank between; short requests count as of
+//! the highest rank, since they hardly delay others.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -12,8 +12,8 @@
 
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
-    Ending, EndpointRecord, Outcome, Placement, PlacementRefusal, PlacementRequest, ProcessLag,
-    Run, Scheduler, Section, StoreRevision, Ticket, Withheld,
+    EndpointRecord, Outcome, Placement, PlacementRefusal, PlacementRequest, ProcessLag, Scheduler,
+    Section, StoreRevision, Ticket, Withheld,
 };
 use tokio::sync::{Notify, oneshot};
 use tokio_util::task::TaskTracker;
@@ -24,6 +24,7 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::peers::PeerSocket;
+use crate::slot_guard::SlotGuard;
 use crate::upstream::Upstream;
 
 /// Part of a route's longest deadline; a deadline of at least this part counts as the caller's
@@ -31,62 +32,6 @@
 /// time has passed.
 const ORIGINAL_PART: f64 = 0.8;
 
-/// A slot at an endpoint, released on drop.
-#[derive(Debug)]
-pub struct SlotGuard {
-    context: Rc<Context>,
-    run: Run,
-    ended: bool,
-}
-
-impl SlotGuard {
-    /// Records the first byte of the answer.
-    pub fn record_first_byte(&mut self) {
-        let now = clock::now();
-        self.context
-            .scheduler
-            .borrow_mut()
-            .record_first_byte(&mut self.run, now);
-    }
-
-    /// Records that `events` events of the answer arrived within `span`.
-    pub fn record_events(&self, events: u32, span: Duration) {
-        self.context
-            .scheduler
-            .borrow_mut()
-            .record_events(&self.run, events, span);
-    }
-
-    /// Releases the slot and records how the run ended.
-    pub fn end(mut self, ending: Ending) {
-        self.release(ending);
-    }
-
-    /// Records that the endpoint failed although the run goes on.
-    pub fn record_failure(&self) {
-        let mut scheduler = self.context.scheduler.borrow_mut();
-        scheduler.record_failure(&self.run, clock::now());
-    }
-
-    /// Releases the slot, if it is not released yet, and records how the run ended.
-    pub fn release(&mut self, ending: Ending) {
-        if !std::mem::replace(&mut self.ended, true) {
-            let now = clock::now();
-            self.context
-                .scheduler
-                .borrow_mut()
-                .end(&self.run, ending, now);
-            self.context.process_queues();
-        }
-    }
-}
-
-impl Drop for SlotGuard {
-    fn drop(&mut self) {
-        self.release(Ending::Cancelled);
-    }
-}
-
 /// The outcome of a placement request.
 #[derive(Debug)]
 pub enum PlacementOutcome {
@@ -463,11 +408,7 @@
 
     /// Returns the guard of a placement's slot.
     fn slot(self: &Rc<Self>, placement: &Placement) -> SlotGuard {
-        SlotGuard {
-            context: Rc::clone(self),
-            run: placement.run.clone(),
-            ended: false,
-        }
+        SlotGuard::new(Rc::clone(self), placement.run.clone())
     }
 
     fn outcome(self: &Rc<Self>, outcome: Outcome) -> PlacementOutcome {
--- a/crates/direct/src/dispatch/attempt.rs
+++ b/crates/direct/src/dispatch/attempt.rs
@@ -14,7 +14,8 @@
 use super::{Dispatch, SEND_LIMIT};
 use crate::answer::AnswerBody;
 use crate::clock;
-use crate::context::{PlacementOutcome, SlotGuard};
+use crate::context::PlacementOutcome;
+use crate::slot_guard::SlotGuard;
 
 /// Time that must remain before the deadline to send a request to another endpoint while one is
 /// silent.
--- a/crates/direct/src/dispatch/hedge.rs
+++ b/crates/direct/src/dispatch/hedge.rs
@@ -13,7 +13,7 @@
 use super::reserve::NotReserved;
 use super::{Dispatch, MIN_SEND_TIME, SEND_LIMIT};
 use crate::clock;
-use crate::context::SlotGuard;
+use crate::slot_guard::SlotGuard;
 
 /// Delay of a timer from which the process was suspended: an answer may have arrived that no task has
 /// read yet.
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -17,8 +17,8 @@
 use crate::answer::{self, AnswerBody};
 use crate::body::{self, ANSWER_LIMIT_BYTES};
 use crate::clock;
-use crate::context::SlotGuard;
 use crate::prompt_parts;
+use crate::slot_guard::SlotGuard;
 use crate::upstream::{Lease, Reply, SendError};
 
 /// Classification of an endpoint's answer.
--- a/crates/direct/src/dispatch/source.rs
+++ b/crates/direct/src/dispatch/source.rs
@@ -10,8 +10,8 @@
 
 use super::Dispatch;
 use crate::clock;
-use crate::context::SlotGuard;
 use crate::events::{Event, Splitter};
+use crate::slot_guard::SlotGuard;
 use crate::upstream::{Lease, Reply};
 
 /// The next thing that happens on a stream.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -30,6 +30,7 @@
 mod prompt_parts;
 pub mod retry_after;
 pub mod settings;
+mod slot_guard;
 mod snapshot;
 pub mod stated_limit;
 pub mod store;
