Unlisted endpoints: their time counts from the last read that listed them

Cause: an endpoint whose record is removed without notice was used for 0.6 of its drain time from when an entry learnt of that. After any failed read the use was prolonged to 1.9 s from the store's return, also where the store was lost to one entry alone.

An outage is a gap of 2 s in the reads of all entries, which every entry sees in its peers' reports; records expire in longer ones only. An entry without such a gap takes no prolonged time from a peer. The decision has moved from the adapter into core; the store of the test fleet is a file of its own.

--- a/crates/core/src/direct/scheduler/message.rs
+++ b/crates/core/src/direct/scheduler/message.rs
@@ -110,6 +110,8 @@
     pub cold_factor: f64,
     /// Requests per second that a cold endpoint may receive in addition.
     pub cold_extra: f64,
+    /// Time for which an endpoint serves after its record was removed.
+    pub drain: Duration,
 }
 
 impl Scheduler {
--- a/crates/core/src/direct/scheduler/restoration.rs
+++ b/crates/core/src/direct/scheduler/restoration.rs
@@ -11,6 +11,10 @@
 use crate::direct::store_progress::Section;
 use crate::time::{Timestamp, whole_millis};
 
+/// Part of an endpoint's drain time in which it is used after the last read that listed it. The rest
+/// is for requests on their way.
+const UNLISTED_PART: f64 = 0.8;
+
 /// A restoration of the store, and what this entry keeps from before it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Restored {
@@ -115,6 +119,35 @@
         })
     }
 
+    /// Returns until when an endpoint may be used that is not listed in the answer to a read which was
+    /// sent at `read_at`. Its record may have been removed right after the read before, or it may
+    /// have expired in an outage of the store.
+    #[must_use]
+    pub fn unlisted_until(&self, read_at: Timestamp, now: Timestamp) -> Timestamp {
+        let listed = self.store_progress.answered(Section::Endpoints);
+        let drained = listed.map_or(now, |at| at + self.unlisted_time());
+        let returned = self.store_progress.return_time(read_at);
+        let restored = self.restoration.return_time();
+        drained
+            .max(returned.unwrap_or(now))
+            .max(restored.unwrap_or(now))
+    }
+
+    /// Returns until when an endpoint may be used of which a peer says that it is not listed and may
+    /// be used until `until`. A peer that alone had lost the store takes it for an outage.
+    pub(super) fn reported_unlisted_until(&self, until: Timestamp, now: Timestamp) -> Timestamp {
+        let confirmed = self.store_progress.confirmed(Section::Endpoints);
+        match confirmed.filter(|_| self.store_progress.is_steady(now)) {
+            Some(listed) => until.min(listed + self.unlisted_time()),
+            None => until,
+        }
+    }
+
+    /// Returns the time for which an endpoint is used after the last read that listed it.
+    fn unlisted_time(&self) -> Duration {
+        self.bounds.drain.mul_f64(UNLISTED_PART)
+    }
+
     /// Records that an endpoint is no longer listed. It may be used until `until`.
     pub fn unlist_endpoint(&mut self, id: &EndpointId, until: Timestamp, now: Timestamp) {
         self.departures.drop_withheld(id);
--- a/crates/core/src/direct/scheduler/snapshot.rs
+++ b/crates/core/src/direct/scheduler/snapshot.rs
@@ -103,7 +103,7 @@
         let is_needed = self.endpoints.is_empty() && endpoints.era >= known.era;
         if self.store_progress.adopt(Section::Endpoints, endpoints) || is_needed {
             self.apply_departed(snapshot.departed, now);
-            self.replace_endpoints(snapshot.endpoints, &snapshot.known, now);
+            self.replace_endpoints(snapshot.endpoints, &snapshot.known, requested, now);
             self.endpoints.set_revision(endpoints);
         }
         configured
@@ -113,6 +113,7 @@
         &mut self,
         endpoints: Vec<(EndpointRecord, Option<u32>)>,
         listed: &[u64],
+        requested: Timestamp,
         now: Timestamp,
     ) {
         let listed: BTreeSet<_> = listed.iter().copied().collect();
@@ -127,7 +128,9 @@
             let id = Arc::clone(&record.id);
             self.upsert_endpoint(record, now);
             if let Some(remaining) = remaining {
-                let until = now + Duration::from_millis(remaining.into());
+                // The peer answered after the request, and the answer may have been delayed.
+                let until = requested + Duration::from_millis(remaining.into());
+                let until = self.reported_unlisted_until(until, now);
                 self.endpoints.mark_unlisted(&id, until);
             }
         }
--- a/crates/core/src/direct/store_progress.rs
+++ b/crates/core/src/direct/store_progress.rs
@@ -12,6 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::restoration::RECOVERY_TIME;
 use super::store_revision::StoreRevision;
 use crate::time::{Timestamp, whole_millis};
 
@@ -68,6 +69,10 @@
     (first * 2_u32.pow(doublings)).min(longest)
 }
 
+/// Time without a read by any entry that the store answers which counts as an outage of the store.
+/// Records of running endpoints expire in a longer one only.
+const OUTAGE_TIME: Duration = Duration::from_secs(2);
+
 /// A section of the store, which is read and watched separately.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -99,12 +104,16 @@
     confirmed: Option<Timestamp>,
     /// Time of this entry's last read of the store.
     read_at: Option<Timestamp>,
+    /// When this entry sent the newest read that the store has answered.
+    answered: Option<Timestamp>,
 }
 
 /// How much of the store an entry knows, and when that was last confirmed.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct StoreProgress {
     sections: [SectionProgress; 2],
+    /// Time of the first read by any entry that the store answered after its newest outage.
+    returned: Option<Timestamp>,
 }
 
 impl StoreProgress {
@@ -121,9 +130,57 @@
             return;
         }
         progress.revision = progress.revision.max(revision);
+        progress.answered = progress.answered.max(Some(read_at));
+        self.confirm(section, read_at);
+    }
+
+    /// Records that the store answered a read of a section by any entry.
+    fn confirm(&mut self, section: Section, read_at: Timestamp) {
+        if self
+            .newest_read()
+            .is_some_and(|newest| newest + OUTAGE_TIME < read_at)
+        {
+            self.returned = Some(read_at);
+        }
+        let progress = &mut self.sections[section as usize];
         progress.confirmed = progress.confirmed.max(Some(read_at));
     }
 
+    /// Returns the time of the newest read by any entry that the store has answered.
+    fn newest_read(&self) -> Option<Timestamp> {
+        let [configuration, endpoints] = self.sections;
+        configuration.confirmed.max(endpoints.confirmed)
+    }
+
+    /// Returns when this entry sent the newest read of a section that the store has answered.
+    #[must_use]
+    pub const fn answered(&self, section: Section) -> Option<Timestamp> {
+        self.sections[section as usize].answered
+    }
+
+    /// Returns the time by which running endpoints have written their records again after the
+    /// newest outage of the store, if the store has answered a read that was sent at `read_at`.
+    #[must_use]
+    pub fn return_time(mut self, read_at: Timestamp) -> Option<Timestamp> {
+        self.confirm(Section::Endpoints, read_at);
+        self.returned.map(|returned| returned + RECOVERY_TIME)
+    }
+
+    /// Returns whether the store has answered entries without an outage lately.
+    #[must_use]
+    pub fn is_steady(&self, now: Timestamp) -> bool {
+        let returned = self.returned.map(|returned| returned + RECOVERY_TIME);
+        self.newest_read()
+            .is_some_and(|newest| now < newest + OUTAGE_TIME)
+            && returned.is_none_or(|time| time <= now)
+    }
+
+    /// Returns when the known revision of a section was last confirmed to be the newest.
+    #[must_use]
+    pub const fn confirmed(&self, section: Section) -> Option<Timestamp> {
+        self.sections[section as usize].confirmed
+    }
+
     /// Returns whether everything in an answer is already known from a peer. A `complete` answer
     /// holds the whole section as of `revision`; any other holds only changes, the last one at
     /// `changed`.
@@ -157,8 +214,7 @@
         if status.revision == progress.revision
             && let Some(age) = status.age
         {
-            let confirmed = now - Duration::from_millis(age.into());
-            progress.confirmed = progress.confirmed.max(Some(confirmed));
+            self.confirm(section, now - Duration::from_millis(age.into()));
         }
         false
     }
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -8,6 +8,7 @@
 mod confirmation;
 mod containment;
 mod crashing_parts;
+mod departing_endpoints;
 mod endpoints;
 mod event_interval;
 mod fleet_network;
@@ -71,6 +72,7 @@
         retry_slack: 52.0,
         cold_factor: 1.5,
         cold_extra: 5.0,
+        drain: Duration::from_secs(2),
     }
 }
 
--- a/crates/core/tests/core/direct/fleet_network.rs
+++ b/crates/core/tests/core/direct/fleet_network.rs
@@ -1,6 +1,8 @@
 //! A large fleet of direct entries whose reports travel through a network that delays and drops
 //! them, and a store that counts its calls.
 
+mod store;
+
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,12 +11,13 @@
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
     Bounds, EndpointRecord, LendingMessage, Plan, Policies, RatePolicy, ReadCursor, Report,
-    Scheduler, Section, StoreRevision,
+    Scheduler, Section,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::{at, bounds, plan, rate_policy};
+use store::StoreAnswer;
 
 /// Data centres of the fleet.
 pub const CENTRES: [&str; 5] = ["a", "b", "c", "d", "e"];
@@ -32,15 +35,6 @@
 /// Network delay.
 const DELAY: Duration = Duration::from_millis(2);
 
-/// Interval at which entries check whether to read the store, in milliseconds.
-const CHECK_INTERVAL: u64 = 50;
-
-/// Time for which a watch of the endpoints waits.
-const WATCH_TIME: Duration = Duration::from_millis(2_000);
-
-/// Time for which an unlisted endpoint stays usable.
-const UNLISTED_TIME: Duration = Duration::from_millis(1_200);
-
 pub fn entry_address(index: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (index / 200) as u8, (index % 200) as u8 + 1], 7_600))
 }
@@ -50,6 +44,7 @@
     Start(usize),
     Send(usize),
     Read(usize),
+    Answer(usize, Box<StoreAnswer>),
     Arrive {
         from: SocketAddr,
         to: usize,
@@ -77,6 +72,8 @@
     pub delay: Duration,
     /// Whether the store answers.
     pub store_up: bool,
+    /// Time that an answer of the store takes.
+    pub store_delay: Duration,
     /// Group that does not reach the store.
     pub without_store: Option<u8>,
     /// How often the store was restored from a copy.
@@ -89,6 +86,8 @@
     /// Reads of a whole section.
     pub whole_reads: usize,
     cursors: Vec<[ReadCursor; 2]>,
+    /// Answers to the reads of one step.
+    answers: Vec<(usize, StoreAnswer)>,
     /// Until when each entry's watch of the endpoints waits for a change.
     watched: Vec<Timestamp>,
     /// How many reads of each entry have failed in a row, and until when it pauses.
@@ -120,6 +119,7 @@
             reports_work: true,
             delay: DELAY,
             store_up: true,
+            store_delay: Duration::ZERO,
             without_store: None,
             era: 0,
             version: 10,
@@ -127,6 +127,7 @@
             store_calls: 0,
             whole_reads: 0,
             cursors: vec![Default::default(); count],
+            answers: Vec::new(),
             watched: vec![Timestamp::ZERO; count],
             failed: vec![(0, Timestamp::ZERO); count],
             sent: vec![0; count],
@@ -227,9 +228,12 @@
             Event::Start(index) if self.starts[index] == start => self.boot(index, now),
             Event::Send(index) if self.starts[index] == start => self.send(index, now),
             Event::Read(index) if self.starts[index] == start => self.read(index, now),
+            Event::Answer(index, answer) if self.starts[index] == start => {
+                self.apply_answer(index, *answer, now);
+            }
             Event::Arrive { from, to, report } => self.arrive(from, to, *report, now),
             Event::Lend { from, to, message } => self.lend(from, to, message, now),
-            Event::Start(_) | Event::Send(_) | Event::Read(_) => {}
+            Event::Start(_) | Event::Send(_) | Event::Read(_) | Event::Answer(..) => {}
         }
     }
 
@@ -266,60 +270,6 @@
         self.schedule(now + DELAY, index, Event::Send(index));
     }
 
-    fn read(&mut self, index: usize, now: Timestamp) {
-        self.schedule(
-            now + Duration::from_millis(CHECK_INTERVAL),
-            index,
-            Event::Read(index),
-        );
-        let plan = self.plan();
-        let newest = StoreRevision::new(self.era, self.version);
-        let Some(entry) = &mut self.entries[index] else {
-            return;
-        };
-        for section in Section::ALL {
-            let waits = now < self.failed[index].1
-                || section == Section::Endpoints && now < self.watched[index];
-            if waits || !entry.read_delay(section, now).is_zero() {
-                continue;
-            }
-            if section == Section::Endpoints {
-                self.watched[index] = now + WATCH_TIME;
-            }
-            self.store_calls += 1;
-            let cursor = &mut self.cursors[index][section as usize];
-            let after = cursor.next(entry.store_progress().revision(section));
-            entry.store_progress_mut().record_read(section, now);
-            self.failed[index].0 += 1;
-            self.failed[index].1 = now + entry.read_retry_delay(self.failed[index].0, now);
-            if !self.store_up || self.without_store == Some(self.groups[index]) {
-                continue;
-            }
-            self.failed[index] = (0, now);
-            if let Some(after) = after
-                && (after.era != newest.era || after > newest)
-            {
-                cursor.record_gone(after);
-                self.watched[index] = now;
-                continue;
-            }
-            cursor.record_answer(newest);
-            self.whole_reads += usize::from(after.is_none());
-            entry.observe_era(newest.era, now);
-            if section == Section::Configuration {
-                entry.record_store_answer(section, newest, now);
-                entry.configure(Arc::clone(&plan), now);
-                entry.record_shown(plan.version);
-                entry.confirm_read(now, now);
-            } else if let Some(listed) = self.listed.as_ref().filter(|_| after != Some(newest)) {
-                apply_records(entry, listed, now);
-                entry.record_store_answer(section, newest, now);
-            } else {
-                entry.record_store_answer(section, newest, now);
-            }
-        }
-    }
-
     fn send(&mut self, index: usize, now: Timestamp) {
         let Some(entry) = &mut self.entries[index] else {
             return;
@@ -427,20 +377,6 @@
         state.map_or(0, |state| state.load().running)
     }
 
-    /// Replaces the endpoint records that the store shows, in a new revision. Watches return.
-    pub fn list(&mut self, listed: Vec<EndpointRecord>) {
-        self.watched.fill(Timestamp::ZERO);
-        self.listed = Some(listed);
-        self.version += 1;
-    }
-
-    /// Restores the store from a copy that holds the configuration `version`. Watches return.
-    pub fn restore(&mut self, version: u64) {
-        self.watched.fill(Timestamp::ZERO);
-        self.era += 1;
-        self.version = version;
-    }
-
     /// Publishes a configuration and returns the milliseconds until every running entry has it.
     pub fn publish(&mut self, limit: u64) -> u64 {
         self.version += 3;
@@ -456,19 +392,6 @@
     }
 }
 
-/// Applies all endpoint records of the store.
-fn apply_records(entry: &mut Scheduler, listed: &[EndpointRecord], now: Timestamp) {
-    for record in listed {
-        entry.upsert_endpoint(record.clone(), now);
-    }
-    let returned = entry.restoration().return_time().unwrap_or(now);
-    for id in entry.listed_endpoints() {
-        if listed.iter().all(|record| record.id != id) {
-            entry.unlist_endpoint(&id, returned.max(now + UNLISTED_TIME), now);
-        }
-    }
-}
-
 /// Returns the team that all entries share.
 pub fn shared_team(entry: &Scheduler) -> Arc<comfreyhaven_core::direct::PlanTeam> {
     Arc::clone(&entry.plan().teams[0])
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -49,11 +49,6 @@
     pub confirmation: Duration,
     /// Grace period of a leaving process.
     pub grace: Duration,
-    /// How long an endpoint stays usable after its record is removed.
-    pub unlisted: Duration,
-    /// Time after an outage of the store in which records of running endpoints may still be
-    /// missing.
-    pub recovery: Duration,
 }
 
 /// The state of one process.
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -35,8 +35,6 @@
     context: Rc<Context>,
     store: Rc<S>,
     section: Section,
-    /// When the store last answered again after failed calls.
-    recovered: Option<Timestamp>,
     failures: u32,
 }
 
@@ -46,7 +44,6 @@
             context,
             store,
             section,
-            recovered: None,
             failures: 0,
         }
     }
@@ -133,7 +130,6 @@
         }
         if std::mem::take(&mut self.failures) > 0 {
             log::info!(section:% = self.section; "the store answers again");
-            self.recovered = Some(clock::now());
         }
     }
 
@@ -149,16 +145,6 @@
         scheduler.read_retry_delay(self.failures, clock::now())
     }
 
-    /// Returns until when an endpoint that is no longer listed stays usable.
-    fn expiry(&self, now: Timestamp) -> Timestamp {
-        let limits = &self.context.limits;
-        let recovery = self.recovered.map(|since| since + limits.recovery);
-        let returned = self.context.scheduler.borrow().restoration().return_time();
-        (now + limits.unlisted)
-            .max(recovery.unwrap_or(now))
-            .max(returned.unwrap_or(now))
-    }
-
     fn apply(&self, page: Page, full_read: bool, sent: Timestamp) {
         let now = clock::now();
         let era = page.revision.era;
@@ -175,7 +161,7 @@
             progress.covers(self.section, full_read, newest, revision)
         };
         if !covered {
-            self.apply_changes(page.changes, full_read);
+            self.apply_changes(page.changes, full_read, sent);
             self.context.notify_change();
         }
         let mut scheduler = self.context.scheduler.borrow_mut();
@@ -187,7 +173,7 @@
         self.context.process_queues();
     }
 
-    fn apply_changes(&self, changes: Vec<Change>, full_read: bool) {
+    fn apply_changes(&self, changes: Vec<Change>, full_read: bool, sent: Timestamp) {
         let now = clock::now();
         let mut listed = BTreeSet::new();
         let mut closed = BTreeSet::new();
@@ -203,7 +189,7 @@
                     listed.insert(Arc::clone(&record.id));
                     self.apply_record(record, now);
                 }
-                Change::EndpointRemoved(id) => self.unlist(&id, now),
+                Change::EndpointRemoved(id) => self.unlist(&id, sent, now),
                 Change::Closed(centre, state) => {
                     log::info!(centre:% = centre, closed = state; "data centre state changed");
                     scheduler
@@ -217,7 +203,7 @@
             }
         }
         if full_read {
-            self.remove_missing(&listed, closed, now);
+            self.remove_missing(&listed, closed, sent, now);
         }
     }
 
@@ -240,10 +226,11 @@
         }
     }
 
-    fn unlist(&self, id: &EndpointId, now: Timestamp) {
-        log::info!(endpoint:% = id; "endpoint no longer listed");
-        let until = self.expiry(now);
+    fn unlist(&self, id: &EndpointId, sent: Timestamp, now: Timestamp) {
         let mut scheduler = self.context.scheduler.borrow_mut();
+        let until = scheduler.unlisted_until(sent, now);
+        let usable_ms = until.since(now).as_millis() as u64;
+        log::info!(endpoint:% = id, usable_ms = usable_ms; "endpoint no longer listed");
         scheduler.unlist_endpoint(id, until, now);
     }
 
@@ -253,13 +240,14 @@
         &self,
         listed: &BTreeSet<EndpointId>,
         closed: BTreeSet<Arc<str>>,
+        sent: Timestamp,
         now: Timestamp,
     ) {
         match self.section {
             Section::Endpoints => {
                 let known = self.context.scheduler.borrow().listed_endpoints();
                 for id in known.iter().filter(|id| !listed.contains(*id)) {
-                    self.unlist(id, now);
+                    self.unlist(id, sent, now);
                 }
             }
             Section::Configuration => {
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -5,7 +5,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use comfreyhaven_core::direct::{Bounds, Policies, RECOVERY_TIME, RatePolicy};
+use comfreyhaven_core::direct::{Bounds, Policies, RatePolicy};
 use derive_more::{Display, Error};
 use ini::Ini;
 
@@ -16,10 +16,6 @@
 /// still be used.
 const CONFIRMATION_PART: f64 = 0.85;
 
-/// How long an unlisted endpoint stays usable, as a part of the time in which a leaving endpoint
-/// still serves.
-const UNLISTED_PART: f64 = 0.6;
-
 /// Bytes of a megabyte, as settings count them.
 const BYTES_PER_MB: usize = 1 << 20;
 
@@ -221,15 +217,12 @@
             retry_slack: bounds_section.number("repeat slack")?,
             cold_factor: bounds_section.number("cold factor")?,
             cold_extra: bounds_section.number("cold extra")?,
+            drain: Duration::from_secs_f64(bounds_section.number("leaving ms")? / 1_000.0),
         };
         let withdrawal = bounds_section.number("key withdrawal ms")? / 1_000.0;
         let time_limits = TimeLimits {
             confirmation: Duration::from_secs_f64(withdrawal * CONFIRMATION_PART),
             grace: Duration::from_secs_f64(bounds_section.number("grace s")?),
-            unlisted: Duration::from_secs_f64(
-                bounds_section.number("leaving ms")? / 1_000.0 * UNLISTED_PART,
-            ),
-            recovery: RECOVERY_TIME,
         };
         Ok(Self {
             addresses,
