Messages between entries are read by the builds before and after

Deaf entries know no peers' spending, keys, loads or crashes. A message of an unknown kind was logged each time.

An entry that cannot be read counts as an unresponsive member, whose part of every limit stays reserved. Unknown kinds are dropped with a line a minute and a counter.

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -109,6 +109,20 @@
         Some(Observed { started: true })
     }
 
+    /// Records a message that arrived from another entry and cannot be read: an entry of another
+    /// build, whose spending is not known. It counts as unresponsive, so that its part of every
+    /// limit stays reserved.
+    pub(super) fn observe_unreadable(&mut self, from: SocketAddr, now: Timestamp) {
+        match self.members.get_mut(&from) {
+            Some(member) if member.unreadable => member.seen = now,
+            Some(_) => {}
+            None => {
+                self.members.insert(from, Member::unreadable(from, now));
+                self.generation += 1;
+            }
+        }
+    }
+
     /// Applies what a peer knows of other members.
     pub(super) fn learn(&mut self, statuses: &[MemberStatus], now: Timestamp) {
         for status in statuses {
@@ -140,7 +154,7 @@
             {
                 return;
             }
-            Some(member) if seen <= member.seen => return,
+            Some(member) if !member.unreadable && seen <= member.seen => return,
             Some(_) => {}
             None if seen + MEMBER_RETENTION <= now => return,
             None => {}
@@ -406,7 +420,7 @@
             age: whole_millis(now.since(member.seen)),
         };
         let members = self.members.values();
-        let included = members.filter(|member| include(member));
+        let included = members.filter(|member| !member.unreadable && include(member));
         included.map(status).collect()
     }
 
--- a/crates/core/src/direct/members/member.rs
+++ b/crates/core/src/direct/members/member.rs
@@ -53,6 +53,8 @@
     /// The member's report interval.
     pub(super) interval: Duration,
     pub(super) precedence: Precedence,
+    /// Whether this entry cannot read the member's reports.
+    pub(super) unreadable: bool,
 }
 
 impl Member {
@@ -69,12 +71,28 @@
             introduced: None,
             interval: Duration::ZERO,
             precedence: Precedence::new(address, identity.capacity),
+            unreadable: false,
         }
     }
 
-    /// Returns whether there was news of the member within `limit`.
+    /// Creates a member of which only the address is known.
+    pub(super) fn unreadable(address: SocketAddr, now: Timestamp) -> Self {
+        let identity = Identity {
+            boot: 0,
+            started: 0,
+            centre: 0,
+            capacity: 0,
+            leaving: false,
+        };
+        Self {
+            unreadable: true,
+            ..Self::new(address, identity, 0, now)
+        }
+    }
+
+    /// Returns whether there was news of the member within `limit` that this entry can read.
     pub(super) fn is_responsive(&self, limit: Duration, now: Timestamp) -> bool {
-        now < self.seen + limit
+        !self.unreadable && now < self.seen + limit
     }
 
     /// Returns the member's address.
--- a/crates/core/src/direct/report.rs
+++ b/crates/core/src/direct/report.rs
@@ -2,10 +2,16 @@
 //!
 //! In a small fleet every entry reports to every other one. In a large fleet an entry reports to the
 //! aggregators of its data centre, which sum the reports and pass the sums on.
+//!
+//! Entries of several builds exchange reports during an upgrade. A report is therefore a map from
+//! names to values: a reader skips the names that it does not know. The elements of its lists are
+//! arrays without names, since they make up most of a report; their fields never change, and a new
+//! fact of an element gets a list of its own.
 
 use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
+use serde::ser::SerializeMap;
+use serde::{Deserialize, Serialize, Serializer};
 
 use super::containment::ContainmentReport;
 use super::hedging::KindTimes;
@@ -116,7 +122,7 @@
 }
 
 /// The report that an entry sends to a peer several times a second.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Report {
     /// Which entries the loads, units and crashes are of.
     pub scope: Scope,
@@ -161,3 +167,38 @@
     #[serde(default)]
     pub answer_times: Vec<KindTimes>,
 }
+
+/// Adds fields of a report to a map, under their names.
+macro_rules! serialize_fields {
+    ($map:ident, $report:ident: $($field:ident)+) => {
+        $($map.serialize_entry(stringify!($field), &$report.$field)?;)+
+    };
+}
+
+/// Adds those lists of a report to a map that are not empty. Readers of every build know a list that
+/// is missing as empty.
+macro_rules! serialize_lists {
+    ($map:ident, $report:ident: $($field:ident)+) => {
+        $(if !$report.$field.is_empty() {
+            $map.serialize_entry(stringify!($field), &$report.$field)?;
+        })+
+    };
+}
+
+impl Serialize for Report {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        const FIELDS: usize = 15;
+        let lists = [
+            self.notices.is_empty(),
+            self.shares.is_empty(),
+            self.answer_times.is_empty(),
+        ];
+        let lists = lists.into_iter().filter(|empty| !empty).count();
+        let mut map = serializer.serialize_map(Some(FIELDS + lists))?;
+        serialize_fields!(map, self: scope identity sent interval expects echo lag version age);
+        map.serialize_entry("readings", &self.sections)?;
+        serialize_fields!(map, self: loads services spent containment members);
+        serialize_lists!(map, self: notices shares answer_times);
+        map.end()
+    }
+}
--- a/crates/core/src/direct/scheduler/reports.rs
+++ b/crates/core/src/direct/scheduler/reports.rs
@@ -231,6 +231,17 @@
         }
     }
 
+    /// Returns the part of a shared rate that the entries may spend which this entry hears of.
+    #[must_use]
+    pub fn responsive_part(&self, now: Timestamp) -> f64 {
+        self.members.responsive_part(now)
+    }
+
+    /// Records a message of another entry that cannot be read.
+    pub fn observe_unreadable(&mut self, from: SocketAddr, now: Timestamp) {
+        self.members.observe_unreadable(from, now);
+    }
+
     /// Returns the source whose load a report replaces, unless this entry gets that load from
     /// another source too.
     fn accepted_source(&self, from: SocketAddr, report: &Report) -> Option<Source> {
--- a/crates/core/tests/core/direct/members.rs
+++ b/crates/core/tests/core/direct/members.rs
@@ -120,3 +120,36 @@
     assert!(reports < 130.0, "{reports} per second");
     assert!(one.report_interval() >= Duration::from_millis(40));
 }
+
+/// An entry of another build may spend its part of every limit although its reports cannot be read.
+#[test]
+fn an_entry_that_cannot_be_read_keeps_its_part() {
+    let (mut one, two) = (scheduler(1, &[2]), scheduler(2, &[1]));
+    send_report(&two, 2, &mut one, 0);
+    one.observe_unreadable(address(3), at(10));
+    assert_eq!(one.totals().members, 3);
+    assert!((one.responsive_part(at(20)) - 2.0 / 3.0).abs() < 1e-9);
+    // No other entry is told of it as of one that can be read.
+    let report = one.reports(at(30)).pop().expect("no peer is known").1;
+    assert!(
+        report
+            .members
+            .iter()
+            .all(|member| member.address != address(3))
+    );
+    // Its part stays reserved as long as its messages arrive, and for the retention after that.
+    one.observe_unreadable(address(3), at(15_000));
+    send_report(&two, 2, &mut one, 34_000);
+    assert!(one.expire_peers(at(34_900)).is_empty());
+    assert_eq!(one.expire_peers(at(35_000)), [address(3)]);
+}
+
+#[test]
+fn an_entry_that_can_be_read_again_counts_as_any_other() {
+    let (mut one, two) = (scheduler(1, &[2]), scheduler(2, &[1]));
+    one.observe_unreadable(address(2), at(0));
+    send_report(&two, 2, &mut one, 10);
+    // A message of an unknown kind from an entry that can be read changes nothing.
+    one.observe_unreadable(address(2), at(20));
+    assert!((one.responsive_part(at(30)) - 1.0).abs() < 1e-9);
+}
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -24,6 +24,7 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::peers::PeerSocket;
+use crate::repeated_fault::RepeatedFault;
 use crate::slot_guard::SlotGuard;
 use crate::upstream::Upstream;
 
@@ -74,6 +75,8 @@
     pub tasks: TaskTracker,
     /// Counters, histograms and gauges.
     pub metrics: Metrics,
+    /// Messages of other entries that cannot be read.
+    pub(crate) unreadable: RefCell<RepeatedFault>,
     process_lag: Cell<ProcessLag>,
     waiters: RefCell<HashMap<Ticket, oneshot::Sender<PlacementOutcome>>>,
     next_ticket: Cell<u64>,
@@ -112,6 +115,7 @@
             limits,
             tasks,
             metrics,
+            unreadable: RefCell::default(),
             process_lag: Cell::default(),
             waiters: RefCell::default(),
             next_ticket: Cell::new(0),
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -12,7 +12,7 @@
 use crate::context::Context;
 use crate::lending;
 use crate::origins;
-use crate::peers::{MESSAGE_LIMIT_BYTES, PeerMessage, ReceiveError};
+use crate::peers::{MESSAGE_LIMIT_BYTES, MessageFault, PeerMessage, ReceiveError};
 use crate::snapshot;
 
 /// Shortest interval between reports in a large fleet, used when this entry has read a change.
@@ -89,7 +89,9 @@
                 origins::apply(&context, from, message).await;
             }
             Ok((from, PeerMessage::Lending(message))) => lending::apply(&context, from, message),
-            Err(ReceiveError::Malformed(error)) => log::warn!("cannot decode a message: {error}"),
+            Err(ReceiveError::Unreadable { from, fault }) => {
+                record_unreadable(&context, from, &fault);
+            }
             Err(ReceiveError::Socket(error)) => {
                 log::debug!("cannot receive messages: {error}");
                 tokio::time::sleep(ERROR_DELAY).await;
@@ -98,6 +100,21 @@
     }
 }
 
+/// Records a message of an entry of another build. A message of an unknown kind says nothing of its
+/// sender's reports.
+fn record_unreadable(context: &Context, from: SocketAddr, fault: &MessageFault) {
+    context.metrics.unreadable.inc();
+    let now = clock::now();
+    if let MessageFault::Content(_) = fault {
+        let mut scheduler = context.scheduler.borrow_mut();
+        scheduler.observe_unreadable(from, now);
+    }
+    let count = context.unreadable.borrow_mut().record(now);
+    if let Some(count) = count {
+        log::warn!(peer:% = from, count = count; "cannot read messages of other entries; they may run another build: {fault}");
+    }
+}
+
 fn apply_report(context: &Rc<Context>, from: SocketAddr, report: Report) {
     let version = report.version;
     let effect = context
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod peers;
 pub mod process;
 mod prompt_parts;
+mod repeated_fault;
 pub mod retry_after;
 pub mod settings;
 mod slot_guard;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -42,6 +42,8 @@
     pub held: IntGauge,
     /// Callers that were ended since they read too slowly.
     pub slow_callers: IntCounter,
+    /// Messages of other entries that this build cannot read.
+    pub unreadable: IntCounter,
     /// Milliseconds since the configuration was last confirmed.
     pub age: IntGauge,
     /// Milliseconds by which the knowledge of other entries lags behind on average.
@@ -86,6 +88,11 @@
             "Callers that were ended since they read too slowly",
         )?;
         registry.register(Box::new(slow_callers.clone()))?;
+        let unreadable = IntCounter::new(
+            "comfreyhaven_unreadable_messages_total",
+            "Messages of other entries that this build cannot read",
+        )?;
+        registry.register(Box::new(unreadable.clone()))?;
         let team_work = IntGaugeVec::new(
             Opts::new(
                 "comfreyhaven_team_work_milliseconds",
@@ -97,6 +104,7 @@
         Ok(Self {
             restorations,
             slow_callers,
+            unreadable,
             held: gauge(
                 "comfreyhaven_held_bytes",
                 "Bytes held for callers and endpoints, if they are bounded",
--- a/crates/direct/src/snapshot.rs
+++ b/crates/direct/src/snapshot.rs
@@ -56,7 +56,8 @@
         .scheduler
         .borrow()
         .snapshot(version, revision, clock::now());
-    match rmp_serde::to_vec(&snapshot) {
+    // With names, so that entries of other builds skip what they do not know.
+    match rmp_serde::to_vec_named(&snapshot) {
         Ok(bytes) => *response.body_mut() = Full::new(bytes.into()),
         Err(error) => {
             log::warn!("cannot encode snapshot: {error}");
