Unlisted endpoints: what a peer keeps after a restoration of the store is not cut short

After a restoration of the store from a copy there is no gap in the reads, but records of running endpoints are missing: entries that are not readers stopped using an endpoint that had started after the copy was made.

The rule now asks for the time of a restoration too.

--- a/crates/core/src/direct/scheduler/restoration.rs
+++ b/crates/core/src/direct/scheduler/restoration.rs
@@ -134,10 +134,14 @@
     }
 
     /// Returns until when an endpoint may be used of which a peer says that it is not listed and may
-    /// be used until `until`. A peer that alone had lost the store takes it for an outage.
+    /// be used until `until`. A peer that alone had lost the store takes it for an outage. While a
+    /// restored store is written again, the peer keeps what it knew.
     pub(super) fn reported_unlisted_until(&self, until: Timestamp, now: Timestamp) -> Timestamp {
+        let restored = self.restoration.return_time();
+        let is_restoring = restored.is_some_and(|time| now < time);
+        let is_steady = self.store_progress.is_steady(now) && !is_restoring;
         let confirmed = self.store_progress.confirmed(Section::Endpoints);
-        match confirmed.filter(|_| self.store_progress.is_steady(now)) {
+        match confirmed.filter(|_| is_steady) {
             Some(listed) => until.min(listed + self.unlisted_time()),
             None => until,
         }
