Placement: long prompts stay away from endpoints whose streams they would interrupt

Cause: a third of the endpoints of the shifted work takes three times as long, and reads prompts between the events of its running streams. The cost of a placement looked at the new prompt alone, was free up to 0.6 of the gap, and was a cost only: where no other slot was free, the prompt went there all the same.

Change: an endpoint whose streams would pause for longer than the gap (time of an event, and the reading of what is pending there and of the prompt, with a safety factor of 2) does not take the prompt, unless no endpoint would do much better. A longer prompt that waits for one of few endpoints lets shorter ones go ahead. An endpoint that this entry has seldom used is taken to read as much slower as it writes.

--- a/crates/core/src/direct/endpoint_table.rs
+++ b/crates/core/src/direct/endpoint_table.rs
@@ -248,6 +248,16 @@
         self.endpoints.values().filter(newer).map(current).collect()
     }
 
+    /// Returns the milliseconds in which an endpoint reads a token of a prompt. An entry that has seldom
+    /// sent to the endpoint takes it to read as much slower than the average of its service as it
+    /// writes.
+    #[must_use]
+    pub fn token_ms(&self, state: &EndpointState) -> f64 {
+        let baseline = self.baselines.get(&state.record.service);
+        let prior = baseline.map(|baseline| baseline.latency(&state.event_interval).slope());
+        state.latency.slope().max(prior.unwrap_or_default())
+    }
+
     /// Returns the state of an endpoint.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&EndpointState> {
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -5,6 +5,7 @@
 mod availability;
 mod containment;
 mod hedging;
+mod interruption;
 mod limits;
 mod message;
 mod origins;
@@ -315,7 +316,8 @@
         let position = self.position(&request, late, now);
         let queue = self.queues.get(&request.service);
         let build = request.build.as_deref();
-        let is_behind = queue.is_some_and(|queue| queue.is_behind(&position, build));
+        let is_behind =
+            queue.is_some_and(|queue| queue.is_behind(&position, build, request.prompt));
         if !is_behind && let Some(placed) = self.place(&request, late, now) {
             self.record_start(&request, &position, now);
             return Some(placed);
@@ -378,8 +380,9 @@
         now: Timestamp,
     ) {
         let positions = self.queues.get(service).map(WaitQueue::positions);
-        // Builds without a slot; none stands for requests that any build may run.
-        let mut full: Vec<Option<Arc<str>>> = Vec::new();
+        // Builds without a slot for prompts of some length; no build stands for requests that any
+        // build may run. A shorter prompt may find a slot where a longer one interrupts others.
+        let mut full: Vec<(Option<Arc<str>>, u64)> = Vec::new();
         for position in positions.unwrap_or_default() {
             let Some(request) = self
                 .queues
@@ -390,7 +393,9 @@
             };
             let absence = self.hopeless(request, now);
             let overdue = self.is_overdue(&position, request, now);
-            let is_full = full.contains(&request.build);
+            let is_full = full
+                .iter()
+                .any(|(build, prompt)| *build == request.build && *prompt <= request.prompt);
             if is_full && !overdue && absence.is_none() {
                 continue;
             }
@@ -402,7 +407,7 @@
             };
             match placed {
                 Some(_) => self.record_start(&request, &position, now),
-                None if !is_full => full.push(request.build.clone()),
+                None if !is_full => full.push((request.build.clone(), request.prompt)),
                 None => {}
             }
             let refused = || match absence {
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -307,9 +307,11 @@
     ) -> Option<(EndpointId, f64)> {
         let left = request.objective.since(now).as_secs_f64() * 1_000.0;
         let pressure = self.pressure(request);
+        let limit = self.pause_limit(request, now);
         let mut candidates = Vec::new();
         for state in self.available(request, now) {
-            if !self.has_slot(state, request, pressure.as_ref(), now) {
+            let interrupts = self.interrupts(limit, state, request);
+            if interrupts || !self.has_slot(state, request, pressure.as_ref(), now) {
                 continue;
             }
             let (expected, cost) = self.cost(state, request, now);
--- a/crates/core/src/direct/wait_queue.rs
+++ b/crates/core/src/direct/wait_queue.rs
@@ -209,10 +209,16 @@
         ahead
     }
 
-    /// Returns whether a request that waits for the same endpoints is served before `position`.
-    /// Requests that require a build wait for its endpoints only, and keep no others waiting.
-    pub(super) fn is_behind(&self, position: &QueuePosition, build: Option<&str>) -> bool {
+    /// Returns whether a request that waits for the same endpoints is served before one of `prompt`
+    /// tokens at `position`. Requests that require a build wait for its endpoints only, and keep no
+    /// others waiting. A longer prompt may wait for one of few endpoints.
+    pub(super) fn is_behind(
+        &self,
+        position: &QueuePosition,
+        build: Option<&str>,
+        prompt: u64,
+    ) -> bool {
         let mut ahead = self.requests.range(..*position);
-        ahead.any(|(_, other)| other.build.as_deref() == build)
+        ahead.any(|(_, other)| other.build.as_deref() == build && other.prompt <= prompt)
     }
 }
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -13,6 +13,7 @@
 mod event_interval;
 mod fleet_network;
 mod hedging;
+mod interruption;
 mod large_fleet;
 mod lending;
 mod malformed_messages;
--- a/crates/core/tests/core/direct/simulation.rs
+++ b/crates/core/tests/core/direct/simulation.rs
@@ -1,8 +1,10 @@
 //! Simulation of several direct entries over endpoints of different speed, for replaying a load.
 
+mod pauses;
 mod returning;
 mod tally;
 
+use pauses::Pauses;
 pub use returning::Returns;
 pub use tally::Tally;
 
@@ -115,6 +117,7 @@
     next: u64,
     random: ChaCha8Rng,
     returns: Option<Returns>,
+    pub pauses: Pauses,
     /// The callers that have returned, and whether they were told a time that they honour.
     returned: HashMap<Ticket, bool>,
     pub tallies: Vec<Tally>,
@@ -147,6 +150,7 @@
             next: 0,
             random: ChaCha8Rng::seed_from_u64(7),
             returns: None,
+            pauses: Pauses::default(),
             returned: HashMap::new(),
             refused_waits: Vec::new(),
             told: Vec::new(),
@@ -203,6 +207,12 @@
         self
     }
 
+    /// Sets the longest acceptable time between two events of an answer.
+    pub fn with_event_gap(mut self, gap: Duration) -> Self {
+        self.pauses = Pauses::new(gap, self.engines.len());
+        self
+    }
+
     fn schedule(&mut self, time: Timestamp, event: Event) {
         self.next += 1;
         self.events.insert((time, self.next), event);
@@ -241,6 +251,7 @@
             prompt: draw_size(&mut self.random, shape.prompt),
             length: draw_size(&mut self.random, shape.length),
             objective: time + Duration::from_millis(shape.objective),
+            event_gap: self.pauses.gap(),
             ..super::placement_request(self.next, shape.rank, time)
         };
         self.schedule(
@@ -396,13 +407,17 @@
         let span = |millis: f64| Duration::from_secs_f64(millis / 1_000.0);
         let prefill = span(target.factor * PROMPT_TOKEN_MS * request.prompt as f64);
         target.prefill_end = target.prefill_end.max(now) + prefill;
+        let interval = span(target.factor * ANSWER_TOKEN_MS * EVENT_TOKENS);
+        let pause = target.prefill_end.since(now) + interval;
+        self.pauses.record_pause(engine, pause);
         let first = target.prefill_end + span(target.factor * FIRST_MS);
         let done = first + span(target.factor * ANSWER_TOKEN_MS * request.length as f64);
         self.schedule(first + HOP_DELAY, Event::First { engine, job });
         self.schedule(done + HOP_DELAY, Event::Done { engine, job });
     }
 
-    fn first(&mut self, _engine: usize, job: u64, now: Timestamp) {
+    fn first(&mut self, engine: usize, job: u64, now: Timestamp) {
+        self.pauses.record_first(engine, job);
         let job = self.jobs.get_mut(&job).expect("the job is running");
         let tally = &mut self.tallies[job.kind];
         let returned = self.returned.get(&job.request.ticket);
@@ -418,6 +433,7 @@
     }
 
     fn done(&mut self, engine: usize, job: u64, now: Timestamp) {
+        self.pauses.record_done(engine, job);
         let job = self.jobs.remove(&job).expect("the job is running");
         self.tallies[job.kind].overdue += u32::from(now > job.request.deadline);
         self.engines[engine].running -= 1;
