Connections and reservations: how long a silent endpoint is waited for is learned

Ruled out: reports of silent endpoints (one silent link is no news, and two tell too late), a shorter fixed time (links that are narrow, and entries that lack processor time, take longer).

Change: the limit is the average time of the endpoints that react plus eight average deviations, from 60 to 300 ms, and doubles with every four silences in a row, since then the network itself may be slow. Until a reaction is known it is 300 ms.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -31,6 +31,7 @@
 mod policies;
 mod process_lag;
 mod rate_limit;
+mod reaction_limit;
 mod read_cursor;
 mod rendezvous;
 mod report;
@@ -88,6 +89,7 @@
 pub use policies::Policies;
 pub use process_lag::ProcessLag;
 pub use rate_limit::{FleetView, RateExceeded, RateLimiter, RatePolicy};
+pub use reaction_limit::ReactionLimit;
 pub use read_cursor::ReadCursor;
 pub use report::{
     Echo, EndpointLoad, EndpointNotice, Identity, Incarnation, MemberStatus, Report, ServiceLoad,
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -22,6 +22,7 @@
 mod overload;
 mod pauses;
 mod rate_limit;
+mod reaction_limit;
 mod request_limits;
 mod restoration;
 mod restored_records;
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -12,8 +12,8 @@
 
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
-    EndpointRecord, Outcome, Placement, PlacementRefusal, PlacementRequest, ProcessLag, Scheduler,
-    Section, StoreRevision, Ticket, Withheld,
+    EndpointRecord, Outcome, Placement, PlacementRefusal, PlacementRequest, ProcessLag,
+    ReactionLimit, Scheduler, Section, StoreRevision, Ticket, Withheld,
 };
 use tokio::sync::{Notify, oneshot};
 use tokio_util::task::TaskTracker;
@@ -63,6 +63,8 @@
     pub origin_answers: Notify,
     /// Connections to endpoints.
     pub upstream: Upstream,
+    /// How soon endpoints answer whether they have a slot.
+    pub(crate) reservations: Cell<ReactionLimit>,
     /// Answers that are read before they are sent to their callers.
     pub(crate) large_answers: LargeAnswers,
     /// What is held for callers and endpoints.
@@ -109,6 +111,7 @@
             peers,
             origin_answers: Notify::new(),
             upstream: Upstream::new(tasks.clone()),
+            reservations: Cell::default(),
             large_answers: LargeAnswers::default(),
             buffers: Buffers::default(),
             dialect,
--- a/crates/direct/src/dispatch/reserve.rs
+++ b/crates/direct/src/dispatch/reserve.rs
@@ -3,8 +3,6 @@
 //! An endpoint without a free slot says so at once, and the request looks for another one. Without
 //! the reservation it would wait in the endpoint's own queue, which knows no urgency.
 
-use std::time::Duration;
-
 use comfreyhaven_core::direct::Placement;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
@@ -15,9 +13,6 @@
 use crate::clock;
 use crate::upstream::SendError;
 
-/// How long an endpoint may take to answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Why no slot was reserved.
 pub(super) enum NotReserved {
     /// The endpoint has no free slot.
@@ -42,8 +37,17 @@
         let calling = self
             .context
             .call(&placement.record, call, self.incoming.head.id_text());
-        let answered = tokio::time::timeout(ANSWER_TIMEOUT, calling).await;
-        let answered = answered.unwrap_or(Err(SendError::ConnectTimeout));
+        let limit = self.context.reservations.get().limit();
+        let began = clock::now();
+        let answered = tokio::time::timeout(limit, calling).await;
+        let mut reservations = self.context.reservations.get();
+        match &answered {
+            Ok(Ok(_)) => reservations.record_reaction(clock::now().since(began)),
+            Ok(Err(_)) => {}
+            Err(_) => reservations.record_silence(),
+        }
+        self.context.reservations.set(reservations);
+        let answered = answered.unwrap_or(Err(SendError::ConnectTimeout(limit)));
         let (status, body) = answered.map_err(NotReserved::Failed)?;
         match status {
             StatusCode::OK => Ok((self.context.dialect.reservation.decode)(&body)),
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -1,7 +1,7 @@
 //! Connection pool for endpoints: idle connections are reused while they are healthy, with one
 //! request at a time on each.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use comfreyhaven_core::Timestamp;
-use comfreyhaven_core::direct::{EndpointId, EndpointRecord};
+use comfreyhaven_core::direct::{EndpointId, EndpointRecord, ReactionLimit};
 use derive_more::{Display, Error};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -26,7 +26,7 @@
 use crate::body::BodyError;
 use crate::clock;
 
-/// How long an endpoint may take to accept a connection.
+/// How long a peer may take to accept a connection, if nothing is known of how soon others do.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// How long sent bytes may stay unacknowledged before the connection counts as broken.
@@ -68,8 +68,9 @@
     #[display("cannot connect: {_0}")]
     Connect(std::io::Error),
     /// No connection was opened in time, so nothing was sent.
-    #[display("no connection within {CONNECT_TIMEOUT:?}")]
-    ConnectTimeout,
+    #[display("no connection within {_0:?}")]
+    #[error(ignore)]
+    ConnectTimeout(Duration),
     /// The endpoint has said that it takes no requests, or requests like it crash endpoints, so nothing
     /// was sent.
     #[display("the endpoint takes no such requests now")]
@@ -107,8 +108,14 @@
 /// # Errors
 /// Returns a [`SendError`] if the peer does not accept in time.
 pub async fn open(address: SocketAddr) -> Result<TcpStream, SendError> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let stream = connecting.await.map_err(|_| SendError::ConnectTimeout)?;
+    open_within(address, CONNECT_TIMEOUT).await
+}
+
+async fn open_within(address: SocketAddr, limit: Duration) -> Result<TcpStream, SendError> {
+    let connecting = tokio::time::timeout(limit, TcpStream::connect(address));
+    let stream = connecting
+        .await
+        .map_err(|_| SendError::ConnectTimeout(limit))?;
     let stream = stream.map_err(SendError::Connect)?;
     detect_dead_peer(&stream).map_err(SendError::Connect)?;
     Ok(stream)
@@ -147,7 +154,14 @@
     /// # Errors
     /// Returns a [`SendError`] if the peer does not accept in time.
     pub async fn open(address: SocketAddr, tasks: &TaskTracker) -> Result<Self, SendError> {
-        let stream = open(address).await?;
+        Self::open_on(open(address).await?, address, tasks).await
+    }
+
+    async fn open_on(
+        stream: TcpStream,
+        address: SocketAddr,
+        tasks: &TaskTracker,
+    ) -> Result<Self, SendError> {
         let handshake = http1::Builder::new()
             .max_buf_size(HEADER_LIMIT_BYTES)
             .handshake(TokioIo::new(stream));
@@ -207,6 +221,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Upstream {
     idle: Rc<RefCell<HashMap<EndpointId, Vec<IdleConnection>>>>,
+    /// How soon endpoints accept connections.
+    acceptance: Rc<Cell<ReactionLimit>>,
     tasks: TaskTracker,
 }
 
@@ -216,6 +232,7 @@
     pub fn new(tasks: TaskTracker) -> Self {
         Self {
             idle: Rc::default(),
+            acceptance: Rc::default(),
             tasks,
         }
     }
@@ -243,7 +260,8 @@
                 Ok(reply) => return Ok(reply),
             }
         }
-        let connection = Connection::open(record.address, &self.tasks).await?;
+        let stream = self.connect(record.address).await?;
+        let connection = Connection::open_on(stream, record.address, &self.tasks).await?;
         permitted()?;
         match attempt(connection, request, record).await {
             Err(AttemptError::Unsent(_)) => Err(SendError::Stale),
@@ -252,6 +270,21 @@
         }
     }
 
+    /// Connects to an endpoint, and learns how soon it accepts.
+    async fn connect(&self, address: SocketAddr) -> Result<TcpStream, SendError> {
+        let mut acceptance = self.acceptance.get();
+        let began = clock::now();
+        let connected = open_within(address, acceptance.limit()).await;
+        acceptance = self.acceptance.get();
+        match &connected {
+            Ok(_) => acceptance.record_reaction(clock::now().since(began)),
+            Err(SendError::ConnectTimeout(_)) => acceptance.record_silence(),
+            Err(_) => {}
+        }
+        self.acceptance.set(acceptance);
+        connected
+    }
+
     /// Opens a connection to an endpoint. One that the endpoint keeps open is kept for the next
     /// request.
     pub async fn check(&self, record: &EndpointRecord) -> Liveness {
