--- a/crates/core/src/direct/scheduler/hedging.rs
+++ b/crates/core/src/direct/scheduler/hedging.rs
@@ -4,8 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
-
 use super::{Placement, PlacementRequest, Scheduler};
 use crate::direct::digest::digest;
 use crate::direct::endpoint_table::{EndpointState, Run};
@@ -115,13 +113,7 @@
             }
             candidates.push((Arc::clone(&record.id), expected, cost));
         }
-        let random = &mut self.random;
-        let drawn = candidates.into_iter().map(|(id, expected, cost)| {
-            let cost = cost * random.random_range(0.92..1.08);
-            (id, expected, cost)
-        });
-        let least = drawn.min_by(|(_, _, one), (_, _, other)| one.total_cmp(other));
-        least.map(|(id, expected, _)| (id, expected))
+        self.draw_cheapest(candidates)
     }
 
     /// Returns whether an endpoint has a free slot and nothing speaks against using it.
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -6,6 +6,7 @@
 //! chosen. Endpoints differ in speed, some are full, cold or failing, and the peers' reports of
 //! their load lag.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,6 +33,9 @@
 /// Part of all slots that is reserved for requests that can still meet their objective.
 const LATE_RESERVE: f64 = 0.12;
 
+/// Range of the factor by which costs vary at random.
+const COST_NOISE: Range<f64> = 0.92..1.08;
+
 /// Cost of an endpoint in another data centre, in milliseconds.
 const REMOTE_MS: f64 = 6.0;
 
@@ -319,14 +323,23 @@
                 candidates.push((Arc::clone(&state.record().id), expected, cost));
             }
         }
-        let mut found: Option<(EndpointId, f64, f64)> = None;
-        for (id, expected, cost) in candidates {
-            let cost = cost * self.random.random_range(0.92..1.08);
-            if found.as_ref().is_none_or(|(_, _, least)| cost < *least) {
-                found = Some((id, expected, cost));
-            }
-        }
-        found.map(|(id, expected, _)| (id, expected))
+        self.draw_cheapest(candidates)
+    }
+
+    /// Returns the endpoint of least cost, and the expected time to first byte there, among candidates
+    /// with that time and their costs. The costs vary a little, so that entries which know the same do
+    /// not all choose the same endpoint.
+    pub(super) fn draw_cheapest(
+        &mut self,
+        candidates: Vec<(EndpointId, f64, f64)>,
+    ) -> Option<(EndpointId, f64)> {
+        let random = &mut self.random;
+        let drawn = candidates.into_iter().map(|(id, expected, cost)| {
+            let cost = cost * random.random_range(COST_NOISE);
+            (id, expected, cost)
+        });
+        let least = drawn.min_by(|(_, _, one), (_, _, other)| one.total_cmp(other));
+        least.map(|(id, expected, _)| (id, expected))
     }
 
     /// Returns whether an endpoint has a slot that this entry may use now.
