--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -96,7 +96,7 @@
 };
 pub use request_limit::{LimitChange, LimitNotice, LimitStatement, RequestLimit};
 pub use restoration::{RECOVERY_TIME, Restoration};
-pub use retry_budget::RetryBudget;
+pub use retry_budget::{RetryBudget, RetryUsage};
 pub use return_places::{Refused, ReturnPlaces, Returned};
 pub use scheduler::{
     Bounds, Ending, Outcome, Placement, PlacementRefusal, PressedTeam, Reason, Released,
--- a/crates/core/src/direct/retry_budget.rs
+++ b/crates/core/src/direct/retry_budget.rs
@@ -24,6 +24,19 @@
     retries: u32,
 }
 
+/// What an entry has of the budget of a service, and has used of it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryUsage {
+    /// Entries that the fixed number is divided by.
+    pub members: usize,
+    /// Requests for the service that this entry has counted in the window.
+    pub requests: u32,
+    /// Retries that this entry has taken in the window.
+    pub retries: u32,
+    /// Retries that this entry may take in the window.
+    pub allowed: f64,
+}
+
 /// Requests and retries of one service.
 #[derive(Debug)]
 pub struct RetryBudget {
@@ -87,24 +100,28 @@
 
     /// Returns whether the budget has a retry for this entry, one of `members`.
     pub fn has_left(&mut self, members: usize, now: Timestamp) -> bool {
-        let (retries, allowed) = self.used(members, now);
-        retries + 1.0 <= allowed
+        let usage = self.usage(members, now);
+        f64::from(usage.retries) + 1.0 <= usage.allowed
     }
 
     /// Returns whether half of the budget of this entry, one of `members`, remains after another
     /// retry.
     pub fn has_reserve(&mut self, members: usize, now: Timestamp) -> bool {
-        let (retries, allowed) = self.used(members, now);
-        retries + 1.0 <= allowed * (1.0 - RESERVE_PART)
+        let usage = self.usage(members, now);
+        f64::from(usage.retries) + 1.0 <= usage.allowed * (1.0 - RESERVE_PART)
     }
 
-    /// Returns the retries in the window, and how many are allowed.
-    fn used(&mut self, members: usize, now: Timestamp) -> (f64, f64) {
+    /// Returns what this entry, one of `members`, may take and has taken in the window.
+    pub fn usage(&mut self, members: usize, now: Timestamp) -> RetryUsage {
         self.step(now);
         let requests: u32 = self.steps.iter().map(|step| step.requests).sum();
         let retries: u32 = self.steps.iter().map(|step| step.retries).sum();
         let slack = self.slack / members.max(1) as f64;
-        let allowed = USED_PART * (self.ratio * f64::from(requests) + slack);
-        (f64::from(retries), allowed)
+        RetryUsage {
+            members,
+            requests,
+            retries,
+            allowed: USED_PART * (self.ratio * f64::from(requests) + slack),
+        }
     }
 }
--- a/crates/core/src/direct/scheduler/limits.rs
+++ b/crates/core/src/direct/scheduler/limits.rs
@@ -9,7 +9,7 @@
 use crate::direct::members::{ASSUMED_MEMBERS, DISCOVERY_TIME};
 use crate::direct::plan::{EndpointId, PlanTeam};
 use crate::direct::rate_limit::{FleetView, RateExceeded};
-use crate::direct::retry_budget::RetryBudget;
+use crate::direct::retry_budget::{RetryBudget, RetryUsage};
 use crate::time::Timestamp;
 
 impl Scheduler {
@@ -62,6 +62,12 @@
         self.budget(service).take(members, now)
     }
 
+    /// Returns what this entry may take of the service's retry budget, and has taken.
+    pub fn retry_usage(&mut self, service: &Arc<str>, now: Timestamp) -> RetryUsage {
+        let members = self.assumed_members(now);
+        self.budget(service).usage(members, now)
+    }
+
     /// Returns whether the budget allows a retry now and an endpoint outside of `excluded`, of the
     /// required build, has a free slot.
     pub fn may_retry(
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -16,7 +16,7 @@
 
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
-    Contained, EndpointId, EndpointRecord, Origin, PlacementRefusal, PlacementRequest,
+    Contained, EndpointId, EndpointRecord, Origin, PlacementRefusal, PlacementRequest, RetryUsage,
 };
 use comfreyhaven_core::refusal::RefusalKind;
 use hyper::{Response, StatusCode};
@@ -225,8 +225,38 @@
         if self.deadline <= now + MIN_SEND_TIME {
             return false;
         }
+        if self.arrivals.get() == 0 {
+            self.count_retry("uncharged");
+            return true;
+        }
         let mut scheduler = self.context.scheduler.borrow_mut();
-        self.arrivals.get() == 0 || scheduler.take_retry(&self.service, now)
+        let taken = scheduler.take_retry(&self.service, now);
+        let usage = scheduler.retry_usage(&self.service, now);
+        drop(scheduler);
+        self.log_retry(if taken { "taken" } else { "withheld" }, &usage);
+        taken
+    }
+
+    /// Logs a retry that was taken from the budget or withheld, and what the budget is after it.
+    fn log_retry(&self, outcome: &str, usage: &RetryUsage) {
+        self.count_retry(outcome);
+        log::info!(
+            request = self.incoming.head.id_text(),
+            service:% = self.service,
+            outcome = outcome,
+            sends = self.sends.get(),
+            arrivals = self.arrivals.get(),
+            members = usage.members,
+            requests = usage.requests,
+            retries = usage.retries,
+            allowed:% = format_args!("{:.1}", usage.allowed);
+            "retry"
+        );
+    }
+
+    fn count_retry(&self, outcome: &str) {
+        let retries = &self.context.metrics.retries;
+        retries.with_label_values(&[outcome]).inc();
     }
 
     /// Does not place the request at this endpoint again.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -20,6 +20,8 @@
     pub sends: IntCounterVec,
     /// Requests that were sent to a second endpoint, or not, since the first one is slow.
     pub hedges: IntCounterVec,
+    /// Requests that were to be sent once more, by what the retry budget said.
+    pub retries: IntCounterVec,
     /// Calls to endpoints: requests, and reservations of slots.
     pub calls: IntCounterVec,
     /// Endpoints that broke off, by what became of them.
@@ -124,6 +126,11 @@
                 "Requests sent to a second endpoint because the first one is slow, by outcome, and why others were not",
                 &["outcome"],
             )?,
+            retries: counter(
+                "comfreyhaven_retries_total",
+                "Requests to be sent once more: taken from the retry budget, withheld by it, or uncharged as no endpoint had received them",
+                &["outcome"],
+            )?,
             calls: counter(
                 "comfreyhaven_endpoint_calls_total",
                 "Calls to endpoints: requests, and reservations of slots",
