Failing tests: retries of a fleet whose entries restart or are cut off exceed the budget

The sum over all entries, in one process, against the rule's own windows (the requests of the window, of the one before or of the one half a window before). Every request fails and is retried up to four times.

--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -26,6 +26,7 @@
 mod request_limits;
 mod restoration;
 mod restored_records;
+mod retry_budget;
 mod returns;
 mod simulation;
 mod slot_shares;
--- a/crates/core/tests/core/direct/fleet_network.rs
+++ b/crates/core/tests/core/direct/fleet_network.rs
@@ -159,6 +159,11 @@
         self.entries.len()
     }
 
+    /// Returns the incarnation of an entry, running or not.
+    pub fn start_of(&self, index: usize) -> u64 {
+        self.starts[index]
+    }
+
     /// Returns the running entries.
     pub fn running(&self) -> impl Iterator<Item = (usize, &Scheduler)> {
         let entries = self.entries.iter().enumerate();
