Retries: the budget of the fleet holds through restarts, cuts and views that differ

Cause: an entry kept to its own part of the budget only for the time that its process remembered, and for the members that it knew. A restarted process took 0.14 of the requests and its part of the fixed number anew, whatever its predecessor had spent in the same window; in a cut it divided the fixed number by its side; after 20 s each side forgot the other.

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -27,6 +27,9 @@
 /// Time for which the part of an unresponsive member stays reserved.
 const MEMBER_RETENTION: Duration = Duration::from_secs(20);
 
+/// Time for which an entry that this process has known, or has not found yet, may run beyond a cut.
+pub(super) const FLEET_MEMORY: Duration = Duration::from_secs(300);
+
 /// Time for which a restarted process divides limits by at least [`ASSUMED_MEMBERS`], as it has not
 /// discovered all entries yet.
 pub(super) const DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
@@ -52,6 +55,8 @@
 pub struct Members {
     own: SocketAddr,
     members: BTreeMap<SocketAddr, Member>,
+    /// Members that were removed within [`FLEET_MEMORY`], and when.
+    removed: BTreeMap<SocketAddr, Timestamp>,
     /// Increases with each change of the set of members.
     generation: u64,
 }
@@ -63,6 +68,7 @@
         Self {
             own,
             members: BTreeMap::new(),
+            removed: BTreeMap::new(),
             generation: 0,
         }
     }
@@ -187,9 +193,28 @@
             .collect();
         self.members.retain(|_, member| !is_expired(member));
         self.generation += u64::from(!expired.is_empty());
+        self.removed.extend(expired.iter().map(|a| (*a, now)));
+        self.removed
+            .retain(|a, at| now < *at + FLEET_MEMORY && !self.members.contains_key(a));
         expired
     }
 
+    /// Returns the number of entries that are known or were within [`FLEET_MEMORY`], including this
+    /// one.
+    #[must_use]
+    pub fn recent_count(&self) -> usize {
+        self.count() + self.removed.len()
+    }
+
+    /// Returns the number of seeds that this process has never found.
+    #[must_use]
+    pub fn unfound(&self, seeds: &[SocketAddr]) -> usize {
+        let is_unfound = |seed: &&SocketAddr| {
+            **seed != self.own && !self.contains(seed) && !self.removed.contains_key(seed)
+        };
+        seeds.iter().filter(is_unfound).count()
+    }
+
     /// Returns the unresponsive members.
     pub fn unresponsive(&self, now: Timestamp) -> impl Iterator<Item = SocketAddr> + '_ {
         let limit = self.response_limit();
--- a/crates/core/src/direct/scheduler/hedging.rs
+++ b/crates/core/src/direct/scheduler/hedging.rs
@@ -64,14 +64,14 @@
         }
         let found = self.hedge_endpoint(request, first, now);
         let (id, expected) = found.ok_or(Withheld::NoEndpoint)?;
-        let members = self.assumed_members(now);
-        if !self.budget(&request.service).has_reserve(members, now) {
+        let part = self.retry_part(now);
+        if !self.budget(&request.service).has_reserve(part, now) {
             return Err(Withheld::Budget);
         }
         if !self.hedging.take(&request.service) {
             return Err(Withheld::Limit);
         }
-        self.budget(&request.service).take(members, now);
+        self.budget(&request.service).take(part, now);
         let placement = self.placement_at(&id, expected, request, now);
         placement.ok_or(Withheld::NoEndpoint)
     }
--- a/crates/core/src/direct/scheduler/limits.rs
+++ b/crates/core/src/direct/scheduler/limits.rs
@@ -1,17 +1,21 @@
 //! Limits that all entries keep together: teams' rates and the retry budgets.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::Rng;
 
 use super::Scheduler;
 use crate::direct::digest::digest;
-use crate::direct::members::{ASSUMED_MEMBERS, DISCOVERY_TIME};
+use crate::direct::members::{DISCOVERY_TIME, FLEET_MEMORY};
 use crate::direct::plan::{EndpointId, PlanTeam};
 use crate::direct::rate_limit::{FleetView, RateExceeded};
 use crate::direct::retry_budget::{RetryBudget, RetryUsage};
 use crate::time::Timestamp;
 
+/// Time after which a retry that was taken from the budget has arrived at an endpoint.
+const RETRY_DELAY_MAX: Duration = Duration::from_secs(2);
+
 impl Scheduler {
     /// Charges a request's units to its team.
     ///
@@ -58,14 +62,14 @@
 
     /// Takes a retry from the service's budget. Returns whether one was available.
     pub fn take_retry(&mut self, service: &Arc<str>, now: Timestamp) -> bool {
-        let members = self.assumed_members(now);
-        self.budget(service).take(members, now)
+        let part = self.retry_part(now);
+        self.budget(service).take(part, now)
     }
 
     /// Returns what this entry may take of the service's retry budget, and has taken.
     pub fn retry_usage(&mut self, service: &Arc<str>, now: Timestamp) -> RetryUsage {
-        let members = self.assumed_members(now);
-        self.budget(service).usage(members, now)
+        let part = self.retry_part(now);
+        self.budget(service).usage(part, now)
     }
 
     /// Returns whether the budget allows a retry now and an endpoint outside of `excluded`, of the
@@ -78,20 +82,24 @@
         streaming: bool,
         now: Timestamp,
     ) -> bool {
-        let members = self.assumed_members(now);
-        self.budget(service).has_left(members, now)
+        let part = self.retry_part(now);
+        self.budget(service).has_left(part, now)
             && self.has_alternative(service, build, excluded, streaming, now)
     }
 
-    /// Returns the number of entries that limits are divided by. A process that has just restarted
-    /// may not have discovered all of them yet.
-    pub(super) fn assumed_members(&self, now: Timestamp) -> usize {
-        let known = self.members.count();
-        if self.is_discovering(now) {
-            known.max(ASSUMED_MEMBERS)
-        } else {
-            known
+    /// Returns this entry's part of the fixed number of retries. The parts of all entries add up to
+    /// at most the whole, also while the fleet is cut: a restarted entry has none while its predecessor
+    /// may have spent it, and while it may see only a part of the fleet.
+    pub(super) fn retry_part(&self, now: Timestamp) -> f64 {
+        let started = Timestamp::from_micros(self.identity.started);
+        let unfound = self.members.unfound(&self.seeds);
+        let is_restarted = !self.bounds.rate_policy.first_start && self.identity.started > 0;
+        let may_be_spent = now < started + self.bounds.retry_window + RETRY_DELAY_MAX;
+        let may_be_cut = unfound > 0 && now < started + FLEET_MEMORY;
+        if is_restarted && (may_be_spent || may_be_cut) {
+            return 0.0;
         }
+        1.0 / (self.members.recent_count() + unfound) as f64
     }
 
     /// Returns whether this process may not have discovered all other entries yet.
--- a/crates/core/tests/core/direct/components.rs
+++ b/crates/core/tests/core/direct/components.rs
@@ -21,7 +21,7 @@
         let now = at(millis);
         let budget = &mut budgets[(millis as usize / 10) % members];
         budget.record_request(now);
-        if budget.take(members, now) {
+        if budget.take(1.0 / members as f64, now) {
             retries.push(millis);
         }
     }
--- a/crates/core/tests/core/direct/retry_budget.rs
+++ b/crates/core/tests/core/direct/retry_budget.rs
@@ -31,6 +31,8 @@
 #[derive(Debug)]
 struct Callers {
     service: Arc<str>,
+    /// Whether requests fail.
+    fail: bool,
     /// Requests a second.
     load: u64,
     due: u64,
@@ -44,6 +46,7 @@
     fn new(load: u64) -> Self {
         Self {
             service: SERVICE.into(),
+            fail: true,
             load,
             due: 0,
             turn: 0,
@@ -76,6 +79,9 @@
             let start = fleet.start_of(index);
             if let Some(entry) = fleet.entries[index].as_mut() {
                 entry.count_request(&self.service, at(now));
+                if !self.fail {
+                    return;
+                }
                 self.failing.push_back(Failing {
                     entry: index,
                     start,
@@ -188,6 +194,32 @@
     }
 }
 
+/// Guards against entries that spend what they had saved in a calm time, restart, and spend again.
+#[test]
+fn a_fleet_that_restarts_after_a_calm_time_stays_within_its_budget_of_retries() {
+    for count in [1, 3, 22, 100] {
+        for load in LOADS {
+            let mut fleet = FleetNetwork::new(count);
+            fleet.run(SETTLING_TIME);
+            let mut callers = Callers::new(load);
+            let mut passed = 0;
+            fleet.run_with(26_000, |fleet| {
+                passed += 10;
+                callers.fail = passed > 12_000;
+                if callers.fail && passed % 2_000 == 0 {
+                    fleet.kill_all();
+                    fleet.restart_all();
+                }
+                callers.step(fleet, |_| true);
+            });
+            assert_within(
+                &callers,
+                &format!("{count} entries, {load} requests a second"),
+            );
+        }
+    }
+}
+
 /// Guards against entries that restart while they are cut off, and take the few entries that they find
 /// for the whole fleet.
 #[test]
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -246,7 +246,7 @@
             outcome = outcome,
             sends = self.sends.get(),
             arrivals = self.arrivals.get(),
-            members = usage.members,
+            part:% = format_args!("{:.4}", usage.part),
             requests = usage.requests,
             retries = usage.retries,
             allowed:% = format_args!("{:.1}", usage.allowed);
