Entries that restart in a cut take the part of a limit that they can see: rates, cold endpoints, retries

The same cause as that of the retries, looked for elsewhere: a restarted process takes the members that it knows for all. In a cut it divides the limit of a cold endpoint by its side, and lets a team spend its whole rate there. Both rules count all entries, in touch or not.

Change: a restarted process takes the part of its seeds that it has found. Each seed is on one side of a cut, so the parts of all sides add up to one, whatever the sides know. For rates and cold endpoints the seeds count for 20 s, as members that do not respond do; for retries, where a wrong view costs less than a broken bound, for 5 minutes (they had no part at all before).

Ruled out: dividing by 330 for longer, which would refuse teams within their rate wherever a seed is gone for good.

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -25,7 +25,7 @@
 const MISSED_REPORTS: u32 = 3;
 
 /// Time for which the part of an unresponsive member stays reserved.
-const MEMBER_RETENTION: Duration = Duration::from_secs(20);
+pub(super) const MEMBER_RETENTION: Duration = Duration::from_secs(20);
 
 /// Time for which an entry that this process has known, or has not found yet, may run beyond a cut.
 pub(super) const FLEET_MEMORY: Duration = Duration::from_secs(300);
--- a/crates/core/src/direct/scheduler/limits.rs
+++ b/crates/core/src/direct/scheduler/limits.rs
@@ -7,7 +7,7 @@
 
 use super::Scheduler;
 use crate::direct::digest::digest;
-use crate::direct::members::{DISCOVERY_TIME, FLEET_MEMORY};
+use crate::direct::members::{DISCOVERY_TIME, FLEET_MEMORY, MEMBER_RETENTION};
 use crate::direct::plan::{EndpointId, PlanTeam};
 use crate::direct::rate_limit::{FleetView, RateExceeded};
 use crate::direct::retry_budget::{RetryBudget, RetryUsage};
@@ -29,7 +29,7 @@
         now: Timestamp,
     ) -> Result<(), RateExceeded> {
         let fleet = FleetView {
-            responsive_part: self.members.responsive_part(now),
+            responsive_part: self.members.responsive_part(now) * self.seen_part(now),
             members: self.members.count(),
             interval: self.topology.propagation(&self.members),
             lag: self.report_lag(now),
@@ -88,26 +88,45 @@
     }
 
     /// Returns this entry's part of the fixed number of retries. The parts of all entries add up to
-    /// at most the whole, also while the fleet is cut: a restarted entry has none while its predecessor
-    /// may have spent it, and while it may see only a part of the fleet.
+    /// at most the whole. A restarted entry has none while its predecessor may have spent it.
     pub(super) fn retry_part(&self, now: Timestamp) -> f64 {
         let started = Timestamp::from_micros(self.identity.started);
-        let unfound = self.members.unfound(&self.seeds);
-        let is_restarted = !self.bounds.rate_policy.first_start && self.identity.started > 0;
-        let may_be_spent = now < started + self.bounds.retry_window + RETRY_DELAY_MAX;
-        let may_be_cut = unfound > 0 && now < started + FLEET_MEMORY;
-        if is_restarted && (may_be_spent || may_be_cut) {
+        let is_spent = now < started + self.bounds.retry_window + RETRY_DELAY_MAX;
+        if self.is_restarted() && is_spent {
             return 0.0;
         }
-        1.0 / (self.members.recent_count() + unfound) as f64
+        let count = self.members.recent_count() + self.members.unfound(&self.seeds);
+        self.seen_part_within(FLEET_MEMORY, now) / count as f64
+    }
+
+    /// Returns the part of a limit of the whole fleet that the entries may use which this entry knows.
+    ///
+    /// A process that has restarted in a cut knows its side of the fleet only. It takes the part of the
+    /// seeds that it has found. Each seed is on one side, so the parts of all sides add up to one.
+    /// Seeds that it never finds count for as long as members that do not respond.
+    pub(super) fn seen_part(&self, now: Timestamp) -> f64 {
+        self.seen_part_within(MEMBER_RETENTION, now)
+    }
+
+    /// Returns the same if seeds that were not found count for `memory` after the start.
+    fn seen_part_within(&self, memory: Duration, now: Timestamp) -> f64 {
+        let started = Timestamp::from_micros(self.identity.started);
+        if !self.is_restarted() || started + memory <= now || self.seeds.is_empty() {
+            return 1.0;
+        }
+        let found = self.seeds.len() - self.members.unfound(&self.seeds);
+        found as f64 / self.seeds.len() as f64
+    }
+
+    /// Returns whether another process may have run in the place of this one before.
+    const fn is_restarted(&self) -> bool {
+        !self.bounds.rate_policy.first_start && self.identity.started > 0
     }
 
     /// Returns whether this process may not have discovered all other entries yet.
     pub(super) const fn is_discovering(&self, now: Timestamp) -> bool {
         let started = self.identity.started;
-        !self.bounds.rate_policy.first_start
-            && started > 0
-            && now.as_micros() < started + DISCOVERY_TIME.as_micros() as u64
+        self.is_restarted() && now.as_micros() < started + DISCOVERY_TIME.as_micros() as u64
     }
 
     pub(super) fn budget(&mut self, service: &Arc<str>) -> &mut RetryBudget {
--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -373,6 +373,7 @@
     /// endpoint ranks the entries in an order of its own, so that two entries that know different
     /// members seldom both count themselves in.
     pub(super) fn own_part(&self, state: &EndpointState, limit: f64, now: Timestamp) -> usize {
+        let limit = limit * self.seen_part(now);
         if self.is_discovering(now) {
             let rank = self.members.estimated_rank(state.digest(), ASSUMED_MEMBERS);
             return split_limit(limit, ASSUMED_MEMBERS, rank);
--- a/crates/core/tests/core/direct/large_fleet.rs
+++ b/crates/core/tests/core/direct/large_fleet.rs
@@ -270,6 +270,72 @@
     }
 }
 
+/// Cuts a fleet into groups and restarts all entries there.
+fn restart_in_a_cut(fleet: &mut FleetNetwork, groups: usize) {
+    for index in 0..fleet.len() {
+        fleet.groups[index] = (index % groups) as u8;
+    }
+    fleet.run(1_000);
+    fleet.kill_all();
+    fleet.restart_all();
+}
+
+/// Guards against entries that restart while they are cut off, and take the few entries that they find
+/// for the whole fleet.
+#[test]
+fn entries_that_restart_in_a_cut_do_not_overload_a_cold_endpoint() {
+    const CAPACITY_PER_S: usize = 38;
+    for count in [3, 22, 100] {
+        for groups in [2, 3, count] {
+            let mut fleet = FleetNetwork::new(count);
+            fleet.run(SETTLING_TIME);
+            restart_in_a_cut(&mut fleet, groups);
+            let mut sends: VecDeque<u64> = VecDeque::new();
+            let mut busiest = 0;
+            let mut ticket = 0;
+            fleet.run_with(8_000, |fleet| {
+                fleet.add_endpoint("cold", 10_000, Duration::from_secs(60));
+                let now = fleet.now;
+                for entry in fleet.entries.iter_mut().flatten() {
+                    ticket += 1;
+                    if let Some(placement) = place(entry, ticket, now) {
+                        entry.end(&placement.run, Ending::Complete, at(now));
+                        sends.push_back(now);
+                    }
+                }
+                while sends.front().is_some_and(|sent| sent + 1_000 <= now) {
+                    sends.pop_front();
+                }
+                busiest = busiest.max(sends.len());
+            });
+            assert!(
+                busiest <= CAPACITY_PER_S,
+                "{count} entries in {groups} groups sent {busiest} requests in a second"
+            );
+        }
+    }
+}
+
+/// Guards against the same for the rate of a team.
+#[test]
+fn a_team_stays_within_its_margin_while_entries_restart_in_a_cut() {
+    for count in [3, 22, 100] {
+        for groups in [2, 3, count] {
+            let mut fleet = FleetNetwork::new(count).with_rate(RATE, RATE_SLACK);
+            fleet.run(SETTLING_TIME);
+            let mut spent: Vec<(u64, u64)> = Vec::new();
+            restart_in_a_cut(&mut fleet, groups);
+            spend(&mut fleet, 10_000, HOT_LOAD, &mut spent);
+            let allowed = (RATE * 9) as f64 * 1.25 + RATE_SLACK;
+            let busiest = busiest_window(&spent);
+            assert!(
+                busiest as f64 <= allowed,
+                "{count} entries in {groups} groups: {busiest} of {allowed} units"
+            );
+        }
+    }
+}
+
 /// Rate and burst of the team below, in tokens, and the units by which a window may be exceeded in
 /// addition to the margin.
 const RATE: u64 = 234_000;
