Streams that callers take up after a kill of all entries go on where an endpoint still lists their run

Change: what survives the kill of all is what endpoints list of their runs: they notice late that a caller is gone. A restarted entry asks up to 64 endpoints once. A listed run that has brought an event shows its stream's build, unless endpoints of two builds list it or the report is of another incarnation.

Ruled out: what callers send back (no word of the build), the parts of prompts that endpoints keep (a session's parts may be another build's), builds ruled out by the store (both serve).

Test a_stream_goes_on_at_its_build_after_a_kill_of_all_entries fails without the calls ('the stream does not go on').

--- a/crates/core/src/direct/origin_lookup.rs
+++ b/crates/core/src/direct/origin_lookup.rs
@@ -77,6 +77,8 @@
     Memory,
     /// A holder kept it.
     Peer,
+    /// An endpoint listed a run of the stream after this entry had restarted.
+    Endpoint,
     /// No other build can have begun the stream.
     OnlyBuild,
 }
--- a/crates/core/src/direct/plan.rs
+++ b/crates/core/src/direct/plan.rs
@@ -1,6 +1,6 @@
 //! Configuration of direct entries: routes, services and teams. Also the records of endpoints.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -165,6 +165,15 @@
         routes.push(Arc::new(route));
     }
 
+    /// Returns the services at which callers may take streams up.
+    #[must_use]
+    pub fn resumable_services(&self) -> BTreeSet<Arc<str>> {
+        let routes = self.routes.values().flatten();
+        let resumable = routes.filter(|route| route.retry == RetryPolicy::Resumable);
+        let parts = resumable.flat_map(|route| &route.split);
+        parts.map(|part| Arc::clone(&part.service)).collect()
+    }
+
     /// Sorts the routes of each host, longest prefix first.
     pub fn sort_routes(&mut self) {
         for routes in self.routes.values_mut() {
--- a/crates/core/src/direct/scheduler/limits.rs
+++ b/crates/core/src/direct/scheduler/limits.rs
@@ -119,7 +119,7 @@
     }
 
     /// Returns whether another process may have run in the place of this one before.
-    const fn is_restarted(&self) -> bool {
+    pub(super) const fn is_restarted(&self) -> bool {
         !self.bounds.rate_policy.first_start && self.identity.started > 0
     }
 
--- a/crates/core/src/direct/scheduler/origins.rs
+++ b/crates/core/src/direct/scheduler/origins.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::SliceRandom;
+
 use super::{Scheduler, Ticket};
 use crate::direct::build_history::SeenBuilds;
 use crate::direct::origin_lookup::{
@@ -11,9 +13,15 @@
 };
 use crate::direct::plan::EndpointRecord;
 use crate::direct::rendezvous::first_for;
-use crate::direct::stream_origins::{Origin, StreamDigest};
+use crate::direct::stream_origins::{Evidence, Origin, StreamDigest};
 use crate::time::{Timestamp, whole_millis};
 
+/// Most endpoints that a restarted entry asks for their runs. Other entries ask others.
+const SURVEYED_MAX: usize = 64;
+
+/// Time for which the caller of a run that an endpoint lists may take its stream up.
+const RUN_LIFETIME: Duration = Duration::from_secs(30);
+
 impl Scheduler {
     /// Records where a stream began. Returns the message that tells its holders, and the holders.
     /// They are to be told before the caller receives the first event.
@@ -54,11 +62,16 @@
             .map_or(SeenBuilds::None, |service| self.seen_builds(service, now));
         let lookup = match stream {
             Some(stream) => {
-                let known = self.origins.get(stream, now).cloned();
+                let known = self.origins.find(stream, now);
+                let known = known.map(|(origin, evidence)| (origin.clone(), evidence));
                 let peers = first_for(stream.0, self.members.addresses().into_iter(), ASKED);
                 let mut lookup = OriginLookup::new(stream, service, own, peers, now);
-                if let Some(origin) = known {
-                    lookup.find(origin, OriginSource::Memory);
+                if let Some((origin, evidence)) = known {
+                    let source = match evidence {
+                        Evidence::Listed => OriginSource::Endpoint,
+                        Evidence::Received | Evidence::Contested => OriginSource::Memory,
+                    };
+                    lookup.find(origin, source);
                 }
                 lookup
             }
@@ -107,6 +120,43 @@
         }
     }
 
+    /// Returns the endpoints that this entry asks after a restart which requests they run. Their runs
+    /// are what is left of the streams that were under way when all entries were killed.
+    ///
+    /// Returns `None` while too little is known to choose them.
+    pub fn surveyed_endpoints(&mut self, now: Timestamp) -> Option<Vec<EndpointRecord>> {
+        if !self.is_restarted() {
+            return Some(Vec::new());
+        }
+        let resumable = self.plan.resumable_services();
+        let states = resumable
+            .iter()
+            .flat_map(|name| self.endpoints.of_service(name));
+        let able = states.filter(|s| !s.record().leaving && !s.is_unlisted() && !s.is_cold(now));
+        let mut records: Vec<_> = able.map(|state| state.record().clone()).collect();
+        if records.is_empty() {
+            return None;
+        }
+        records.shuffle(&mut self.random);
+        records.truncate(SURVEYED_MAX);
+        Some(records)
+    }
+
+    /// Records that the endpoint with this record lists a run of each of these streams, and that each
+    /// has brought an event.
+    pub fn record_runs(
+        &mut self,
+        record: &EndpointRecord,
+        streams: &[StreamDigest],
+        now: Timestamp,
+    ) {
+        let origin = self.origin_at(record);
+        for stream in streams {
+            self.origins
+                .record_listed(*stream, origin.clone(), RUN_LIFETIME, now);
+        }
+    }
+
     /// Ends a lookup.
     pub fn end_lookup(&mut self, ticket: Ticket) {
         self.lookups.remove(&ticket);
--- a/crates/core/src/direct/stream_origins.rs
+++ b/crates/core/src/direct/stream_origins.rs
@@ -38,9 +38,21 @@
     pub endpoint: Option<EndpointId>,
 }
 
+/// How an origin is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Evidence {
+    /// An entry has received the first event from there.
+    Received,
+    /// An endpoint lists a run of the stream.
+    Listed,
+    /// Endpoints of several builds list a run of the stream, so that its origin is not known.
+    Contested,
+}
+
 #[derive(Debug)]
 struct Entry {
     origin: Origin,
+    evidence: Evidence,
     expires: Timestamp,
 }
 
@@ -76,8 +88,44 @@
         now: Timestamp,
     ) {
         self.remove_expired(now);
-        if self.entries.contains_key(&stream) {
-            return;
+        let known = self.entries.get(&stream).map(|entry| entry.evidence);
+        if known != Some(Evidence::Received) {
+            self.insert(stream, origin, Evidence::Received, lifetime, now);
+        }
+    }
+
+    /// Records that an endpoint lists a run of a stream whose deadline is at most `lifetime` away.
+    /// That shows the build that began the stream, unless an endpoint of another build lists one too.
+    pub fn record_listed(
+        &mut self,
+        stream: StreamDigest,
+        origin: Origin,
+        lifetime: Duration,
+        now: Timestamp,
+    ) {
+        self.remove_expired(now);
+        match self.entries.get_mut(&stream) {
+            None => self.insert(stream, origin, Evidence::Listed, lifetime, now),
+            Some(entry) if entry.evidence == Evidence::Listed => {
+                let (known, listed) = (&entry.origin, &origin);
+                if (&known.service, &known.build) != (&listed.service, &listed.build) {
+                    entry.evidence = Evidence::Contested;
+                }
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn insert(
+        &mut self,
+        stream: StreamDigest,
+        origin: Origin,
+        evidence: Evidence,
+        lifetime: Duration,
+        now: Timestamp,
+    ) {
+        if let Some(entry) = self.entries.remove(&stream) {
+            self.expiries.remove(&(entry.expires, stream));
         }
         while self.entries.len() >= ORIGIN_LIMIT {
             let Some((_, first)) = self.expiries.pop_first() else {
@@ -87,14 +135,26 @@
         }
         let expires = now + (lifetime + RETENTION_MARGIN).min(RETENTION_LIMIT);
         self.expiries.insert((expires, stream));
-        self.entries.insert(stream, Entry { origin, expires });
+        let entry = Entry {
+            origin,
+            evidence,
+            expires,
+        };
+        self.entries.insert(stream, entry);
     }
 
     /// Returns the origin of a stream, if it is known.
     #[must_use]
     pub fn get(&self, stream: StreamDigest, now: Timestamp) -> Option<&Origin> {
+        let (origin, _) = self.find(stream, now)?;
+        Some(origin)
+    }
+
+    /// Returns the origin of a stream and how it is known, if it is.
+    pub(super) fn find(&self, stream: StreamDigest, now: Timestamp) -> Option<(&Origin, Evidence)> {
         let entry = self.entries.get(&stream)?;
-        (now < entry.expires).then_some(&entry.origin)
+        let is_known = now < entry.expires && entry.evidence != Evidence::Contested;
+        is_known.then_some((&entry.origin, entry.evidence))
     }
 
     /// Returns the time for which the origin of a stream is still kept.
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -16,6 +16,24 @@
     pub decode: fn(&[u8]) -> Option<String>,
 }
 
+/// The requests that an endpoint runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunList {
+    /// Start time of the endpoint on its own clock, in milliseconds, if it states that.
+    pub started_ms: Option<u64>,
+    /// Ids of the callers' attempts whose answers have brought an event.
+    pub begun: Vec<String>,
+}
+
+/// How an endpoint is asked which requests it runs.
+#[derive(Debug, Clone)]
+pub struct RunsCall {
+    /// Path of the call.
+    pub path: &'static str,
+    /// Returns the runs from the body of the answer, if it can be read.
+    pub decode: fn(&[u8]) -> Option<RunList>,
+}
+
 /// Header names, key scheme and paths of a platform.
 #[derive(Debug, Clone)]
 pub struct Dialect {
@@ -59,4 +77,6 @@
     pub ready: &'static str,
     /// How slots are reserved.
     pub reservation: ReservationCall,
+    /// How endpoints list their runs.
+    pub runs: RunsCall,
 }
--- a/crates/direct/src/dispatch/reserve.rs
+++ b/crates/direct/src/dispatch/reserve.rs
@@ -9,8 +9,8 @@
 use hyper::{Method, Request, StatusCode, Uri};
 
 use super::Dispatch;
-use super::send::set_header;
 use crate::clock;
+use crate::endpoint_call::{CallKind, set_header};
 use crate::upstream::SendError;
 
 /// Why no slot was reserved.
@@ -34,9 +34,10 @@
             return Ok(None);
         }
         let call = self.reservation_call(placement);
+        let id = self.incoming.head.id_text();
         let calling = self
             .context
-            .call(&placement.record, call, self.incoming.head.id_text());
+            .call(&placement.record, call, CallKind::Reservation, id);
         let limit = self.context.reservations.get().limit();
         let began = clock::now();
         let answered = tokio::time::timeout(limit, calling).await;
--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -7,7 +7,7 @@
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{Ending, EndpointRecord, Holding, SOUND_TIME, stall};
 use http_body_util::Full;
-use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 
 use super::attempt::{Begun, SendFault};
@@ -17,6 +17,7 @@
 use crate::answer::{self, AnswerBody};
 use crate::body::{self, ANSWER_LIMIT_BYTES};
 use crate::clock;
+use crate::endpoint_call::set_header;
 use crate::prompt_parts;
 use crate::slot_guard::SlotGuard;
 use crate::upstream::{Lease, Reply, SendError};
@@ -370,13 +371,6 @@
     }
 }
 
-pub(super) fn set_header(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
-    match HeaderValue::from_str(value) {
-        Ok(value) => drop(headers.insert(name, value)),
-        Err(error) => log::warn!("cannot set header {name}: {error}"),
-    }
-}
-
 /// Returns the headers of an endpoint's answer that are forwarded to the caller.
 pub(super) fn answer_headers(headers: &HeaderMap) -> HeaderMap {
     let mut forwarded = headers.clone();
--- a/crates/direct/src/endpoint_call.rs
+++ b/crates/direct/src/endpoint_call.rs
@@ -5,8 +5,9 @@
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{EndpointRecord, Fingerprint, LimitChange, LimitNotice, Notice};
 use http_body_util::Full;
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
+use strum::IntoStaticStr;
 
 use crate::clock;
 use crate::context::Context;
@@ -20,6 +21,26 @@
 /// Value of the header with which an endpoint says that it leaves.
 const LEAVING: &str = "1";
 
+/// What an endpoint is called for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum CallKind {
+    /// To run a caller's request.
+    Request,
+    /// To reserve a slot.
+    Reservation,
+    /// To list the requests that it runs.
+    Runs,
+}
+
+/// Sets a header of a request to an endpoint.
+pub(crate) fn set_header(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
+    match HeaderValue::from_str(value) {
+        Ok(value) => drop(headers.insert(name, value)),
+        Err(error) => log::warn!("cannot set header {name}: {error}"),
+    }
+}
+
 impl Context {
     /// Sends a request to an endpoint, unless the endpoint has said that it takes none or requests like
     /// it crash endpoints.
@@ -35,18 +56,19 @@
         let id = request.headers().get(&self.dialect.request).cloned();
         let cause = id.as_ref().and_then(|id| id.to_str().ok());
         let cause = cause.unwrap_or("-").to_owned();
-        self.exchange(record, request, id.as_ref(), Some(fingerprint), &cause)
+        let asked = (id.as_ref(), Some(fingerprint));
+        self.exchange(record, request, CallKind::Request, asked, &cause)
             .await
     }
 
     /// Sends a request for the caller's request `cause`, unless one like it crashes endpoints. The
-    /// answer is to echo `id`, if there is one.
+    /// answer is to echo the id, if there is one.
     async fn exchange(
         &self,
         record: &EndpointRecord,
         request: Request<Full<Bytes>>,
-        id: Option<&HeaderValue>,
-        fingerprint: Option<&Fingerprint>,
+        kind: CallKind,
+        (id, fingerprint): (Option<&HeaderValue>, Option<&Fingerprint>),
         cause: &str,
     ) -> Result<Reply, SendError> {
         let sent = clock::now();
@@ -56,7 +78,7 @@
             contained.is_none() && scheduler.may_send(record, now)
         };
         let sending = self.upstream.send(record, request, may_send);
-        self.count_call(record, id.is_some(), cause);
+        self.count_call(record, kind, cause);
         let reply = sending.await?;
         if self.is_own_answer(record, id, &reply.response) {
             let mut scheduler = self.scheduler.borrow_mut();
@@ -71,8 +93,8 @@
     }
 
     /// Counts a request or another call to an endpoint, and logs it if the endpoint names a limit.
-    fn count_call(&self, record: &EndpointRecord, is_request: bool, cause: &str) {
-        let call = if is_request { "request" } else { "reservation" };
+    fn count_call(&self, record: &EndpointRecord, kind: CallKind, cause: &str) {
+        let call: &'static str = kind.into();
         self.metrics.calls.with_label_values(&[call]).inc();
         let limit = self.scheduler.borrow().request_limit(record, clock::now());
         if let Some(limit) = limit {
@@ -89,9 +111,12 @@
         &self,
         record: &EndpointRecord,
         request: Request<Full<Bytes>>,
+        kind: CallKind,
         cause: &str,
     ) -> Result<(StatusCode, Bytes), SendError> {
-        let reply = self.exchange(record, request, None, None, cause).await?;
+        let reply = self
+            .exchange(record, request, kind, (None, None), cause)
+            .await?;
         let (response, lease) = reply.split();
         let status = response.status();
         let reading = self
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -30,6 +30,7 @@
 mod prompt_parts;
 mod repeated_fault;
 pub mod retry_after;
+mod run_survey;
 pub mod settings;
 mod slot_guard;
 mod snapshot;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -27,7 +27,7 @@
 use crate::peers::PeerSocket;
 use crate::settings::Settings;
 use crate::store::{Section, Store};
-use crate::{front, gossip, internal, snapshot};
+use crate::{front, gossip, internal, run_survey, snapshot};
 
 /// Interval at which waiting requests are processed and timer lag is measured.
 const TICK: Duration = Duration::from_millis(20);
@@ -167,6 +167,7 @@
     if let Some(address) = addresses.metrics {
         serve(bind(address).await?, answer_probe);
     }
+    tasks.spawn_local(run_survey::run(Rc::clone(&context), finish.clone()));
     tasks.spawn_local(run_ticks(Rc::clone(&context), finish.clone()));
     tasks.spawn_local(front::serve(
         front,
