An engine that writes an earlier refusal again: shown not to be taken for the next answer; calls check it too

Reported of other systems: a refusal that comes once more on a kept connection tells a caller 'not run' for a request that runs, or sends that request to a second engine. Can it happen here? Not for requests: an answer counts only if it echoes the request's id, and no request goes to the same endpoint twice.

Calls without an id (reservations, lists of runs) took any answer. That promised a caller nothing wrong, as nothing of its request had been sent, but a Retry-After of the earlier refusal paused the endpoint again. An answer to a call that names a request now belongs to nobody, and its connection is closed.

The agents' path has no kept connections: one for each request.

--- a/crates/direct/src/endpoint_call.rs
+++ b/crates/direct/src/endpoint_call.rs
@@ -117,6 +117,9 @@
         let reply = self
             .exchange(record, request, kind, (None, None), cause)
             .await?;
+        if reply.response.headers().contains_key(&self.dialect.request) {
+            return Err(SendError::Foreign);
+        }
         let (response, lease) = reply.split();
         let status = response.status();
         let reading = self
@@ -127,7 +130,8 @@
         Ok((status, body))
     }
 
-    /// Returns whether an answer was made by the endpoint of `record`, for the request `id`. An
+    /// Returns whether an answer was made by the endpoint of `record`, for the request `id`, or for a
+    /// call without an id. An
     /// answer with status 421 comes from whichever endpoint has the address now.
     fn is_own_answer<B>(
         &self,
@@ -136,7 +140,7 @@
         response: &Response<B>,
     ) -> bool {
         let headers = response.headers();
-        if id.is_some() && headers.get(&self.dialect.request) != id {
+        if headers.get(&self.dialect.request) != id {
             return false;
         }
         match headers.get(&self.dialect.speaker) {
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -78,6 +78,9 @@
     /// The connection closed before any part of the request was written to it.
     #[display("the connection closed before the request was written")]
     Stale,
+    /// The answer to a call belongs to a request.
+    #[display("the answer belongs to another request")]
+    Foreign,
     /// The body of the answer could not be read.
     #[display("the answer cannot be read: {_0}")]
     Body(BodyError),
