Records that name no endpoint are ignored: too many slots, an address without port or host, an id that no header can hold

Reported of other systems: one odd entry among those of the engines ended the processes that read the list, or they stopped following it. Can it happen here? Deep nesting and numbers beyond their type were skipped already (each record is decoded by itself, unknown fields without recursion). A number of slots that fits its type but overflows when it is multiplied by the requests of a slot was not: tasks of a build with overflow checks panicked, and the release build counted no slot or too few for the whole service. A record whose id cannot stand in a header was sent to without the header that guards against another endpoint at the address.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -77,8 +77,8 @@
 pub use origin_lookup::{LookupResult, LookupStep, OriginMessage, OriginSource};
 pub use placement_request::{PlacementRequest, Ticket};
 pub use plan::{
-    Access, EndpointId, EndpointRecord, Plan, PlanTeam, RetryPolicy, Route, ServicePlan, Unit,
-    WeightedService,
+    Access, EndpointId, EndpointRecord, Plan, PlanTeam, RecordFault, RetryPolicy, Route,
+    ServicePlan, Unit, WeightedService,
 };
 pub use plan_check::{
     Finding, LimitField, Place, Problem, RouteField, ServiceField, Severity, Surroundings,
--- a/crates/core/src/direct/plan.rs
+++ b/crates/core/src/direct/plan.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
 use super::digest::digest;
@@ -222,7 +223,41 @@
     pub started_ms: u64,
 }
 
+/// Most requests that a record may state to run at once; more is an error of its writer.
+const SLOTS_MAX: u32 = 65_535;
+
+/// Why a record names no endpoint that can be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum RecordFault {
+    /// No request can name the id in a header.
+    #[display("the id cannot stand in a header")]
+    Id,
+    /// Nothing can be reached at the address.
+    #[display("the address has no port or no host")]
+    Address,
+    /// The endpoint would run more requests than any does.
+    #[display("more than {SLOTS_MAX} requests at once")]
+    Slots,
+}
+
 impl EndpointRecord {
+    /// Checks the record, which another writer may have left in the store.
+    ///
+    /// # Errors
+    /// Returns a [`RecordFault`] if the record names no endpoint that can be used.
+    pub fn check(&self) -> Result<(), RecordFault> {
+        if self.id.is_empty() || !self.id.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err(RecordFault::Id);
+        }
+        if self.address.port() == 0 || self.address.ip().is_unspecified() {
+            return Err(RecordFault::Address);
+        }
+        if self.slots > SLOTS_MAX {
+            return Err(RecordFault::Slots);
+        }
+        Ok(())
+    }
+
     /// Returns a digest that identifies the endpoint's incarnation.
     #[must_use]
     pub fn incarnation(&self) -> u64 {
--- a/crates/core/src/direct/scheduler/snapshot.rs
+++ b/crates/core/src/direct/scheduler/snapshot.rs
@@ -124,7 +124,9 @@
                 self.unlist_endpoint(&id, until, now);
             }
         }
-        for (record, remaining) in endpoints {
+        // A peer of an earlier build may list records that cannot be used.
+        let endpoints = endpoints.into_iter();
+        for (record, remaining) in endpoints.filter(|(record, _)| record.check().is_ok()) {
             let id = Arc::clone(&record.id);
             self.upsert_endpoint(record, now);
             if let Some(remaining) = remaining {
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -185,10 +185,15 @@
                     self.apply_plan(plan, now);
                     scheduler.borrow_mut().record_shown(version);
                 }
-                Change::Endpoint(record) => {
-                    listed.insert(Arc::clone(&record.id));
-                    self.apply_record(record, now);
-                }
+                Change::Endpoint(record) => match record.check() {
+                    Ok(()) => {
+                        listed.insert(Arc::clone(&record.id));
+                        self.apply_record(record, now);
+                    }
+                    Err(fault) => {
+                        log::warn!(endpoint:% = record.id; "ignoring an endpoint record: {fault}");
+                    }
+                },
                 Change::EndpointRemoved(id) => self.unlist(&id, sent, now),
                 Change::Closed(centre, state) => {
                     log::info!(centre:% = centre, closed = state; "data centre state changed");
