--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -27,7 +27,7 @@
 /// Time for which the part of an unresponsive member stays reserved.
 pub(super) const MEMBER_RETENTION: Duration = Duration::from_secs(20);
 
-/// Time for which an entry that this process has known, or has not found yet, may run beyond a cut.
+/// Time for which a member that was removed, or a seed that was not found, may still run beyond a cut.
 pub(super) const FLEET_MEMORY: Duration = Duration::from_secs(300);
 
 /// Time for which a restarted process divides limits by at least [`ASSUMED_MEMBERS`], as it has not
--- a/crates/core/src/direct/scheduler/origins.rs
+++ b/crates/core/src/direct/scheduler/origins.rs
@@ -16,7 +16,7 @@
 use crate::direct::stream_origins::{Evidence, Origin, StreamDigest};
 use crate::time::{Timestamp, whole_millis};
 
-/// Most endpoints that a restarted entry asks for their runs. Other entries ask others.
+/// Most endpoints that a restarted entry asks for their runs; in a large fleet others ask the rest.
 const SURVEYED_MAX: usize = 64;
 
 /// Time for which the caller of a run that an endpoint lists may take its stream up.
@@ -123,20 +123,20 @@
     /// Returns the endpoints that this entry asks after a restart which requests they run. Their runs
     /// are what is left of the streams that were under way when all entries were killed.
     ///
-    /// Returns `None` while too little is known to choose them.
+    /// Returns `None` while the configuration or the endpoints are not known.
     pub fn surveyed_endpoints(&mut self, now: Timestamp) -> Option<Vec<EndpointRecord>> {
         if !self.is_restarted() {
             return Some(Vec::new());
         }
+        if self.plan.version == 0 || self.endpoints.is_empty() {
+            return None;
+        }
         let resumable = self.plan.resumable_services();
         let states = resumable
             .iter()
             .flat_map(|name| self.endpoints.of_service(name));
         let able = states.filter(|s| !s.record().leaving && !s.is_unlisted() && !s.is_cold(now));
         let mut records: Vec<_> = able.map(|state| state.record().clone()).collect();
-        if records.is_empty() {
-            return None;
-        }
         records.shuffle(&mut self.random);
         records.truncate(SURVEYED_MAX);
         Some(records)
--- a/crates/direct/src/endpoint_call.rs
+++ b/crates/direct/src/endpoint_call.rs
@@ -131,8 +131,8 @@
     }
 
     /// Returns whether an answer was made by the endpoint of `record`, for the request `id`, or for a
-    /// call without an id. An
-    /// answer with status 421 comes from whichever endpoint has the address now.
+    /// call without an id. An answer with status 421 comes from whichever endpoint has the address
+    /// now.
     fn is_own_answer<B>(
         &self,
         record: &EndpointRecord,
