Placement: whether an endpoint has a slot is asked before how long a prompt would interrupt it

Both questions have no effect of their own, so the choice is the same; 'overload', 'interruption' and 'returns' pass as before.

--- a/crates/core/src/direct/scheduler/placement.rs
+++ b/crates/core/src/direct/scheduler/placement.rs
@@ -314,8 +314,8 @@
         let limit = self.pause_limit(request, now);
         let mut candidates = Vec::new();
         for state in self.available(request, now) {
-            let interrupts = self.interrupts(limit, state, request);
-            if interrupts || !self.has_slot(state, request, pressure.as_ref(), now) {
+            let has_slot = self.has_slot(state, request, pressure.as_ref(), now);
+            if !has_slot || self.interrupts(limit, state, request) {
                 continue;
             }
             let (expected, cost) = self.cost(state, request, now);
