--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/dispatch.rs
@@ -20,6 +20,7 @@
 };
 use comfreyhaven_core::refusal::RefusalKind;
 use hyper::{Response, StatusCode};
+use strum::IntoStaticStr;
 
 use crate::answer::{self, AnswerBody};
 use crate::clock;
@@ -40,6 +41,18 @@
 /// Retry delay sent to callers when no endpoint could be reached.
 const RETRY_DELAY: Duration = Duration::from_millis(700);
 
+/// What the retry budget said of a request that is to be sent once more.
+#[derive(Debug, Clone, Copy, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum RetryOutcome {
+    /// The budget had a retry left.
+    Taken,
+    /// The budget was spent.
+    Withheld,
+    /// The budget was not asked, as no endpoint has received the request.
+    Uncharged,
+}
+
 /// Times that the last placement of a request estimated, in milliseconds from its placement.
 #[derive(Debug, Clone, Copy, Default)]
 struct Estimate {
@@ -226,20 +239,25 @@
             return false;
         }
         if self.arrivals.get() == 0 {
-            self.count_retry("uncharged");
+            self.count_retry(RetryOutcome::Uncharged);
             return true;
         }
         let mut scheduler = self.context.scheduler.borrow_mut();
         let taken = scheduler.take_retry(&self.service, now);
         let usage = scheduler.retry_usage(&self.service, now);
         drop(scheduler);
-        self.log_retry(if taken { "taken" } else { "withheld" }, &usage);
+        let outcome = match taken {
+            true => RetryOutcome::Taken,
+            false => RetryOutcome::Withheld,
+        };
+        self.log_retry(outcome, &usage);
         taken
     }
 
     /// Logs a retry that was taken from the budget or withheld, and what the budget is after it.
-    fn log_retry(&self, outcome: &str, usage: &RetryUsage) {
+    fn log_retry(&self, outcome: RetryOutcome, usage: &RetryUsage) {
         self.count_retry(outcome);
+        let outcome: &'static str = outcome.into();
         log::info!(
             request = self.incoming.head.id_text(),
             service:% = self.service,
@@ -254,7 +272,8 @@
         );
     }
 
-    fn count_retry(&self, outcome: &str) {
+    fn count_retry(&self, outcome: RetryOutcome) {
+        let outcome: &'static str = outcome.into();
         let retries = &self.context.metrics.retries;
         retries.with_label_values(&[outcome]).inc();
     }
