Run survey: the digest of a stream and the headers that name an endpoint stand once

A lookup of an origin finds what the survey recorded only if both make the same digest, so there is one function for it; the two headers of a call without a caller's request stood in the reservation and in the survey. No change of behaviour.

--- a/crates/direct/src/dispatch/reserve.rs
+++ b/crates/direct/src/dispatch/reserve.rs
@@ -5,12 +5,12 @@
 
 use comfreyhaven_core::direct::Placement;
 use http_body_util::Full;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri};
 
 use super::Dispatch;
 use crate::clock;
-use crate::endpoint_call::{CallKind, set_header};
+use crate::endpoint_call::CallKind;
 use crate::upstream::SendError;
 
 /// Why no slot was reserved.
@@ -71,9 +71,7 @@
         *request.uri_mut() = Uri::from_static(call.path);
         let headers = request.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        let record = &placement.record;
-        set_header(headers, &HOST, &record.address.to_string());
-        set_header(headers, &self.context.dialect.instance, &record.id);
+        self.context.set_recipient(headers, &placement.record);
         request
     }
 }
--- a/crates/direct/src/endpoint_call.rs
+++ b/crates/direct/src/endpoint_call.rs
@@ -5,7 +5,7 @@
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{EndpointRecord, Fingerprint, LimitChange, LimitNotice, Notice};
 use http_body_util::Full;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use strum::IntoStaticStr;
 
@@ -102,6 +102,12 @@
         }
     }
 
+    /// Names the endpoint that a call is meant for in the call's headers.
+    pub(crate) fn set_recipient(&self, headers: &mut HeaderMap, record: &EndpointRecord) {
+        set_header(headers, &HOST, &record.address.to_string());
+        set_header(headers, &self.dialect.instance, &record.id);
+    }
+
     /// Makes a short call for the caller's request `cause`, reads the whole answer, and returns its
     /// status and body. The connection is kept for the next request to the endpoint.
     ///
--- a/crates/direct/src/origins.rs
+++ b/crates/direct/src/origins.rs
@@ -19,8 +19,9 @@
 /// Label and log value of a stream whose origin is not known.
 const UNKNOWN: &str = "unknown";
 
-fn stream_digest(id: &HeaderValue) -> StreamDigest {
-    StreamDigest(digest(id.as_bytes()))
+/// Returns the digest of a stream from the id of the caller's attempt that began it.
+pub(crate) fn stream_digest(id: &[u8]) -> StreamDigest {
+    StreamDigest(digest(id))
 }
 
 /// Tells the holders of a stream where it began. The caller may receive its first event afterwards:
@@ -32,7 +33,7 @@
     lifetime: Duration,
 ) {
     let (message, holders) = context.scheduler.borrow_mut().begin_stream(
-        stream_digest(id),
+        stream_digest(id.as_bytes()),
         origin,
         lifetime,
         clock::now(),
@@ -94,7 +95,8 @@
         let mut split: Vec<_> = head.route.split.iter().collect();
         split.sort_by_key(|part| Reverse(part.weight));
         let services: Vec<_> = split.iter().map(|part| Arc::clone(&part.service)).collect();
-        let stream = resumption.stream.as_ref().map(stream_digest);
+        let stream = resumption.stream.as_ref();
+        let stream = stream.map(|id| stream_digest(id.as_bytes()));
         let mut scheduler = context.scheduler.borrow_mut();
         scheduler.start_lookup(ticket, stream, &services, clock::now());
         Self { context, ticket }
--- a/crates/direct/src/run_survey.rs
+++ b/crates/direct/src/run_survey.rs
@@ -7,16 +7,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use comfreyhaven_core::direct::{EndpointRecord, StreamDigest, digest};
+use comfreyhaven_core::direct::EndpointRecord;
 use http_body_util::Full;
-use hyper::header::HOST;
 use hyper::{Request, StatusCode, Uri};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
 use crate::context::Context;
 use crate::dialect::RunList;
-use crate::endpoint_call::{CallKind, set_header};
+use crate::endpoint_call::CallKind;
+use crate::origins::stream_digest;
 
 /// Time after the start in which the endpoints have to become known.
 const KNOWN_TIME: Duration = Duration::from_secs(3);
@@ -57,9 +57,7 @@
         return;
     }
     let begun = list.begun.iter();
-    let streams: Vec<_> = begun
-        .map(|id| StreamDigest(digest(id.as_bytes())))
-        .collect();
+    let streams: Vec<_> = begun.map(|id| stream_digest(id.as_bytes())).collect();
     log::info!(endpoint:% = record.id, build:% = record.build, runs = streams.len(); "endpoint lists its runs");
     let mut scheduler = context.scheduler.borrow_mut();
     scheduler.record_runs(&record, &streams, clock::now());
@@ -88,8 +86,6 @@
 fn request(context: &Context, record: &EndpointRecord) -> Request<Full<bytes::Bytes>> {
     let mut request = Request::new(Full::default());
     *request.uri_mut() = Uri::from_static(context.dialect.runs.path);
-    let headers = request.headers_mut();
-    set_header(headers, &HOST, &record.address.to_string());
-    set_header(headers, &context.dialect.instance, &record.id);
+    context.set_recipient(request.headers_mut(), record);
     request
 }
