--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,81 +1,107 @@
-"""A client that rests for three seconds while it reads loses its answer, also while its entry is shut down."""
+"""Streams that a rolling restart cuts off cannot be taken up at any entry."""
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from standins import *
 
-CLIENTS = 8
-SIZE = 200_000
-REST_S = 3.0
-DEADLINE_MS = 12000
+STREAMS = 16
+LEAST = 12        # "Of 12 or more streams"
+TRIES = 4
+GAP_S = 1.3       # between two machines, as in the site's roll_term
+RESTART_S = 0.3   # "restarted after a short delay"
 
 
 async def case(record, trouble, net, folder, entries):
     store = Store((f"{net}.1", 8225))
     await store.listen()
-    engines = [Engine((f"{net}.2", 8080 + n), f"i-{n}", "huvo11a", store, record) for n in range(2)]
+    engines = [Engine((f"{net}.2", 8080 + n), f"i-{n}", "huvo11a", store, record) for n in range(3)]
     for engine in engines:
-        engine.answer = bytes(97 + n % 26 for n in range(SIZE))
-    routes = [route("look", "/look/", "idempotent", attempts=2)]
+        engine.events = 130  # 13 s
+    routes = [route("plan", "/stream/", "streaming", attempts=2, resumable=True, timeout=15000)]
     await store.put("op/config", configuration(7, routes))
     for engine in engines:
         await engine.start()
-    ips = [f"{net}.4", f"{net}.5"]
+    ips = [f"{net}.{host}" for host in (4, 5, 6)]
     entries += [Entry(ip, ips, store, folder, record) for ip in ips]
+    started = {}
     for entry in entries:
         entry.start(first=True)
+        started[entry.ip] = time.monotonic()
     for entry in entries:
         await entry.wait_ready()
     await asyncio.sleep(3.5)
 
-    loop = asyncio.get_running_loop()
-    entry, began = entries[0], asyncio.Event()
+    async def restart(entry):
+        entry.send_signal(signal.SIGTERM)
+        started[entry.ip] = float("inf")
+        while entry.process.poll() is None:
+            await asyncio.sleep(0.02)
+        record(f"entry {entry.ip} has left")
+        await asyncio.sleep(RESTART_S)
+        entry.start(first=False)
+        started[entry.ip] = time.monotonic()
+
+    def in_touch(entry):
+        return started[entry.ip] + CONTACT_S < time.monotonic()
+
+    def last_event(answer):
+        numbers = re.findall(rb"^id: (\d+)$", answer.body, re.M)
+        return int(numbers[-1]) if numbers else 0
+
+    taken_up = {}  # stream -> whether it went on at a machine in touch
+    begun = []     # whether a new stream began at a machine in touch
+
+    async def new_stream(ident, entry):
+        answer = await ask(entry.front, request_bytes("GET", f"/stream/{ident}", ident, 15000), 1.0)
+        record(f"{ident}, new, to {entry.ip}: {answer}, events to {last_event(answer)}")
+        begun.append(last_event(answer) > 0)
 
     async def client(number):
         ident, sent = f"r{number}", time.monotonic()
-        sock = socket.socket()
-        # A device with small buffers.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
-        sock.setblocking(False)
-        await loop.sock_connect(sock, entry.front)
-        await loop.sock_sendall(sock, request_bytes("GET", f"/look/{number}", ident, DEADLINE_MS))
-        received, length, error, rested = b"", None, "", False
-        try:
-            while length is None or len(received) < length:
-                part = await asyncio.wait_for(loop.sock_recv(sock, 16384),
-                                              DEADLINE_MS / 1000 - (time.monotonic() - sent))
-                if not part:
-                    error = "the connection ended"
-                    break
-                received += part
-                if length is None and b"\r\n\r\n" in received:
-                    head, _, _ = received.partition(b"\r\n\r\n")
-                    stated = re.search(rb"content-length: (\d+)", head, re.I)
-                    length = len(head) + 4 + int(stated.group(1))
-                if trouble and not rested:
-                    rested = True
-                    began.set()
-                    await asyncio.sleep(REST_S)
-        except OSError as failure:
-            error = f"the connection broke: {failure.strerror}"
-        except asyncio.TimeoutError:
-            error = "the deadline passed"
-        began.set()
-        sock.close()
-        whole = length is not None and len(received) == length
-        runs = sum(engine.runs.get(ident, 0) for engine in engines)
-        record(f"{ident} to {entry.ip}: {len(received)} of {length} bytes after {time.monotonic() - sent:.2f} s,"
-               f" run {runs} times, {'whole' if whole else 'NOT WHOLE'} {error}")
-        return not whole and runs > 0 and error != "the deadline passed"
+        # Without the trouble the client's own connection breaks after four seconds.
+        patience = 15.0 if trouble else 4.0
+        answer = await ask(entries[0].front, request_bytes("GET", f"/stream/{number}", ident, 15000), patience)
+        last = last_event(answer)
+        record(f"{ident} to {entries[0].ip}: {answer}, events to {last}")
+        if answer.whole or not last:
+            return
+        for attempt in range(TRIES):
+            left = 15.0 - (time.monotonic() - sent)
+            if left < 0.5:
+                return
+            entry = entries[1 + (number + attempt) % 2]
+            again, touched = f"{ident}-again{attempt}", in_touch(entry)
+            fresh = asyncio.create_task(new_stream(f"new{number}-{attempt}", entry)) if touched else None
+            more = f"Last-Event-Id: {last}\r\nResumes: {ident}\r\n"
+            answer = await ask(entry.front,
+                               request_bytes("GET", f"/stream/{number}", again, int(left * 1000), more=more), left)
+            goes_on = answer.status == 200 and answer.body.startswith(b"id: %d\n" % (last + 1))
+            record(f"{again} to {entry.ip}, {'in touch' if touched else 'not in touch'}: {answer},"
+                   f" events to {last_event(answer)}, retry-after {answer.headers.get('retry-after', '-')}")
+            if fresh:
+                await fresh
+            if touched:
+                taken_up[ident] = taken_up.get(ident, False) or goes_on
+            if goes_on:
+                return
+            await asyncio.sleep(float(answer.headers.get("retry-after", 0.5)))
 
-    asking = [asyncio.create_task(client(number)) for number in range(CLIENTS)]
-    await began.wait()
-    await asyncio.sleep(0.2)
-    entry.send_signal(signal.SIGTERM)
-    cut = sum([await task for task in asking])
-    return cut > 0, (f"{cut} of {CLIENTS} requests had been passed on and run, and their connections ended"
-                     " without the complete answer before the deadline")
+    asking = [asyncio.create_task(client(number)) for number in range(STREAMS)]
+    await asyncio.sleep(0.5)
+    if trouble:
+        leaving = []
+        for entry in entries:
+            leaving.append(asyncio.create_task(restart(entry)))
+            await asyncio.sleep(GAP_S)
+    for task in asking:
+        await task
+    count, on = len(taken_up), sum(taken_up.values())
+    if count < LEAST or not begun:
+        raise CannotRun(f"only {count} streams were taken up at machines in touch")
+    share, new_share = on / count, sum(begun) / len(begun)
+    return share < new_share / 2, (f"{on} of {count} streams went on that were taken up at machines in touch;"
+                                   f" {sum(begun)} of {len(begun)} new streams began there")
 
 
 run_case(Path(__file__).parent, case)
