--- a/crates/core/src/direct/containment.rs
+++ b/crates/core/src/direct/containment.rs
@@ -15,6 +15,7 @@
 mod explanation;
 mod hold;
 mod observations;
+mod selection;
 mod statement;
 
 pub use statement::{
@@ -27,7 +28,7 @@
 use super::source::{Scope, Source};
 use crate::request::{BodyDigest, PartDigest};
 use crate::time::Timestamp;
-use evidence::Evidence;
+use evidence::{Evidence, RequestKey};
 use explanation::CRASH_LIMIT;
 use hold::Hold;
 
@@ -187,7 +188,7 @@
         if !self.evidence.is_suspected(body.0) {
             return Vec::new();
         }
-        let counts = |broken: &BrokenRequest, fate| {
+        let counts = |broken: &RequestKey, fate| {
             broken.body == body && (fate == Fate::Ended || fate == Fate::Unknown && !broken.begun)
         };
         let crashes = self.evidence.crashes().filter(|crash| {
@@ -195,7 +196,7 @@
                 && !self.evidence.is_cleared(body.0, crash.at)
                 && crash
                     .requests
-                    .iter()
+                    .keys()
                     .any(|broken| counts(broken, crash.fate))
         });
         let mut times: Vec<_> = crashes.map(|crash| crash.at).collect();
--- a/crates/core/src/direct/containment/evidence.rs
+++ b/crates/core/src/direct/containment/evidence.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use super::observations::{Observations, SoundRuns};
+use super::selection::{Choice, Rank, choose};
 use super::statement::{BrokenRequest, CrashStatement, Fate, SoundStatement};
 use crate::direct::digest::digest;
 use crate::direct::source::{Scope, Source};
+use crate::request::{BodyDigest, PartDigest};
 use crate::time::{Timestamp, whole_millis};
 
 /// Time for which a crash is remembered.
@@ -29,14 +31,23 @@
 const CRASH_LIMIT: usize = 512;
 
 /// Most remembered requests of one crash.
-const REQUEST_LIMIT: usize = 16;
+const REQUEST_LIMIT: usize = 1_024;
 
-/// Most parts of a prompt that are remembered of one request.
-const PART_LIMIT: usize = 16;
+/// Most remembered parts of prompts, of all crashes together.
+const PART_LIMIT: usize = 262_144;
+
+/// Time for which a run that went on counts for its parts.
+pub(super) const PROVEN_TIME: Duration = Duration::from_secs(60);
 
 /// Most crashes in one report.
 const REPORTED_CRASHES: usize = 24;
 
+/// Most requests of one crash in one report.
+const REPORTED_REQUESTS: usize = 16;
+
+/// Most parts of prompts in one report, of all its crashes together.
+const REPORTED_PARTS: usize = 2_048;
+
 /// Most digests of runs that went on in one report.
 const REPORTED_SOUND: usize = 64;
 
@@ -46,24 +57,67 @@
     /// When its connections broke.
     pub(super) at: Timestamp,
     pub(super) fate: Fate,
-    /// What it ran, unless it lives.
-    pub(super) requests: BTreeSet<BrokenRequest>,
+    /// What it ran, unless it lives: the parts of each request's prompt. Several reports may each state
+    /// some of the parts of one request.
+    pub(super) requests: BTreeMap<RequestKey, BTreeSet<PartDigest>>,
     seen: Observations,
 }
 
+/// Identifies a request of a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct RequestKey {
+    pub(super) body: BodyDigest,
+    /// Whether its answer had begun.
+    pub(super) begun: bool,
+}
+
+/// How often a digest stands in crashes.
+#[derive(Debug, Clone, Copy, Default)]
+struct Suspicion {
+    /// Requests at crashes.
+    requests: u32,
+    /// Time of the newest crash.
+    newest: Timestamp,
+}
+
 impl Crash {
     fn new(at: Timestamp) -> Self {
         Self {
             at,
             fate: Fate::Unknown,
-            requests: BTreeSet::new(),
+            requests: BTreeMap::new(),
             seen: Observations::default(),
         }
     }
 
-    fn add(&mut self, mut request: BrokenRequest) -> bool {
-        request.parts.truncate(PART_LIMIT);
-        self.requests.len() < REQUEST_LIMIT && self.requests.insert(request)
+    /// Adds a request, or parts of one that is known. Returns the digests that are new.
+    fn add(&mut self, request: BrokenRequest) -> Vec<u64> {
+        let key = RequestKey {
+            body: request.body,
+            begun: request.begun,
+        };
+        let is_known = self.requests.contains_key(&key);
+        if !is_known && self.requests.len() >= REQUEST_LIMIT {
+            return Vec::new();
+        }
+        let parts = self.requests.entry(key).or_default();
+        let added = request.parts.into_iter().filter(|part| parts.insert(*part));
+        let added: Vec<_> = added.map(|part| part.0).collect();
+        let body = (!is_known).then_some(request.body.0);
+        added.into_iter().chain(body).collect()
+    }
+
+    /// Returns the digests of its requests.
+    fn digests(&self) -> impl Iterator<Item = u64> {
+        let digests = |(key, parts): (&RequestKey, &BTreeSet<PartDigest>)| {
+            let parts = parts.iter().map(|part| part.0);
+            parts.chain([key.body.0]).collect::<Vec<_>>()
+        };
+        self.requests.iter().flat_map(digests)
+    }
+
+    fn part_count(&self) -> usize {
+        self.requests.values().map(BTreeSet::len).sum()
     }
 
     /// Orders crashes by how much they may explain.
@@ -90,7 +144,7 @@
     crashes: BTreeMap<u64, Crash>,
     sound: SoundRuns,
     /// Digests that stand in a crash.
-    suspected: BTreeSet<u64>,
+    suspected: BTreeMap<u64, Suspicion>,
     /// Digests of the parts that are held.
     held: BTreeSet<u64>,
     /// When runs of suspected digests began that went on.
@@ -148,21 +202,24 @@
         let Some(crash) = self.crashes.get_mut(&incarnation) else {
             return false;
         };
-        let digests = request.digests();
-        let is_new = crash.add(request);
+        let at = crash.at;
+        let added = crash.add(request);
+        let is_new = !added.is_empty();
         if is_new {
-            crash.seen.record(None, crash.at, now);
-            self.suspect(digests, now);
+            crash.seen.record(None, at, now);
+            self.suspect(added, at, now);
         }
         is_new
     }
 
-    /// Marks digests as suspected. Peers are told of their runs that went on.
-    fn suspect(&mut self, digests: Vec<u64>, now: Timestamp) {
+    /// Marks digests of a crash at `at` as suspected. Peers are told of their runs that went on.
+    fn suspect(&mut self, digests: Vec<u64>, at: Timestamp, now: Timestamp) {
         for digest in digests {
-            if self.suspected.insert(digest)
-                && let Some(begun) = self.sound.get(digest)
-            {
+            let is_new = !self.suspected.contains_key(&digest);
+            let suspicion = self.suspected.entry(digest).or_default();
+            suspicion.requests = suspicion.requests.saturating_add(1);
+            suspicion.newest = suspicion.newest.max(at);
+            if is_new && let Some(begun) = self.sound.get(digest) {
                 self.tell(digest, None, begun, now);
             }
         }
@@ -226,7 +283,19 @@
 
     /// Returns whether a digest stands in a crash or is held.
     pub(super) fn is_suspected(&self, digest: u64) -> bool {
-        self.suspected.contains(&digest) || self.held.contains(&digest)
+        self.suspected.contains_key(&digest) || self.held.contains(&digest)
+    }
+
+    /// Returns whether a further run that goes on may change what explains the crashes. Until a while after
+    /// a break it may turn out to have been later.
+    fn is_unsettled(&self, digest: u64) -> bool {
+        let unsettled = |suspicion: &Suspicion| {
+            let settled_from = suspicion.newest + PROOF_TIME;
+            self.sound
+                .get(digest)
+                .is_none_or(|begun| begun < settled_from)
+        };
+        self.held.contains(&digest) || self.suspected.get(&digest).is_some_and(unsettled)
     }
 
     /// Sets the digests of the parts that are held. Peers are told of their runs that go on.
@@ -239,6 +308,12 @@
         self.sound.get(digest)
     }
 
+    /// Returns whether a run went on lately.
+    pub(super) fn is_proven(&self, digest: u64, now: Timestamp) -> bool {
+        let sound = self.sound.get(digest);
+        sound.is_some_and(|begun| now < begun + PROVEN_TIME)
+    }
+
     /// Returns whether a run that began no sooner than a crash went on, so that the digest did not cause
     /// it.
     pub(super) fn is_cleared(&self, digest: u64, crashed: Timestamp) -> bool {
@@ -248,19 +323,30 @@
     fn forget_expired(&mut self, now: Timestamp) {
         let before = self.crashes.len();
         self.crashes.retain(|_, crash| now < crash.at + RETENTION);
-        if self.crashes.len() >= CRASH_LIMIT {
+        while self.crashes.len() >= CRASH_LIMIT || self.has_too_many_parts() {
             let least = self.crashes.iter().min_by_key(|(_, crash)| crash.worth());
-            if let Some(incarnation) = least.map(|(incarnation, _)| *incarnation) {
-                self.crashes.remove(&incarnation);
-            }
+            let Some(incarnation) = least.map(|(incarnation, _)| *incarnation) else {
+                break;
+            };
+            self.crashes.remove(&incarnation);
         }
         if self.crashes.len() < before {
-            let requests = self.crashes.values().flat_map(|crash| &crash.requests);
-            self.suspected = requests.flat_map(BrokenRequest::digests).collect();
+            self.suspected.clear();
+            let crashes = self.crashes.values();
+            for (digest, at) in crashes.flat_map(|c| c.digests().map(|digest| (digest, c.at))) {
+                let suspicion = self.suspected.entry(digest).or_default();
+                suspicion.requests = suspicion.requests.saturating_add(1);
+                suspicion.newest = suspicion.newest.max(at);
+            }
         }
         self.told.retain(|_, told| told.is_fresh(now));
     }
 
+    fn has_too_many_parts(&self) -> bool {
+        let parts = self.crashes.values().map(Crash::part_count);
+        self.crashes.len() > 1 && parts.sum::<usize>() > PART_LIMIT
+    }
+
     /// Applies what a source reports of crashes. Returns whether any of it is new.
     pub(super) fn apply_crashes(
         &mut self,
@@ -306,19 +392,17 @@
         let mut added = Vec::new();
         let is_suspect = stated.fate != Fate::Lives && crash.fate != Fate::Lives;
         let requests = stated.requests.into_iter().filter(|_| is_suspect);
-        for request in requests.take(REQUEST_LIMIT) {
-            let digests = request.digests();
-            if crash.add(request) {
-                added.extend(digests);
-            }
+        for request in requests.take(REPORTED_REQUESTS) {
+            added.extend(crash.add(request));
         }
+        let at = crash.at;
         let is_new = is_later || is_decided || !added.is_empty();
-        self.suspect(added, now);
+        self.suspect(added, at, now);
         is_new
     }
 
-    /// Applies what a source reports of runs that went on. Returns whether any of their digests is
-    /// suspected.
+    /// Applies what a source reports of runs that went on. Returns whether any of that may change what
+    /// explains the crashes.
     pub(super) fn apply_sound(
         &mut self,
         source: Source,
@@ -328,10 +412,10 @@
         let mut is_any = false;
         for stated in sound.iter().take(REPORTED_SOUND) {
             let begun = now - Duration::from_millis(stated.age.into());
+            is_any |= self.is_unsettled(stated.digest);
             self.sound.record(stated.digest, begun);
             if self.is_suspected(stated.digest) {
                 self.tell(stated.digest, Some(source), begun, now);
-                is_any = true;
             }
         }
         is_any
@@ -352,14 +436,50 @@
         });
         let mut reported: Vec<_> = reported.collect();
         reported.sort_unstable_by_key(|(at, ..)| std::cmp::Reverse(*at));
+        reported.truncate(REPORTED_CRASHES);
+        let room = REPORTED_PARTS / reported.len().max(1);
         let statement = |(at, incarnation, crash): (Timestamp, &u64, &Crash)| CrashStatement {
             incarnation: *incarnation,
             age: whole_millis(now.since(at)),
             fate: crash.fate,
-            requests: crash.requests.iter().cloned().collect(),
+            requests: self.stated_requests(crash, room, now),
         };
-        let newest = reported.into_iter().take(REPORTED_CRASHES);
-        newest.map(statement).collect()
+        reported.into_iter().map(statement).collect()
+    }
+
+    /// Returns the requests of a crash for one report, with at most `room` parts. Those that say most of
+    /// the crash are preferred; the others get their turn in other reports.
+    fn stated_requests(&self, crash: &Crash, room: usize, now: Timestamp) -> Vec<BrokenRequest> {
+        let requests = crash.requests.iter().map(|(key, parts)| {
+            let is_suspect = |part: &&PartDigest| !self.is_cleared(part.0, crash.at);
+            let parts = parts.iter().filter(is_suspect);
+            let parts: Vec<_> = parts.map(|part| self.choice(*part, part.0, now)).collect();
+            let body = self.rank(key.body.0, now);
+            let rank = parts.iter().map(|part| part.rank).fold(body, Rank::min);
+            Choice::new((*key, parts), rank, digest(&(key.body, now)))
+        });
+        let chosen = choose(requests.collect(), REPORTED_REQUESTS);
+        let each = room / chosen.len().max(1);
+        let request = |(key, parts): (RequestKey, Vec<Choice<PartDigest>>)| BrokenRequest {
+            body: key.body,
+            parts: choose(parts, each),
+            begun: key.begun,
+        };
+        chosen.into_iter().map(request).collect()
+    }
+
+    /// Returns how much a digest says of the crashes that it stands in.
+    fn rank(&self, digest: u64, now: Timestamp) -> Rank {
+        let suspicion = self.suspected.get(&digest);
+        Rank {
+            is_proven: self.is_proven(digest, now),
+            requests: std::cmp::Reverse(suspicion.map_or(0, |suspicion| suspicion.requests)),
+        }
+    }
+
+    fn choice<T>(&self, item: T, digest: u64, now: Timestamp) -> Choice<T> {
+        let lot = crate::direct::digest::digest(&(digest, now));
+        Choice::new(item, self.rank(digest, now), lot)
     }
 
     /// Returns the runs that went on for a report of the given scope, without those of `recipient`.
@@ -371,12 +491,18 @@
     ) -> Vec<SoundStatement> {
         let reported = self.told.iter().filter_map(|(digest, told)| {
             let begun = told.reported(scope, recipient, now)?;
-            Some(SoundStatement {
+            let stated = SoundStatement {
                 digest: *digest,
                 age: whole_millis(now.since(begun)),
-            })
+            };
+            let rank = Rank {
+                is_proven: !self.held.contains(digest),
+                ..self.rank(*digest, now)
+            };
+            let lot = crate::direct::digest::digest(&(digest, now));
+            Some(Choice::new(stated, rank, lot))
         });
-        reported.take(REPORTED_SOUND).collect()
+        choose(reported.collect(), REPORTED_SOUND)
     }
 
     /// Forgets what a source that reports no longer has observed, for the reports of this entry.
--- a/crates/core/src/direct/containment/explanation.rs
+++ b/crates/core/src/direct/containment/explanation.rs
@@ -6,7 +6,7 @@
 //! were in the same requests at all crashes cannot be told apart: they explain the crashes together,
 //! and a request with some of them only is still sent.
 
-use std::cmp::Reverse;
+use std::cmp::{Ordering, Reverse};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -24,9 +24,6 @@
 /// The same for a part with which runs have gone on lately.
 const PROVEN_JOINT_TIME: Duration = Duration::from_secs(1);
 
-/// Time for which a run that went on counts for its parts.
-const PROVEN_TIME: Duration = Duration::from_secs(60);
-
 /// Parts that explain crashes together.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Cause {
@@ -37,43 +34,57 @@
     pub(super) newest: Timestamp,
 }
 
-/// A part that may be the cause of crashes. Causes are taken in descending order.
+/// Most parts that are held together.
+const HELD_PARTS: usize = 64;
+
+/// Parts that are in the same requests at all crashes, so that nothing tells them apart. Causes are taken in
+/// descending order.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Candidate {
-    /// Whether no run with it went on lately.
+    /// Whether no run with them went on lately.
     unproven: bool,
     /// Number of crashes, those of one moment counted once.
     weight: usize,
-    /// Number of crashes at which a request with it had not begun to answer.
+    /// Number of crashes at which a request with them had not begun to answer.
     silent: usize,
-    /// Number of its requests at all crashes: a wrong choice of few refuses few.
+    /// Number of their requests at all crashes: a wrong choice of few refuses few.
     requests: Reverse<usize>,
-    /// Number of parts that are in all its requests.
-    company: usize,
-    part: PartDigest,
 }
 
+/// Position of a request: the index of its crash, and its own there.
+type Position = (usize, usize);
+
+/// The parts with the same requests, some of which went on lately or not.
+type Group = (Vec<Position>, bool);
+
 impl Candidate {
-    /// Creates the candidate of a part that is in the crashes at `times`, in ascending order.
-    fn new(part: PartDigest, times: &[Timestamp], is_proven: bool, open: &[OpenCrash]) -> Self {
-        let joint = if is_proven {
+    /// Creates the candidate of the parts of a group.
+    fn new((positions, is_proven): &Group, open: &[OpenCrash]) -> Self {
+        let joint = if *is_proven {
             PROVEN_JOINT_TIME
         } else {
             JOINT_TIME
         };
-        let is_silent = |crash: &&OpenCrash| crash.with(part).any(|request| !request.begun);
-        let requests = open.iter().map(|crash| crash.with(part).count());
+        let is_silent = |(crash, request): &&Position| !open[*crash].requests[*request].begun;
+        let silent = crashes(positions.iter().filter(is_silent));
+        let times: Vec<_> = crashes(positions.iter())
+            .map(|index| open[index].at)
+            .collect();
         Self {
             unproven: !is_proven,
-            weight: moments(times, joint),
-            silent: open.iter().filter(is_silent).count(),
-            requests: Reverse(requests.sum()),
-            company: company(open, part).len(),
-            part,
+            weight: moments(&times, joint),
+            silent: silent.count(),
+            requests: Reverse(positions.len()),
         }
     }
 }
 
+/// Returns the crashes of positions in ascending order.
+fn crashes<'a>(positions: impl Iterator<Item = &'a Position>) -> impl Iterator<Item = usize> {
+    let mut last = None;
+    positions.filter_map(move |(crash, _)| (last.replace(*crash) != Some(*crash)).then_some(*crash))
+}
+
 /// One request of a crash, without the parts that did not cause it.
 struct Suspect {
     parts: BTreeSet<PartDigest>,
@@ -91,9 +102,9 @@
     /// known to have ended.
     fn new(crash: &Crash, evidence: &Evidence) -> Option<Self> {
         let is_suspect = |part: &&PartDigest| !evidence.is_cleared(part.0, crash.at);
-        let requests = crash.requests.iter().map(|request| Suspect {
-            parts: request.parts.iter().filter(is_suspect).copied().collect(),
-            begun: request.begun,
+        let requests = crash.requests.iter().map(|(key, parts)| Suspect {
+            parts: parts.iter().filter(is_suspect).copied().collect(),
+            begun: key.begun,
         });
         (crash.fate == Fate::Ended).then(|| Self {
             at: crash.at,
@@ -110,11 +121,6 @@
     fn holds(&self, part: PartDigest) -> bool {
         self.with(part).next().is_some()
     }
-
-    fn parts(&self) -> BTreeSet<PartDigest> {
-        let parts = self.requests.iter().flat_map(|request| &request.parts);
-        parts.copied().collect()
-    }
 }
 
 /// Returns the causes of the crashes that are known, the most certain one first.
@@ -126,33 +132,75 @@
     open.sort_unstable_by_key(|crash| crash.at);
     let mut causes = Vec::new();
     while let Some(found) = strongest(&open, evidence, now) {
-        let of_part = open.iter().filter(|crash| crash.holds(found.part));
+        let (part, proven) = found;
+        let of_part = open.iter().filter(|crash| crash.holds(part));
         causes.push(Cause {
-            parts: company(&open, found.part),
-            proven: !found.unproven,
+            parts: held(company(&open, part), evidence),
+            proven,
             newest: of_part.map(|crash| crash.at).max().unwrap_or_default(),
         });
-        open.retain(|crash| !crash.holds(found.part));
+        open.retain(|crash| !crash.holds(part));
     }
     causes
 }
 
-/// Returns the part that explains the open crashes best, if one explains enough of them.
-fn strongest(open: &[OpenCrash], evidence: &Evidence, now: Timestamp) -> Option<Candidate> {
-    let mut times: BTreeMap<PartDigest, Vec<Timestamp>> = BTreeMap::new();
-    for crash in open {
-        for part in crash.parts() {
-            times.entry(part).or_default().push(crash.at);
+/// Returns the parts that are held of those which nothing tells apart: where they are too many, those
+/// with which no run went on, or for longest.
+fn held(parts: BTreeSet<PartDigest>, evidence: &Evidence) -> BTreeSet<PartDigest> {
+    if parts.len() <= HELD_PARTS {
+        return parts;
+    }
+    let mut parts: Vec<_> = parts.into_iter().collect();
+    parts.sort_by_key(|part| evidence.sound_since(part.0));
+    parts.into_iter().take(HELD_PARTS).collect()
+}
+
+/// Returns a part that explains the open crashes best, if one explains enough of them, and whether a run
+/// with it went on lately.
+fn strongest(
+    open: &[OpenCrash],
+    evidence: &Evidence,
+    now: Timestamp,
+) -> Option<(PartDigest, bool)> {
+    let groups = groups(open, evidence, now);
+    let candidates = groups
+        .keys()
+        .map(|group| (Candidate::new(group, open), group));
+    let strong = candidates.filter(|(candidate, _)| candidate.weight >= CRASH_LIMIT);
+    let mut best: Vec<(Candidate, &Group)> = Vec::new();
+    for (candidate, group) in strong {
+        match best.first().map(|(first, _)| candidate.cmp(first)) {
+            Some(Ordering::Less) => continue,
+            Some(Ordering::Equal) => {}
+            Some(Ordering::Greater) | None => best.clear(),
+        }
+        best.push((candidate, group));
+    }
+    let parts = best.iter().map(|(_, group)| groups[*group]);
+    let found = if best.len() == 1 {
+        parts.max()
+    } else {
+        parts.max_by_key(|part| (company(open, *part).len(), *part))
+    };
+    let is_proven = best.first().is_some_and(|(first, _)| !first.unproven);
+    found.map(|part| (part, is_proven))
+}
+
+/// Returns the groups of parts that are in enough crashes, each with its last part.
+fn groups(open: &[OpenCrash], evidence: &Evidence, now: Timestamp) -> BTreeMap<Group, PartDigest> {
+    let mut positions: BTreeMap<PartDigest, Vec<Position>> = BTreeMap::new();
+    for (crash, of_crash) in open.iter().enumerate() {
+        for (request, suspect) in of_crash.requests.iter().enumerate() {
+            for part in &suspect.parts {
+                positions.entry(*part).or_default().push((crash, request));
+            }
         }
     }
-    times.retain(|_, times| times.len() >= CRASH_LIMIT);
-    let candidates = times.into_iter().map(|(part, times)| {
-        let sound = evidence.sound_since(part.0);
-        let is_proven = sound.is_some_and(|begun| now < begun + PROVEN_TIME);
-        Candidate::new(part, &times, is_proven, open)
-    });
-    let strong = candidates.filter(|candidate| candidate.weight >= CRASH_LIMIT);
-    strong.max()
+    positions.retain(|_, positions| crashes(positions.iter()).count() >= CRASH_LIMIT);
+    let group = |(part, positions): (PartDigest, Vec<Position>)| {
+        ((positions, evidence.is_proven(part.0, now)), part)
+    };
+    positions.into_iter().map(group).collect()
 }
 
 /// Returns the parts that are in every suspected request with `part`.
--- a/crates/core/src/direct/containment/observations.rs
+++ b/crates/core/src/direct/containment/observations.rs
@@ -9,8 +9,9 @@
 /// Time for which an observation is reported to peers.
 const REPORT_TIME: Duration = Duration::from_secs(5);
 
-/// Most remembered digests of runs that went on, in each of two generations.
-const SOUND_LIMIT: usize = 4_096;
+/// Most remembered digests of runs that went on, in each of two generations. One prompt may have
+/// thousands of parts.
+const SOUND_LIMIT: usize = 65_536;
 
 /// A time that was observed by this entry or by the entries of a source.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/core/src/direct/containment/statement.rs
+++ b/crates/core/src/direct/containment/statement.rs
@@ -37,7 +37,7 @@
 pub struct BrokenRequest {
     /// Digest of the team, the path and the body.
     pub body: BodyDigest,
-    /// Digests of the parts of the prompt.
+    /// Digests of parts of the prompt; of a long prompt, some in each report.
     pub parts: Vec<PartDigest>,
     /// Whether its answer had begun.
     pub begun: bool,
@@ -53,12 +53,6 @@
             begun,
         }
     }
-
-    /// Returns the digests by which the request is compared with others.
-    pub(super) fn digests(&self) -> Vec<u64> {
-        let parts = self.parts.iter().map(|part| part.0);
-        parts.chain([self.body.0]).collect()
-    }
 }
 
 /// What the reporter knows of a break.
--- a/crates/core/tests/core/direct/containment.rs
+++ b/crates/core/tests/core/direct/containment.rs
@@ -374,3 +374,31 @@
     pair.exchange(22_140);
     assert_eq!(pair.contain(&other, 22_150), [false, false]);
 }
+
+/// Guards against a part that peers never hear of, since other parts fill their reports, and against
+/// reports that grow with the prompts.
+#[test]
+fn parts_of_the_longest_prompts_reach_peers_in_bounded_reports() {
+    const CULPRIT: u64 = u64::MAX;
+    const LONGEST: u64 = 4_000;
+    let mut pair = Pair::new();
+    for (number, incarnation) in [X, Y, Z].into_iter().enumerate() {
+        let from = number as u64 * 100;
+        let first = 1_000 + number as u64 * LONGEST;
+        let mut parts: Vec<_> = (first..first + LONGEST).collect();
+        parts.push(CULPRIT);
+        let broken = request(number as u64, &parts);
+        pair.0[0].record_break(&broken, incarnation, false, at(from));
+        pair.0[0].record_end(incarnation, at(from + 1));
+    }
+    for step in 0..20 {
+        let now = 300 + step * 40;
+        let report = pair.0[0].reported(Scope::Entry, None, at(now));
+        let requests = report.crashes.iter().flat_map(|crash| &crash.requests);
+        let stated: usize = requests.map(|request| request.parts.len()).sum();
+        assert!(stated <= 2_048, "{stated} parts in a report");
+        pair.exchange(now);
+    }
+    assert_eq!(pair.contain(&request(9, &[CULPRIT]), 1_200), [true, true]);
+    assert_eq!(pair.contain(&request(9, &[1_000]), 1_200), [false, false]);
+}
--- a/crates/core/tests/core/direct/crashing_parts.rs
+++ b/crates/core/tests/core/direct/crashing_parts.rs
@@ -25,7 +25,10 @@
 
 /// Parts of which each sound request has one, and the first of the crashing parts.
 const SUBJECTS: u64 = 8;
-const CRASHING: u64 = 1_000;
+const CRASHING: u64 = 1 << 40;
+
+/// The first of the parts that all requests of a day with long prompts share.
+const LONG: u64 = 100;
 
 /// Time from the send of a request to the begin of its answer, and from there to a crash.
 const PREFILL_MS: u64 = 80;
@@ -47,6 +50,8 @@
     /// Crashes of other causes per second.
     failures: f64,
     seconds: u64,
+    /// Further parts that all requests share.
+    shared: u64,
 }
 
 impl Day {
@@ -59,6 +64,7 @@
             culprits: 1,
             failures: 0.0,
             seconds: if entries < 100 { 25 } else { 12 },
+            shared: 0,
         }
     }
 }
@@ -176,6 +182,7 @@
         let subject = 2 + self.random.random_range(0..SUBJECTS);
         let mut parts = vec![ROUTE_PART, subject, self.next];
         parts.extend(culprit);
+        parts.extend(LONG..LONG + self.day.shared);
         parts.sort_unstable();
         Fingerprint {
             body: BodyDigest(self.next),
@@ -307,6 +314,36 @@
     }
 }
 
+/// Guards against a part that is never held, since others of a long prompt are remembered in its place.
+#[test]
+fn a_part_is_held_however_long_the_prompts_are() {
+    for (shared, entries) in [(22, 1), (22, 3), (22, 30), (22, 100), (200, 3), (1_300, 3)] {
+        let day = Day {
+            shared,
+            seconds: 12,
+            ..Day::new(entries)
+        };
+        let played = Simulation::new(day).play();
+        let case = format!("{shared} shared parts at {entries} entries");
+        assert_contained(&played, 6, &case);
+    }
+}
+
+/// Guards against a part that is never held, since other requests that ran at the crash are remembered in
+/// place of the one with it.
+#[test]
+fn a_part_is_held_however_many_requests_run_at_a_crash() {
+    for entries in [1, 3] {
+        let day = Day {
+            sound: 1_200.0,
+            seconds: 12,
+            ..Day::new(entries)
+        };
+        let played = Simulation::new(day).play();
+        assert_contained(&played, 6, &format!("{entries} entries"));
+    }
+}
+
 /// Guards against a part that comes so seldom that its crashes are forgotten, or so often that all
 /// endpoints end before anybody is told.
 #[test]
--- a/crates/direct/src/prompt_parts.rs
+++ b/crates/direct/src/prompt_parts.rs
@@ -9,18 +9,14 @@
 #[cfg(test)]
 mod tests;
 
-/// Most parts of a prompt that are read. The others are ignored.
-const PART_LIMIT: usize = 32;
-
 /// Returns the digests of the parts that the header `name` lists as `ID:TOKENS,...`, without
-/// duplicates. Entries without an id are ignored.
+/// duplicates. Entries without an id are ignored. Only the size of a request's head bounds their number.
 pub(crate) fn read(headers: &HeaderMap, name: &HeaderName) -> Arc<[PartDigest]> {
     let values = headers.get_all(name).iter();
     let texts = values.filter_map(|value| value.to_str().ok());
     let ids = texts.flat_map(|text| text.split(',')).map(part_id);
     let mut parts: Vec<_> = ids
         .filter(|id| !id.is_empty())
-        .take(PART_LIMIT)
         .map(|id| PartDigest(digest(&("part", id.to_ascii_lowercase()))))
         .collect();
     parts.sort_unstable();
--- a/crates/direct/src/prompt_parts/tests.rs
+++ b/crates/direct/src/prompt_parts/tests.rs
@@ -2,7 +2,7 @@
 
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 
-use super::{PART_LIMIT, read};
+use super::read;
 
 const NAME: HeaderName = HeaderName::from_static("parts");
 
@@ -30,10 +30,11 @@
     assert_eq!(read(&HeaderMap::new(), &NAME).len(), 0);
 }
 
+/// Guards against a part that crashes endpoints and stands behind those that are read.
 #[test]
-fn the_number_of_parts_is_bounded() {
-    let long: Vec<_> = (0..500).map(|part| format!("{part:x}:1")).collect();
+fn every_part_that_fits_into_a_head_is_read() {
+    let long: Vec<_> = (0..4_000).map(|part| format!("{part:x}")).collect();
     let value = HeaderValue::from_str(&long.join(",")).expect("it is a header value");
     let headers = HeaderMap::from_iter([(NAME, value)]);
-    assert_eq!(read(&headers, &NAME).len(), PART_LIMIT);
+    assert_eq!(read(&headers, &NAME).len(), long.len());
 }
