--- a/crates/core/src/direct/origin_lookup.rs
+++ b/crates/core/src/direct/origin_lookup.rs
@@ -28,6 +28,9 @@
 /// Time after which a lookup ends.
 const LOOKUP_TIME: Duration = Duration::from_millis(150);
 
+/// How long the store may take to confirm which endpoints are listed.
+const CONFIRM_TIME: Duration = Duration::from_millis(300);
+
 /// A message between entries about the origin of a stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OriginMessage {
@@ -104,51 +107,66 @@
         /// When the lookup goes on without an answer.
         until: Timestamp,
     },
+    /// The endpoints are to be read from the store once more; the lookup goes on when that is done, or at
+    /// `until`.
+    Confirm {
+        /// When the lookup ends without it.
+        until: Timestamp,
+    },
     /// The lookup has ended.
     Done(LookupResult),
 }
 
+/// What an entry knows of the builds of the services at which a stream may have begun.
+#[derive(Debug)]
+pub(super) struct OwnView {
+    pub(super) seen: SeenBuilds,
+    /// Time as of which the store has confirmed that, if it ever has.
+    pub(super) confirmed: Option<Timestamp>,
+}
+
 /// One search for an origin.
 #[derive(Debug)]
 pub(super) struct OriginLookup {
     pub(super) stream: StreamDigest,
-    service: Option<Arc<str>>,
+    /// The services at which the stream may have begun, the one first that it goes on at if its origin is
+    /// not known.
+    pub(super) services: Vec<Arc<str>>,
     /// Whether the request names its stream.
-    named: bool,
-    /// What this entry has seen of the service's builds.
-    own: SeenBuilds,
+    pub(super) named: bool,
     /// The entries asked, with their answers.
     asked: BTreeMap<SocketAddr, Option<SeenBuilds>>,
     found: Option<(Origin, OriginSource)>,
-    deadline: Timestamp,
+    started: Timestamp,
     ask_at: Timestamp,
+    /// When the store has to have confirmed the endpoints, once that is waited for.
+    confirm_by: Option<Timestamp>,
 }
 
 impl OriginLookup {
     pub(super) fn new(
         stream: StreamDigest,
-        service: Option<Arc<str>>,
-        own: SeenBuilds,
+        services: &[Arc<str>],
         peers: Vec<SocketAddr>,
         now: Timestamp,
     ) -> Self {
         Self {
             stream,
-            service,
+            services: services.to_vec(),
             named: true,
-            own,
             asked: peers.into_iter().map(|peer| (peer, None)).collect(),
             found: None,
-            deadline: now + LOOKUP_TIME,
+            started: now,
             ask_at: now,
+            confirm_by: None,
         }
     }
 
     /// Creates the lookup of a request that does not name its stream, which no peer can know.
-    pub(super) fn unnamed(service: Option<Arc<str>>, own: SeenBuilds, now: Timestamp) -> Self {
+    pub(super) fn unnamed(services: &[Arc<str>], now: Timestamp) -> Self {
         Self {
             named: false,
-            ..Self::new(StreamDigest(0), service, own, Vec::new(), now)
+            ..Self::new(StreamDigest(0), services, Vec::new(), now)
         }
     }
 
@@ -163,14 +181,15 @@
         }
     }
 
-    pub(super) fn step(&mut self, now: Timestamp) -> LookupStep {
+    pub(super) fn step(&mut self, own: &OwnView, now: Timestamp) -> LookupStep {
         if let Some((origin, source)) = self.found.clone() {
             return LookupStep::Done(LookupResult::Known(origin, source));
         }
         let unanswered = self.asked.iter().filter(|(_, answer)| answer.is_none());
         let unanswered: Vec<_> = unanswered.map(|(peer, _)| *peer).collect();
-        if unanswered.is_empty() || self.deadline <= now {
-            return LookupStep::Done(self.unfound());
+        let deadline = self.started + LOOKUP_TIME;
+        if unanswered.is_empty() || deadline <= now {
+            return self.end_unfound(own, now);
         }
         let peers = if self.ask_at <= now {
             self.ask_at = now + RETRY_INTERVAL;
@@ -182,38 +201,61 @@
             peers,
             query: OriginMessage::Query {
                 stream: self.stream,
-                service: self.service.clone(),
+                service: self.only_service().cloned(),
             },
-            until: self.ask_at.min(self.deadline),
+            until: self.ask_at.min(deadline),
+        }
+    }
+
+    /// Returns the service at which the stream must have begun, if there is only one.
+    fn only_service(&self) -> Option<&Arc<str>> {
+        match &self.services[..] {
+            [service] => Some(service),
+            _ => None,
         }
     }
 
     /// Decides without an origin: the stream goes on only where one build alone can have begun it.
-    fn unfound(&self) -> LookupResult {
-        let only = if self.named {
-            self.only_build()
-        } else {
-            self.own.only()
+    /// Endpoints of another build may have joined unnoticed, so the store has to confirm those that are
+    /// known as of the request's arrival.
+    fn end_unfound(&mut self, own: &OwnView, now: Timestamp) -> LookupStep {
+        let Some(origin) = self.only_origin(&own.seen) else {
+            return LookupStep::Done(LookupResult::Unknown);
         };
-        let (Some(service), Some(build)) = (&self.service, only) else {
-            return LookupResult::Unknown;
+        if own.confirmed >= Some(self.started) {
+            let known = LookupResult::Known(origin, OriginSource::OnlyBuild);
+            return LookupStep::Done(known);
+        }
+        let until = *self.confirm_by.get_or_insert(now + CONFIRM_TIME);
+        if until <= now {
+            LookupStep::Done(LookupResult::Unknown)
+        } else {
+            LookupStep::Confirm { until }
+        }
+    }
+
+    /// Returns the only origin that the stream can have.
+    fn only_origin(&self, own: &SeenBuilds) -> Option<Origin> {
+        let (service, build) = if self.named {
+            (self.only_service()?, self.only_build(own)?)
+        } else {
+            (self.services.first()?, own.only()?)
         };
-        let origin = Origin {
+        Some(Origin {
             service: Arc::clone(service),
             build: Arc::clone(build),
             endpoint: None,
-        };
-        LookupResult::Known(origin, OriginSource::OnlyBuild)
+        })
     }
 
     /// Returns the build that this entry and those that answered have seen alone. An entry that most
     /// others do not answer may be cut off and know old builds only.
-    fn only_build(&self) -> Option<&Arc<str>> {
+    fn only_build<'a>(&'a self, own: &'a SeenBuilds) -> Option<&'a Arc<str>> {
         let answers: Vec<_> = self.asked.values().flatten().collect();
         if answers.len() * 2 < self.asked.len() {
             return None;
         }
-        let mut seen = answers.into_iter().chain([&self.own]);
+        let mut seen = answers.into_iter().chain([own]);
         let only = seen.clone().find_map(|seen| match seen {
             SeenBuilds::One(build) => Some(build),
             _ => None,
--- a/crates/core/src/direct/scheduler/origins.rs
+++ b/crates/core/src/direct/scheduler/origins.rs
@@ -9,10 +9,11 @@
 use super::{Scheduler, Ticket};
 use crate::direct::build_history::SeenBuilds;
 use crate::direct::origin_lookup::{
-    ASKED, HOLDERS, LookupResult, LookupStep, OriginLookup, OriginMessage, OriginSource,
+    ASKED, HOLDERS, LookupResult, LookupStep, OriginLookup, OriginMessage, OriginSource, OwnView,
 };
 use crate::direct::plan::EndpointRecord;
 use crate::direct::rendezvous::first_for;
+use crate::direct::store_progress::Section;
 use crate::direct::stream_origins::{Evidence, Origin, StreamDigest};
 use crate::time::{Timestamp, whole_millis};
 
@@ -56,42 +57,31 @@
         services: &[Arc<str>],
         now: Timestamp,
     ) {
-        let service = match services {
-            [service] => Some(Arc::clone(service)),
-            _ => None,
-        };
-        let own = service
-            .as_ref()
-            .map_or(SeenBuilds::None, |service| self.seen_builds(service, now));
-        let lookup = match stream {
-            Some(stream) => {
-                let known = self.origins.find(stream, now);
-                let known = known.map(|(origin, evidence)| (origin.clone(), evidence));
-                let peers = first_for(stream.0, self.members.addresses().into_iter(), ASKED);
-                let mut lookup = OriginLookup::new(stream, service, own, peers, now);
-                if let Some((origin, evidence)) = known {
-                    let source = match evidence {
-                        Evidence::Listed => OriginSource::Endpoint,
-                        Evidence::Received | Evidence::Contested => OriginSource::Memory,
-                    };
-                    lookup.find(origin, source);
-                }
-                lookup
-            }
-            None => {
-                let own = self.seen_builds_of_all(services, now);
-                OriginLookup::unnamed(services.first().cloned(), own, now)
-            }
+        let Some(stream) = stream else {
+            let lookup = OriginLookup::unnamed(services, now);
+            self.lookups.insert(ticket, lookup);
+            return;
         };
+        let peers = first_for(stream.0, self.members.addresses().into_iter(), ASKED);
+        let mut lookup = OriginLookup::new(stream, services, peers, now);
+        if let Some((origin, evidence)) = self.origins.find(stream, now) {
+            let source = match evidence {
+                Evidence::Listed => OriginSource::Endpoint,
+                Evidence::Received | Evidence::Contested => OriginSource::Memory,
+            };
+            lookup.find(origin.clone(), source);
+        }
         self.lookups.insert(ticket, lookup);
     }
 
     /// Returns what a lookup does next.
     pub fn step_lookup(&mut self, ticket: Ticket, now: Timestamp) -> LookupStep {
-        let step = match self.lookups.get_mut(&ticket) {
-            Some(lookup) => lookup.step(now),
-            None => LookupStep::Done(LookupResult::Unknown),
+        let Some(mut lookup) = self.lookups.remove(&ticket) else {
+            return LookupStep::Done(LookupResult::Unknown);
         };
+        let own = self.own_view(&lookup, now);
+        let step = lookup.step(&own, now);
+        self.lookups.insert(ticket, lookup);
         match step {
             LookupStep::Done(LookupResult::Known(origin, _)) if !self.is_certain(&origin) => {
                 LookupStep::Done(LookupResult::Unknown)
@@ -100,6 +90,19 @@
         }
     }
 
+    /// Returns what this entry knows of the builds that may have begun the stream of a lookup.
+    fn own_view(&self, lookup: &OriginLookup, now: Timestamp) -> OwnView {
+        let seen = match &lookup.services[..] {
+            [service] => self.seen_builds(service, now),
+            services if !lookup.named => self.seen_builds_of_all(services, now),
+            _ => SeenBuilds::None,
+        };
+        OwnView {
+            seen,
+            confirmed: self.store_progress.confirmed(Section::Endpoints),
+        }
+    }
+
     /// Returns whether the endpoint that began a stream has not come back under its id with another
     /// build. If it has, the stream may have begun at either build, since entries learn of that
     /// late.
--- a/crates/core/tests/core/direct/origins.rs
+++ b/crates/core/tests/core/direct/origins.rs
@@ -2,6 +2,7 @@
 //! and entries know different members.
 
 mod exchange;
+mod joining;
 mod replication;
 
 use std::net::SocketAddr;
--- a/crates/core/tests/core/direct/origins/exchange.rs
+++ b/crates/core/tests/core/direct/origins/exchange.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{
-    LookupResult, LookupStep, Origin, OriginMessage, StreamDigest, Ticket, digest,
+    EndpointRecord, LookupResult, LookupStep, Origin, OriginMessage, Section, StreamDigest, Ticket,
+    digest,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -25,10 +27,16 @@
     pub lifetime: Duration,
     random: ChaCha8Rng,
     tickets: u64,
+    /// Endpoints that only a read of the store shows.
+    pub store_lists: Vec<EndpointRecord>,
     /// Messages by which origins were replicated.
     pub replicated: usize,
 }
 
+fn millis(time: Timestamp) -> u64 {
+    (time.as_micros() - at(0).as_micros()) / 1_000
+}
+
 pub fn origin(number: u64) -> Origin {
     Origin {
         service: SERVICE.into(),
@@ -51,6 +59,7 @@
             lifetime: LIFETIME,
             random: ChaCha8Rng::seed_from_u64(11),
             tickets: 0,
+            store_lists: Vec::new(),
             replicated: 0,
         }
     }
@@ -135,6 +144,14 @@
                     entry.end_lookup(ticket);
                     return (result, now - started);
                 }
+                LookupStep::Confirm { until } => {
+                    now = if self.fleet.store_up {
+                        self.read_store(index, now);
+                        now + 1
+                    } else {
+                        millis(until)
+                    };
+                }
                 LookupStep::Ask {
                     peers,
                     query,
@@ -152,13 +169,24 @@
                     now = if progress {
                         now + 2
                     } else {
-                        now.max((until.as_micros() - at(0).as_micros()) / 1_000)
+                        now.max(millis(until))
                     };
                 }
             }
         }
     }
 
+    /// Reads the endpoints at an entry.
+    fn read_store(&mut self, index: usize, now: u64) {
+        let entry = self.fleet.entries[index].as_mut();
+        let entry = entry.expect("the entry is down");
+        for record in &self.store_lists {
+            entry.upsert_endpoint(record.clone(), at(now));
+        }
+        let revision = entry.store_progress().revision(Section::Endpoints);
+        entry.record_store_answer(Section::Endpoints, revision, at(now));
+    }
+
     /// Looks all origins up at random running entries. Returns how many were known. None may be
     /// wrong, and each lookup has to end in time.
     pub fn known(&mut self) -> u64 {
--- a/crates/direct/src/context.rs
+++ b/crates/direct/src/context.rs
@@ -90,6 +90,8 @@
     store_lost: Cell<bool>,
     change: Notify,
     restoration: Notify,
+    /// Asks the follower of the endpoints for a read.
+    endpoint_read: Notify,
     /// The longest deadline received for each route. A much shorter one shows that the request
     /// spent the difference on its way here.
     longest_deadlines: RefCell<HashMap<Arc<str>, Duration>>,
@@ -128,6 +130,7 @@
             store_lost: Cell::new(false),
             change: Notify::new(),
             restoration: Notify::new(),
+            endpoint_read: Notify::new(),
             longest_deadlines: RefCell::default(),
         }
     }
@@ -235,6 +238,16 @@
         self.change.notified().await;
     }
 
+    /// Lets the endpoints be read from the store soon. Lookups of origins go on when that is done.
+    pub fn request_endpoints(&self) {
+        self.endpoint_read.notify_one();
+    }
+
+    /// Waits for a request to read the endpoints.
+    pub async fn endpoints_requested(&self) {
+        self.endpoint_read.notified().await;
+    }
+
     /// Waits until this entry learns of a restoration of the store.
     pub async fn restored(&self) {
         self.restoration.notified().await;
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -30,6 +30,9 @@
 /// How long one watch of the endpoints waits. A dead connection is detected only after this time.
 const ENDPOINT_WAIT: Duration = Duration::from_millis(2_000);
 
+/// Least time between two reads of the endpoints that lookups of origins ask for.
+const REQUESTED_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Follows one section of the store.
 pub(crate) struct Follower<S> {
     context: Rc<Context>,
@@ -51,23 +54,22 @@
     /// Reads and watches the section until `stop`.
     pub(crate) async fn run(mut self, stop: CancellationToken) {
         let mut cursor = ReadCursor::default();
+        let mut requested = false;
         while !stop.is_cancelled() {
             let sent = clock::now();
-            let delay = self
-                .context
-                .scheduler
-                .borrow()
-                .read_delay(self.section, sent);
+            let delay = self.delay(requested, sent);
             if !delay.is_zero() {
                 tokio::select! {
                     () = stop.cancelled() => break,
                     () = tokio::time::sleep(delay.min(CHECK_INTERVAL)) => {}
+                    () = self.requested(), if !requested => requested = true,
                 }
                 continue;
             }
             if self.section == Section::Endpoints && self.context.is_store_lost() {
                 // Reads of the configuration find out when the store is back.
                 self.failures = self.failures.max(1);
+                requested = false;
                 tokio::time::sleep(CHECK_INTERVAL).await;
                 continue;
             }
@@ -79,9 +81,14 @@
             let after = cursor.next(self.known_revision());
             let result = tokio::select! {
                 () = stop.cancelled() => break,
-                result = self.call(after) => result,
+                result = self.call(after, requested) => result,
                 () = self.context.restored() => Err(StoreError::HistoryGone),
+                () = self.requested(), if !requested && after.is_some() => {
+                    requested = true;
+                    continue;
+                }
             };
+            requested = false;
             self.context.record_read(self.section);
             match result {
                 Ok(page) => {
@@ -110,11 +117,39 @@
         scheduler.store_progress().revision(self.section)
     }
 
-    async fn call(&self, after: Option<StoreRevision>) -> Result<Page, StoreError> {
-        match after {
-            None => self.store.read(self.section).await,
-            Some(after) => self.store.watch(self.section, after, self.wait()).await,
+    /// Returns how long the next read has to wait.
+    fn delay(&self, requested: bool, now: Timestamp) -> Duration {
+        let scheduler = self.context.scheduler.borrow();
+        if requested {
+            let answered = scheduler.store_progress().answered(self.section);
+            return answered.map_or(Duration::ZERO, |at| (at + REQUESTED_INTERVAL).since(now));
         }
+        scheduler.read_delay(self.section, now)
+    }
+
+    /// Waits until the section is to be read at once.
+    async fn requested(&self) {
+        match self.section {
+            Section::Configuration => std::future::pending().await,
+            Section::Endpoints => self.context.endpoints_requested().await,
+        }
+    }
+
+    /// Reads the section, or watches it; a `requested` watch returns at once.
+    async fn call(
+        &self,
+        after: Option<StoreRevision>,
+        requested: bool,
+    ) -> Result<Page, StoreError> {
+        let Some(after) = after else {
+            return self.store.read(self.section).await;
+        };
+        let wait = if requested {
+            CONFIRMATION_WAIT
+        } else {
+            self.wait()
+        };
+        self.store.watch(self.section, after, wait).await
     }
 
     const fn wait(&self) -> Duration {
@@ -170,6 +205,7 @@
             scheduler.confirm_read(sent, now);
         }
         drop(scheduler);
+        self.context.origin_answers.notify_waiters();
         self.context.process_queues();
     }
 
--- a/crates/direct/src/origins.rs
+++ b/crates/direct/src/origins.rs
@@ -119,23 +119,30 @@
         loop {
             let answered = self.context.origin_answers.notified();
             let mut answered = std::pin::pin!(answered);
-            // An answer that arrives while the queries are sent counts too.
+            // What arrives while the queries are sent counts too.
             answered.as_mut().enable();
             let step = {
                 let mut scheduler = self.context.scheduler.borrow_mut();
                 scheduler.step_lookup(self.ticket, clock::now())
             };
-            let (peers, query, until) = match step {
+            let until = match step {
                 LookupStep::Done(result) => return result,
                 LookupStep::Ask {
                     peers,
                     query,
                     until,
-                } => (peers, PeerMessage::Origin(query), until),
+                } => {
+                    let query = PeerMessage::Origin(query);
+                    for peer in peers {
+                        self.context.peers.send(peer, &query).await;
+                    }
+                    until
+                }
+                LookupStep::Confirm { until } => {
+                    self.context.request_endpoints();
+                    until
+                }
             };
-            for peer in peers {
-                self.context.peers.send(peer, &query).await;
-            }
             tokio::select! {
                 () = answered => {}
                 () = tokio::time::sleep(until.since(clock::now())) => {}
