--- a/crates/direct/src/dispatch/send.rs
+++ b/crates/direct/src/dispatch/send.rs
@@ -7,7 +7,7 @@
 use comfreyhaven_core::Timestamp;
 use comfreyhaven_core::direct::{Ending, EndpointRecord, Holding, SOUND_TIME, stall};
 use http_body_util::Full;
-use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 
 use super::attempt::{Begun, SendFault};
@@ -90,9 +90,17 @@
             Ok(reply) => reply,
             Err(error) => return Err(self.handle_error(&error, record, sent, slot)),
         };
+        let goes_on = last.is_some() || self.incoming.head.resumption.is_some();
+        let is_event_stream = is_event_stream(&reply.response);
         match self.classify(&reply.response) {
-            AnswerKind::Success if self.incoming.head.route.streaming => {
-                self.begin_stream(reply, sent, slot, record).await
+            AnswerKind::Success if is_event_stream && self.incoming.head.route.streaming => {
+                self.begin_stream(reply, sent, slot, record, goes_on).await
+            }
+            AnswerKind::Success if goes_on => {
+                self.log_outcome("no event stream", record);
+                slot.end(Ending::Failed);
+                self.drain(reply);
+                Err(SendFault::Failed)
             }
             AnswerKind::Success => {
                 let collected = self
@@ -117,15 +125,17 @@
     }
 
     /// Waits for the first event of a stream. A head alone does not show that the endpoint works on
-    /// the request.
+    /// the request. `goes_on` states whether the caller has received events before.
     async fn begin_stream(
         &self,
         reply: Reply,
         sent: Timestamp,
         slot: SlotGuard,
         record: &EndpointRecord,
+        goes_on: bool,
     ) -> Result<Begun, SendFault> {
-        let (head, mut source) = Source::new(reply, sent, slot, self, record.clone());
+        let (head, source) = Source::new(reply, sent, slot, self, record.clone());
+        let mut source = source.with_numbered_events(goes_on);
         let first = source.next().await;
         if matches!(first, Next::Broken) {
             self.leave_broken(&mut source);
@@ -371,6 +381,17 @@
     }
 }
 
+/// Returns whether a successful answer is a stream of events.
+fn is_event_stream<B>(response: &Response<B>) -> bool {
+    let Some(kind) = response.headers().get(CONTENT_TYPE) else {
+        return response.status() == StatusCode::OK;
+    };
+    let kind = kind.to_str().unwrap_or_default();
+    let (essence, _) = kind.split_once(';').unwrap_or((kind, ""));
+    let is_stream = essence.trim().eq_ignore_ascii_case("text/event-stream");
+    is_stream && response.status() == StatusCode::OK
+}
+
 /// Returns the headers of an endpoint's answer that are forwarded to the caller.
 pub(super) fn answer_headers(headers: &HeaderMap) -> HeaderMap {
     let mut forwarded = headers.clone();
--- a/crates/direct/src/dispatch/source.rs
+++ b/crates/direct/src/dispatch/source.rs
@@ -41,6 +41,8 @@
     /// When the request was sent.
     pub(super) sent: Timestamp,
     splitter: Splitter,
+    /// Whether each event has to have an id, since the stream goes on after the caller's last one.
+    numbered: bool,
     /// How long the next event may take.
     pub(super) event_timeout: Duration,
     /// Events received from this endpoint; `first` is when the first one arrived.
@@ -67,6 +69,7 @@
             record,
             sent,
             splitter: Splitter::default(),
+            numbered: false,
             event_timeout: dispatch.first_byte_timeout(),
             events: 0,
             first: Timestamp::ZERO,
@@ -75,6 +78,12 @@
         (Response::from_parts(parts, ()), source)
     }
 
+    /// Sets whether each event has to have an id.
+    pub(super) const fn with_numbered_events(mut self, numbered: bool) -> Self {
+        self.numbered = numbered;
+        self
+    }
+
     /// Returns when the first event arrived, if one has.
     pub(super) fn begun(&self) -> Option<Timestamp> {
         (self.events > 0).then_some(self.first)
@@ -105,6 +114,10 @@
     pub(super) async fn next(&mut self) -> Next {
         loop {
             if let Some(event) = self.splitter.next() {
+                if self.numbered && event.id.is_none() && !event.is_comment() {
+                    log::warn!(endpoint:% = self.record.id; "a resumed stream holds an event without an id");
+                    return Next::Broken;
+                }
                 return Next::Event(event);
             }
             match self.body.frame().await {
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -21,6 +21,24 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Returns whether there is nothing but comments, which keep a connection open.
+    ///
+    /// ```
+    /// use comfreyhaven_direct::events::Splitter;
+    ///
+    /// let mut splitter = Splitter::default();
+    /// splitter.add(b": still there\n\ndata: a\n\n").unwrap();
+    /// assert!(splitter.next().unwrap().is_comment());
+    /// assert!(!splitter.next().unwrap().is_comment());
+    /// ```
+    #[must_use]
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|&byte| byte == b'\n');
+        lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+    }
+}
+
 /// Collects the chunks of a stream and returns complete events.
 ///
 /// ```
