A stream whose events have no ids is not begun again

What callers saw: the first events twice, when a resumable stream without ids broke off: the next endpoint was asked without the place at which the stream goes on.

Change: a stream goes on elsewhere only after an event with an id, or if its caller has received none. raw_answers::a_stream_without_ids_is_not_begun_again failed before ("data: a" twice) and passes.

--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -185,7 +185,8 @@
             if let Ok(next) = waiting.await {
                 return Some(next);
             }
-            if self.dispatch.may_move(&self.source.record) && self.dispatch.take_retry() {
+            let may_move = self.may_resume() && self.dispatch.may_move(&self.source.record);
+            if may_move && self.dispatch.take_retry() {
                 return None;
             }
         }
@@ -222,7 +223,8 @@
     async fn replace_broken(&mut self) -> bool {
         self.dispatch.leave_broken(&mut self.source);
         self.dispatch.exclude(&self.source.record);
-        if !self.dispatch.may_run_again() || !self.dispatch.take_retry() {
+        let may_resume = self.may_resume() && self.dispatch.may_run_again();
+        if !may_resume || !self.dispatch.take_retry() {
             return false;
         }
         match self.dispatch.begin(self.last).await {
@@ -234,6 +236,12 @@
         }
     }
 
+    /// Returns whether another endpoint can go on after what the caller has received: nothing, or an event
+    /// with an id.
+    const fn may_resume(&self) -> bool {
+        self.stats.events == 0 || self.last.is_some()
+    }
+
     /// Goes on with the stream that another endpoint has begun.
     fn go_on(&mut self, start: StreamStart) {
         self.dispatch.log_outcome("resumed", &start.source.record);
