--- a/crates/core/src/direct/containment.rs
+++ b/crates/core/src/direct/containment.rs
@@ -11,6 +11,7 @@
 //!   [`explanation`]. Now and then one request over all entries tests whether they still crash
 //!   endpoints, see [`hold`].
 
+mod crash;
 mod evidence;
 mod explanation;
 mod hold;
@@ -28,7 +29,8 @@
 use super::source::{Scope, Source};
 use crate::request::{BodyDigest, PartDigest};
 use crate::time::Timestamp;
-use evidence::{Evidence, RequestKey};
+use crash::RequestKey;
+use evidence::Evidence;
 use explanation::CRASH_LIMIT;
 use hold::Hold;
 
--- a/crates/core/src/direct/containment/evidence.rs
+++ b/crates/core/src/direct/containment/evidence.rs
@@ -4,12 +4,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::crash::{Crash, RequestKey};
 use super::observations::{Observations, SoundRuns};
 use super::selection::{Choice, Rank, choose};
 use super::statement::{BrokenRequest, CrashStatement, Fate, SoundStatement};
 use crate::direct::digest::digest;
 use crate::direct::source::{Scope, Source};
-use crate::request::{BodyDigest, PartDigest};
+use crate::request::PartDigest;
 use crate::time::{Timestamp, whole_millis};
 
 /// Time for which a crash is remembered.
@@ -30,9 +31,6 @@
 /// Most remembered breaks. Those of endpoints that live are forgotten first, then the oldest ones.
 const CRASH_LIMIT: usize = 512;
 
-/// Most remembered requests of one crash.
-const REQUEST_LIMIT: usize = 1_024;
-
 /// Most remembered parts of prompts, of all crashes together.
 const PART_LIMIT: usize = 262_144;
 
@@ -51,26 +49,6 @@
 /// Most digests of runs that went on in one report.
 const REPORTED_SOUND: usize = 64;
 
-/// One break of an endpoint's incarnation.
-#[derive(Debug)]
-pub(super) struct Crash {
-    /// When its connections broke.
-    pub(super) at: Timestamp,
-    pub(super) fate: Fate,
-    /// What it ran, unless it lives: the parts of each request's prompt. Several reports may each state
-    /// some of the parts of one request.
-    pub(super) requests: BTreeMap<RequestKey, BTreeSet<PartDigest>>,
-    seen: Observations,
-}
-
-/// Identifies a request of a crash.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct RequestKey {
-    pub(super) body: BodyDigest,
-    /// Whether its answer had begun.
-    pub(super) begun: bool,
-}
-
 /// How often a digest stands in crashes.
 #[derive(Debug, Clone, Copy, Default)]
 struct Suspicion {
@@ -80,64 +58,6 @@
     newest: Timestamp,
 }
 
-impl Crash {
-    fn new(at: Timestamp) -> Self {
-        Self {
-            at,
-            fate: Fate::Unknown,
-            requests: BTreeMap::new(),
-            seen: Observations::default(),
-        }
-    }
-
-    /// Adds a request, or parts of one that is known. Returns the digests that are new.
-    fn add(&mut self, request: BrokenRequest) -> Vec<u64> {
-        let key = RequestKey {
-            body: request.body,
-            begun: request.begun,
-        };
-        let is_known = self.requests.contains_key(&key);
-        if !is_known && self.requests.len() >= REQUEST_LIMIT {
-            return Vec::new();
-        }
-        let parts = self.requests.entry(key).or_default();
-        let added = request.parts.into_iter().filter(|part| parts.insert(*part));
-        let added: Vec<_> = added.map(|part| part.0).collect();
-        let body = (!is_known).then_some(request.body.0);
-        added.into_iter().chain(body).collect()
-    }
-
-    /// Returns the digests of its requests.
-    fn digests(&self) -> impl Iterator<Item = u64> {
-        let digests = |(key, parts): (&RequestKey, &BTreeSet<PartDigest>)| {
-            let parts = parts.iter().map(|part| part.0);
-            parts.chain([key.body.0]).collect::<Vec<_>>()
-        };
-        self.requests.iter().flat_map(digests)
-    }
-
-    fn part_count(&self) -> usize {
-        self.requests.values().map(BTreeSet::len).sum()
-    }
-
-    /// Orders crashes by how much they may explain.
-    fn worth(&self) -> (u8, Timestamp) {
-        let certainty = match self.fate {
-            Fate::Lives => 0,
-            Fate::Unknown => 1,
-            Fate::Ended => 2,
-        };
-        (certainty, self.at)
-    }
-
-    fn set_fate(&mut self, fate: Fate) {
-        self.fate = fate;
-        if fate == Fate::Lives {
-            self.requests.clear();
-        }
-    }
-}
-
 /// All evidence.
 #[derive(Debug, Default)]
 pub(super) struct Evidence {
--- a/crates/core/src/direct/containment/explanation.rs
+++ b/crates/core/src/direct/containment/explanation.rs
@@ -10,7 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::evidence::{Crash, Evidence};
+use super::crash::Crash;
+use super::evidence::Evidence;
 use super::statement::Fate;
 use crate::request::PartDigest;
 use crate::time::Timestamp;
