Holders and live members have names of their own; a comment does not end what may be resumed

Read as a newcomer: `Holder` named both a member that responds and an entry that holds an origin; the first is `LiveMember` now. A round of replication is a type. Recording an origin with its holders stood twice.

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -6,10 +6,10 @@
 //! An unresponsive member may be dead or only unreachable, so its part of every limit stays
 //! reserved for [`MEMBER_RETENTION`], as it may still be spending.
 
-mod holders;
+mod live;
 mod member;
 
-pub(super) use holders::Holders;
+pub(super) use live::LiveMembers;
 pub(super) use member::{Member, Precedence};
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/core/src/direct/members/holders.rs
+++ b/crates/core/src/direct/members/live.rs
@@ -1,4 +1,4 @@
-//! The processes that can keep an item for the fleet, in an order of their own for each item.
+//! The processes that can hold an item for the fleet, in an order of their own for each item.
 
 use std::net::SocketAddr;
 
@@ -9,7 +9,7 @@
 
 /// A responsive member.
 #[derive(Debug, Clone, Copy)]
-pub(in crate::direct) struct Holder {
+pub(in crate::direct) struct LiveMember {
     pub(in crate::direct) address: SocketAddr,
     /// Identifies the member's process. One that restarts has lost what it kept.
     pub(in crate::direct) process: u64,
@@ -18,22 +18,22 @@
 
 /// The responsive members at one time.
 #[derive(Debug, Default)]
-pub(in crate::direct) struct Holders(Vec<Holder>);
+pub(in crate::direct) struct LiveMembers(Vec<LiveMember>);
 
-impl Holders {
+impl LiveMembers {
     /// Returns the first `count` processes for one item; those that leave come after all others.
     /// Entries that know the same members find the same ones.
-    pub(in crate::direct) fn first(&self, item: u64, count: usize) -> Vec<Holder> {
-        let key = |holder: &Holder| (holder.leaving, rank_key(item, holder.address));
-        let mut ranked: Vec<_> = self.0.iter().map(|holder| (key(holder), holder)).collect();
+    pub(in crate::direct) fn first(&self, item: u64, count: usize) -> Vec<LiveMember> {
+        let key = |member: &LiveMember| (member.leaving, rank_key(item, member.address));
+        let mut ranked: Vec<_> = self.0.iter().map(|member| (key(member), member)).collect();
         ranked.sort_unstable_by_key(|(key, _)| *key);
         let first = ranked.into_iter().take(count);
-        first.map(|(_, holder)| *holder).collect()
+        first.map(|(_, member)| *member).collect()
     }
 
     /// Returns a digest of the processes and of which of them leave.
     pub(in crate::direct) fn digest(&self) -> u64 {
-        let processes = self.0.iter().map(|holder| (holder.process, holder.leaving));
+        let processes = self.0.iter().map(|member| (member.process, member.leaving));
         digest(&processes.collect::<Vec<_>>())
     }
 
@@ -43,17 +43,17 @@
 }
 
 impl Members {
-    /// Returns the members that can keep something now.
-    pub(in crate::direct) fn holders(&self, now: Timestamp) -> Holders {
+    /// Returns the members that respond now.
+    pub(in crate::direct) fn live(&self, now: Timestamp) -> LiveMembers {
         let limit = self.response_limit();
         let members = self.members.iter();
         let able = members.filter(|(_, member)| member.is_responsive(limit, now));
-        let holder = |(address, member): (&SocketAddr, &super::Member)| Holder {
+        let live = |(address, member): (&SocketAddr, &super::Member)| LiveMember {
             address: *address,
             process: process(*address, member.identity.boot),
             leaving: member.identity.leaving,
         };
-        Holders(able.map(holder).collect())
+        LiveMembers(able.map(live).collect())
     }
 
     /// Returns the process that is known to run at an address.
--- a/crates/core/src/direct/origin_replication.rs
+++ b/crates/core/src/direct/origin_replication.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::members::Holders;
+use super::members::LiveMembers;
 use super::origin_lookup::{HOLDERS, OriginMessage};
 use super::stream_origins::{KeptOrigin, OriginKey, StreamOrigins};
 use crate::time::{Timestamp, whole_millis};
@@ -28,15 +28,22 @@
 /// Messages by which a holder is told an origin and asked to confirm it.
 const MESSAGES_EACH: usize = 2;
 
-/// What has been compared so far.
+/// One comparison of all origins with their holders.
+#[derive(Debug, Default)]
+struct Round {
+    /// The last origin that was compared.
+    last: Option<OriginKey>,
+    /// Whether a holder lacked an origin.
+    is_lacking: bool,
+}
+
+/// Rounds over the origins, one after each change of the fleet, and more while holders lack any.
 #[derive(Debug, Default)]
 pub(super) struct OriginReplication {
-    /// Digest of the holders at the start of the newest round.
+    /// Digest of the members that responded last.
     fleet: u64,
-    /// The running round: the last origin that was compared, if any.
-    round: Option<Option<OriginKey>>,
-    /// Whether a holder lacked an origin in this round.
-    is_lacking: bool,
+    /// The running round.
+    round: Option<Round>,
     /// When the next round starts, if one is due.
     due: Option<Timestamp>,
     /// Rounds since the fleet last changed.
@@ -60,50 +67,48 @@
     pub(super) fn step(
         &mut self,
         origins: &StreamOrigins,
-        holders: &Holders,
+        members: &LiveMembers,
         now: Timestamp,
     ) -> Vec<(SocketAddr, OriginMessage)> {
-        self.start_round(holders, now);
-        let Some(mut last) = self.round else {
+        self.start_round(members, now);
+        let Some(mut round) = self.round.take() else {
             return Vec::new();
         };
-        let most = (STEP_RANKS / holders.len().max(1)).max(1);
+        let most = (STEP_RANKS / members.len().max(1)).max(1);
         let mut messages = Vec::new();
-        for (count, kept) in origins.received_after(last).enumerate() {
+        for (count, kept) in origins.received_after(round.last).enumerate() {
             if count == most || messages.len() >= STEP_ORIGINS * MESSAGES_EACH {
-                self.round = Some(last);
+                self.round = Some(round);
                 return messages;
             }
-            last = Some(kept.key);
-            let lacking = lacking(&kept, holders, now);
-            self.is_lacking |= !lacking.is_empty();
+            round.last = Some(kept.key);
+            let lacking = lacking(&kept, members, now);
+            round.is_lacking |= !lacking.is_empty();
             for holder in lacking {
                 let told = messages_to_keep(&kept, now);
                 messages.extend(told.map(|message| (holder, message)));
             }
         }
-        self.end_round(now);
+        self.end_round(&round, now);
         messages
     }
 
     /// Starts a round if one is due. The fleet's change does not interrupt a running one, so that
     /// each origin gets its turn.
-    fn start_round(&mut self, holders: &Holders, now: Timestamp) {
-        let fleet = holders.digest();
+    fn start_round(&mut self, members: &LiveMembers, now: Timestamp) {
+        let fleet = members.digest();
         if std::mem::replace(&mut self.fleet, fleet) != fleet {
             self.restart();
         }
         if self.round.is_none() && self.due.is_some_and(|due| due <= now) {
-            self.round = Some(None);
-            self.is_lacking = false;
+            self.round = Some(Round::default());
             self.due = None;
             self.rounds += 1;
         }
     }
 
-    fn end_round(&mut self, now: Timestamp) {
-        self.round = None;
-        if self.is_lacking && self.due.is_none() && self.rounds < ROUND_LIMIT {
+    fn end_round(&mut self, round: &Round, now: Timestamp) {
+        if round.is_lacking && self.due.is_none() && self.rounds < ROUND_LIMIT {
             self.due = Some(now + RETRY_INTERVAL);
         }
     }
@@ -111,12 +116,12 @@
 
 /// Returns the holders of a stream that are not known to keep its origin. Nobody needs the origin of a
 /// stream whose deadline has passed.
-fn lacking(kept: &KeptOrigin<'_>, holders: &Holders, now: Timestamp) -> Vec<SocketAddr> {
+fn lacking(kept: &KeptOrigin<'_>, members: &LiveMembers, now: Timestamp) -> Vec<SocketAddr> {
     if kept.lifetime(now).is_zero() {
         return Vec::new();
     }
-    let wanted = holders.first(kept.stream().0, HOLDERS).into_iter();
-    let lacking = wanted.filter(|holder| !kept.is_at(holder.process));
+    let wanted = members.first(kept.stream().0, HOLDERS).into_iter();
+    let lacking = wanted.filter(|holder| !kept.is_held_by(holder.process));
     lacking.map(|holder| holder.address).collect()
 }
 
--- a/crates/core/src/direct/scheduler/origins.rs
+++ b/crates/core/src/direct/scheduler/origins.rs
@@ -33,11 +33,7 @@
         lifetime: Duration,
         now: Timestamp,
     ) -> (OriginMessage, Vec<SocketAddr>) {
-        self.origins.record(stream, origin.clone(), lifetime, now);
-        let holders = self.members.holders(now).first(stream.0, HOLDERS);
-        let processes = holders.iter().map(|holder| holder.process);
-        self.origins.add_keepers(stream, processes);
-        let holders = holders.iter().map(|holder| holder.address).collect();
+        let holders = self.record_origin(stream, origin.clone(), lifetime, now);
         let lifetime = whole_millis(lifetime);
         let message = OriginMessage::Began {
             stream,
@@ -209,7 +205,22 @@
         }
     }
 
-    /// Keeps an origin that `from` keeps too. Whoever told it has told the other holders.
+    /// Records an origin that its holders are told now, by this entry or another one. Returns the holders.
+    fn record_origin(
+        &mut self,
+        stream: StreamDigest,
+        origin: Origin,
+        lifetime: Duration,
+        now: Timestamp,
+    ) -> Vec<SocketAddr> {
+        self.origins.record(stream, origin, lifetime, now);
+        let holders = self.members.live(now).first(stream.0, HOLDERS);
+        let processes = holders.iter().map(|holder| holder.process);
+        self.origins.add_holders(stream, processes);
+        holders.iter().map(|holder| holder.address).collect()
+    }
+
+    /// Keeps an origin that `from` keeps too.
     fn keep_origin(
         &mut self,
         from: SocketAddr,
@@ -219,22 +230,19 @@
         now: Timestamp,
     ) {
         if self.origins.find(stream, now).is_none() {
-            let holders = self.members.holders(now).first(stream.0, HOLDERS);
-            self.origins.record(stream, origin, lifetime, now);
-            let processes = holders.iter().map(|holder| holder.process);
-            self.origins.add_keepers(stream, processes);
+            self.record_origin(stream, origin, lifetime, now);
         } else {
             self.origins.record(stream, origin, lifetime, now);
         }
         let process = self.members.process_at(from);
-        self.origins.add_keepers(stream, process);
+        self.origins.add_holders(stream, process);
     }
 
     /// Returns messages that tell origins to holders which lack them, some at a time: since the fleet
     /// has changed, or a message was lost. Has to be called every few milliseconds.
     pub fn replicate_origins(&mut self, now: Timestamp) -> Vec<(SocketAddr, OriginMessage)> {
-        let holders = self.members.holders(now);
-        self.replication.step(&self.origins, &holders, now)
+        let members = self.members.live(now);
+        self.replication.step(&self.origins, &members, now)
     }
 
     /// Returns whether every holder is known to keep the origins that this entry knows.
@@ -247,7 +255,7 @@
     /// by those that stay, see [`Scheduler::replicate_origins`].
     pub fn start_leaving(&mut self) {
         self.identity.leaving = true;
-        self.origins.forget_keepers();
+        self.origins.forget_holders();
         self.replication.restart();
     }
 
--- a/crates/core/src/direct/stream_origins.rs
+++ b/crates/core/src/direct/stream_origins.rs
@@ -51,15 +51,15 @@
 }
 
 /// Most processes of which it is remembered that they keep an origin.
-const KEEPER_LIMIT: usize = 8;
+const HOLDER_LIMIT: usize = 8;
 
 #[derive(Debug)]
 struct Entry {
     origin: Origin,
     evidence: Evidence,
     expires: Timestamp,
-    /// Other processes that keep the origin, those that were learned of last at the end.
-    keepers: Vec<u64>,
+    /// Processes that are known to hold the origin, those that were learned of last at the end.
+    holders: Vec<u64>,
 }
 
 /// Position of an origin in the order in which they expire.
@@ -70,7 +70,7 @@
 pub(super) struct KeptOrigin<'a> {
     pub(super) key: OriginKey,
     pub(super) origin: &'a Origin,
-    keepers: &'a [u64],
+    holders: &'a [u64],
 }
 
 impl KeptOrigin<'_> {
@@ -83,9 +83,9 @@
         lifetime(self.key.0, now)
     }
 
-    /// Returns whether a process is known to keep the origin.
-    pub(super) fn is_at(&self, process: u64) -> bool {
-        self.keepers.contains(&process)
+    /// Returns whether a process is known to hold the origin.
+    pub(super) fn is_held_by(&self, process: u64) -> bool {
+        self.holders.contains(&process)
     }
 }
 
@@ -177,7 +177,7 @@
             origin,
             evidence,
             expires,
-            keepers: Vec::new(),
+            holders: Vec::new(),
         };
         self.entries.insert(stream, entry);
     }
@@ -205,7 +205,7 @@
     }
 
     /// Records that other processes keep the origin of a stream.
-    pub(super) fn add_keepers(
+    pub(super) fn add_holders(
         &mut self,
         stream: StreamDigest,
         processes: impl IntoIterator<Item = u64>,
@@ -214,18 +214,18 @@
             return;
         };
         for process in processes {
-            if !entry.keepers.contains(&process) {
-                entry.keepers.push(process);
+            if !entry.holders.contains(&process) {
+                entry.holders.push(process);
             }
         }
-        let excess = entry.keepers.len().saturating_sub(KEEPER_LIMIT);
-        entry.keepers.drain(..excess);
+        let excess = entry.holders.len().saturating_sub(HOLDER_LIMIT);
+        entry.holders.drain(..excess);
     }
 
     /// Forgets which other processes keep origins, so that all of them have to confirm it.
-    pub(super) fn forget_keepers(&mut self) {
+    pub(super) fn forget_holders(&mut self) {
         for entry in self.entries.values_mut() {
-            entry.keepers.clear();
+            entry.holders.clear();
         }
     }
 
@@ -242,7 +242,7 @@
             let kept = KeptOrigin {
                 key: *key,
                 origin: &entry.origin,
-                keepers: &entry.keepers,
+                holders: &entry.holders,
             };
             (entry.evidence == Evidence::Received).then_some(kept)
         })
--- a/crates/direct/src/dispatch/stream.rs
+++ b/crates/direct/src/dispatch/stream.rs
@@ -63,6 +63,9 @@
     upcoming: Option<Next>,
     /// The last event that the caller has received.
     last: Option<u64>,
+    /// Whether another endpoint can go on after what the caller has received: nothing, or an event with an
+    /// id.
+    resumable: bool,
     stats: StreamStats,
 }
 
@@ -74,6 +77,7 @@
         source: start.source,
         upcoming: Some(start.first),
         last: None,
+        resumable: true,
         stats: StreamStats::new(),
     };
     let first = stream.next_step().await;
@@ -172,6 +176,9 @@
                 .record_sound(self.source.begun().unwrap_or_default());
         }
         self.stats.record_event();
+        if !event.is_comment() {
+            self.resumable = event.id.is_some();
+        }
         let received = event.id.is_some_and(|id| self.last >= Some(id));
         self.last = self.last.max(event.id);
         !received
@@ -185,7 +192,7 @@
             if let Ok(next) = waiting.await {
                 return Some(next);
             }
-            let may_move = self.may_resume() && self.dispatch.may_move(&self.source.record);
+            let may_move = self.resumable && self.dispatch.may_move(&self.source.record);
             if may_move && self.dispatch.take_retry() {
                 return None;
             }
@@ -223,7 +230,7 @@
     async fn replace_broken(&mut self) -> bool {
         self.dispatch.leave_broken(&mut self.source);
         self.dispatch.exclude(&self.source.record);
-        let may_resume = self.may_resume() && self.dispatch.may_run_again();
+        let may_resume = self.resumable && self.dispatch.may_run_again();
         if !may_resume || !self.dispatch.take_retry() {
             return false;
         }
@@ -236,12 +243,6 @@
         }
     }
 
-    /// Returns whether another endpoint can go on after what the caller has received: nothing, or an event
-    /// with an id.
-    const fn may_resume(&self) -> bool {
-        self.stats.events == 0 || self.last.is_some()
-    }
-
     /// Goes on with the stream that another endpoint has begun.
     fn go_on(&mut self, start: StreamStart) {
         self.dispatch.log_outcome("resumed", &start.source.record);
