A request that waits for a slot is refused as soon as its part is held

Cause, from the logs: the request had found all three crashed endpoints down and waited for a busy one when its own refused connection proved the third crash. What is held is asked after a placement, and none came. Ruled out: the evidence (the hold is there 4 s before the answer).

The order of two connections decides, so no test shows the fault each time; the one that found it is unchanged.

--- a/crates/direct/src/dispatch/attempt.rs
+++ b/crates/direct/src/dispatch/attempt.rs
@@ -21,6 +21,9 @@
 /// silent.
 const MIN_MOVE_TIME: Duration = Duration::from_millis(150);
 
+/// Interval at which a waiting request is compared with what crashes endpoints.
+const CONTAINED_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The beginning of an endpoint's answer.
 pub(super) enum Begun {
     /// An answer that is not a stream. It is complete.
@@ -61,7 +64,11 @@
     pub(super) async fn begin(&self, last: Option<u64>) -> Result<Begun, Failure> {
         let mut head = None;
         loop {
-            let (placement, slot) = match self.place().await {
+            let placed = tokio::select! {
+                placed = self.place() => placed,
+                contained = self.until_contained() => return Err(Failure::Contained(contained)),
+            };
+            let (placement, slot) = match placed {
                 PlacementOutcome::Placed(placement, slot) => (placement, slot),
                 PlacementOutcome::Refused(refusal) => return Err(Failure::Refused(refusal)),
             };
@@ -89,6 +96,17 @@
         }
     }
 
+    /// Waits until requests like it are held. One that waits for a slot learns that here, since no slot may
+    /// come in time.
+    async fn until_contained(&self) -> Contained {
+        loop {
+            tokio::time::sleep(CONTAINED_INTERVAL).await;
+            if let Some(contained) = self.contained() {
+                return contained;
+            }
+        }
+    }
+
     /// Returns whether the route allows another send after this fault.
     fn may_retry(&self, fault: &SendFault) -> bool {
         let allowed = match fault {
