Replication of origins costs less while the fleet does not change

Cause: the members were compared every 20 ms, with a digest for each of their processes, also where no round was running.

Change: the members are compared every 100 ms while no round runs, by one digest; that of a process is made for holders alone. 18 tests of origins pass.

--- a/crates/core/src/direct/members/live.rs
+++ b/crates/core/src/direct/members/live.rs
@@ -8,14 +8,20 @@
 use crate::time::Timestamp;
 
 /// A responsive member.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Hash)]
 pub(in crate::direct) struct LiveMember {
     pub(in crate::direct) address: SocketAddr,
-    /// Identifies the member's process. One that restarts has lost what it kept.
-    pub(in crate::direct) process: u64,
+    boot: u64,
     leaving: bool,
 }
 
+impl LiveMember {
+    /// Identifies the member's process. One that restarts has lost what it kept.
+    pub(in crate::direct) fn process(&self) -> u64 {
+        process(self.address, self.boot)
+    }
+}
+
 /// The responsive members at one time.
 #[derive(Debug, Default)]
 pub(in crate::direct) struct LiveMembers(Vec<LiveMember>);
@@ -33,8 +39,7 @@
 
     /// Returns a digest of the processes and of which of them leave.
     pub(in crate::direct) fn digest(&self) -> u64 {
-        let processes = self.0.iter().map(|member| (member.process, member.leaving));
-        digest(&processes.collect::<Vec<_>>())
+        digest(&self.0)
     }
 
     pub(in crate::direct) const fn len(&self) -> usize {
@@ -50,7 +55,7 @@
         let able = members.filter(|(_, member)| member.is_responsive(limit, now));
         let live = |(address, member): (&SocketAddr, &super::Member)| LiveMember {
             address: *address,
-            process: process(*address, member.identity.boot),
+            boot: member.identity.boot,
             leaving: member.identity.leaving,
         };
         LiveMembers(able.map(live).collect())
--- a/crates/core/src/direct/origin_replication.rs
+++ b/crates/core/src/direct/origin_replication.rs
@@ -15,6 +15,9 @@
 /// Time after which holders that have not confirmed an origin are told again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval at which the members are compared while no round runs.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Rounds in which holders are told again, unless the fleet changes. One that does not confirm until
 /// then cannot keep the origin.
 const ROUND_LIMIT: u32 = 8;
@@ -42,6 +45,8 @@
 pub(super) struct OriginReplication {
     /// Digest of the members that responded last.
     fleet: u64,
+    /// When the members are compared again, unless a round runs.
+    check_at: Timestamp,
     /// The running round.
     round: Option<Round>,
     /// When the next round starts, if one is due.
@@ -54,9 +59,15 @@
     /// Lets a new round start at once, or after the running one.
     pub(super) const fn restart(&mut self) {
         self.due = Some(Timestamp::ZERO);
+        self.check_at = Timestamp::ZERO;
         self.rounds = 0;
     }
 
+    /// Returns whether [`Self::step`] has something to do.
+    pub(super) fn is_due(&self, now: Timestamp) -> bool {
+        self.round.is_some() || self.check_at <= now
+    }
+
     /// Returns whether every holder is known to keep its origins, or cannot.
     pub(super) const fn is_complete(&self) -> bool {
         self.round.is_none() && self.due.is_none()
@@ -96,6 +107,7 @@
     /// Starts a round if one is due. The fleet's change does not interrupt a running one, so that
     /// each origin gets its turn.
     fn start_round(&mut self, members: &LiveMembers, now: Timestamp) {
+        self.check_at = now + CHECK_INTERVAL;
         let fleet = members.digest();
         if std::mem::replace(&mut self.fleet, fleet) != fleet {
             self.restart();
@@ -121,7 +133,7 @@
         return Vec::new();
     }
     let wanted = members.first(kept.stream().0, HOLDERS).into_iter();
-    let lacking = wanted.filter(|holder| !kept.is_held_by(holder.process));
+    let lacking = wanted.filter(|holder| !kept.is_held_by(holder.process()));
     lacking.map(|holder| holder.address).collect()
 }
 
--- a/crates/core/src/direct/scheduler/origins.rs
+++ b/crates/core/src/direct/scheduler/origins.rs
@@ -215,7 +215,7 @@
     ) -> Vec<SocketAddr> {
         self.origins.record(stream, origin, lifetime, now);
         let holders = self.members.live(now).first(stream.0, HOLDERS);
-        let processes = holders.iter().map(|holder| holder.process);
+        let processes = holders.iter().map(|holder| holder.process());
         self.origins.add_holders(stream, processes);
         holders.iter().map(|holder| holder.address).collect()
     }
@@ -241,6 +241,9 @@
     /// Returns messages that tell origins to holders which lack them, some at a time: since the fleet
     /// has changed, or a message was lost. Has to be called every few milliseconds.
     pub fn replicate_origins(&mut self, now: Timestamp) -> Vec<(SocketAddr, OriginMessage)> {
+        if !self.replication.is_due(now) {
+            return Vec::new();
+        }
         let members = self.members.live(now);
         self.replication.step(&self.origins, &members, now)
     }
